--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Package of the demo."""
--- /dev/null
+++ b/src/papayastall/__init__.py
@@ -0,0 +1,7 @@
+"""A proxy fleet for upstreams with gray failures."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/src/papayastall/exceptions.py
@@ -0,0 +1,133 @@
+"""The errors of papayastall: one hierarchy with stable codes.
+
+Every error carries a code, the step at which it arose and, where another
+process was involved, the peer. The codes are listed in ``docs/errors.md``.
+"""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = [
+    "BadInputError",
+    "ConflictError",
+    "ErrorCode",
+    "OutcomeUnknownError",
+    "PapayastallError",
+    "ProtocolError",
+    "RanState",
+    "RefusedError",
+    "StorageError",
+    "UnreachableError",
+]
+
+
+class ErrorCode(enum.Enum):
+    """Stable codes that callers and operators may rely on."""
+
+    BAD_SETTINGS = "bad-settings"
+    BAD_DOCUMENT = "bad-document"
+    BAD_REQUEST = "bad-request"
+    BAD_FRAME = "bad-frame"
+    BAD_ANNOUNCEMENT = "bad-announcement"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNAUTHORIZED = "unauthorized"
+    REVISION_CONFLICT = "revision-conflict"
+    KEY_REUSED = "key-reused"
+    STILL_RUNNING = "still-running"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no-upstream"
+    LEAVING = "leaving"
+    CRASHING_REQUEST = "crashing-request"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    NOT_READY = "not-ready"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    CANCELLED = "cancelled"
+    UPSTREAM_FAILED = "upstream-failed"
+    LINK_FAILED = "link-failed"
+    NO_LEADER = "no-leader"
+    NOT_LEADER = "not-leader"
+    FLOOR = "floor"
+    STORAGE_DAMAGED = "storage-damaged"
+    STORAGE_FAILED = "storage-failed"
+    INTERNAL = "internal"
+
+
+class RanState(enum.Enum):
+    """Whether a request was run by an upstream."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class PapayastallError(Exception):
+    """Base of all errors.
+
+    :param code: stable code of the error.
+    :param message: text for the user that says what to do.
+    :param step: the step at which the error arose.
+    :param peer: address or name of the other process, if any.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        step: str,
+        peer: str | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        peer = f" (peer {self.peer})" if self.peer else ""
+        return f"{self.code.value}: {self.step}: {self.message}{peer}"
+
+
+class BadInputError(PapayastallError):
+    """Input from outside is wrong; the sender must change it."""
+
+
+class ConflictError(PapayastallError):
+    """Another change or request was first."""
+
+
+class UnreachableError(PapayastallError):
+    """A peer did not answer."""
+
+
+class ProtocolError(PapayastallError):
+    """A peer sent something that the protocol does not allow."""
+
+
+class StorageError(PapayastallError):
+    """The data folder can't be read or written."""
+
+
+class RefusedError(PapayastallError):
+    """A request was refused and did not run.
+
+    :param retry_after_s: when the caller may come back, in seconds;
+        ``None`` where coming back does not help.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        step: str,
+        peer: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(code, message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
+class OutcomeUnknownError(PapayastallError):
+    """A request may have run; nobody can tell."""
