--- /dev/null
+++ b/src/papayastall/_decision_types.py
@@ -0,0 +1,241 @@
+"""Typed events, actions and views of the request controllers.
+
+The controllers do no I/O. Adapters turn what happens on the network into
+calls with ``now_s`` (seconds of a monotonic clock) and carry out the
+actions that come back.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from papayastall import exceptions
+
+__all__ = [
+    "AnswerChosen",
+    "AskPermit",
+    "AttemptOutcome",
+    "AttemptResult",
+    "CancelAttempt",
+    "Dispatch",
+    "ForwardAttempt",
+    "IngressAction",
+    "IngressRequest",
+    "Outcome",
+    "OwnerAction",
+    "OwnerAdvert",
+    "OwnerLoad",
+    "OwnerRequest",
+    "RefuseRequest",
+    "ReleasePermit",
+    "RequestKind",
+    "UpstreamAnnouncement",
+    "UpstreamState",
+]
+
+
+class RequestKind(enum.Enum):
+    """Whether a request may safely run more than once."""
+
+    LOOKUP = "lookup"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class UpstreamState(enum.Enum):
+    """What an upstream says of itself."""
+
+    COLD = "cold"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Outcome(enum.Enum):
+    """How a request that was handed to an upstream ended."""
+
+    ANSWERED = "answered"
+    """A whole answer with a status below 500."""
+    FAILED = "failed"
+    """A whole answer with a status of 500 or above, but for a shed."""
+    SHED = "shed"
+    """The upstream refused it and says that it did not run."""
+    BROKEN = "broken"
+    """The connection ended before a whole answer."""
+    CONNECT_FAILED = "connect-failed"
+    """No connection could be made; nothing was handed over."""
+    TIMED_OUT = "timed-out"
+    """The deadline passed before a whole answer."""
+    CANCELLED = "cancelled"
+    """The caller gave up."""
+
+
+class AttemptResult(enum.Enum):
+    """What an ingress learned of one attempt at one owner."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamAnnouncement:
+    """What an upstream announces to its owner.
+
+    :param upstream: address as ``ip:port``.
+    :param load: its own report, 0 idle to 1 full; weak evidence only.
+    :param lease_s: for how long the announcement holds, in seconds.
+    """
+
+    upstream: str
+    service: str
+    slots: int
+    connections: int
+    load: float
+    state: UpstreamState
+    lease_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnerRequest:
+    """A request that an ingress asks an owner to run.
+
+    :param deadline_s: on the owner's own clock.
+    :param reference_ms: median time of the service's recent answers as
+        the ingress sees it over all owners; ``None`` while unknown.
+    :param fingerprint: digest of service, method, target and body.
+    """
+
+    request_id: int
+    service: str
+    route: str
+    team: str
+    kind: RequestKind
+    deadline_s: float
+    reference_ms: float | None
+    fingerprint: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnerLoad:
+    """The load of one owner for one service, carried on answers.
+
+    :param weight: sum over its upstreams of slots times steering weight.
+    :param latency_ms: recent median upstream time, ``None`` while unknown.
+    """
+
+    owner: str
+    service: str
+    slots: int
+    weight: float
+    in_flight: int
+    queued: int
+    latency_ms: float | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnerAdvert:
+    """What membership tells every node of one owner and one service."""
+
+    owner: str
+    service: str
+    failure_domain: str
+    slots: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class IngressRequest:
+    """A caller's request at its ingress."""
+
+    request_id: int
+    service: str
+    route: str
+    team: str
+    kind: RequestKind
+    deadline_s: float
+    fingerprint: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptOutcome:
+    """How one attempt ended.
+
+    :param code: why it was refused or failed; ``None`` when answered.
+    :param retry_after_s: the owner's word on when to come back, seconds.
+    """
+
+    request_id: int
+    attempt: int
+    result: AttemptResult
+    status: int | None
+    code: exceptions.ErrorCode | None
+    retry_after_s: float | None
+    load: OwnerLoad | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dispatch:
+    """Hand the request to this upstream now."""
+
+    request_id: int
+    upstream: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RefuseRequest:
+    """Tell whoever sent the request that it did not run, or may have.
+
+    :param final: coming back or trying elsewhere does not help.
+    """
+
+    request_id: int
+    code: exceptions.ErrorCode
+    ran: exceptions.RanState
+    retry_after_s: float | None
+    final: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AskPermit:
+    """Ask the control state for a permit to eject this upstream."""
+
+    upstream: str
+    service: str
+    slots: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReleasePermit:
+    """Give back the permit of an upstream that returns or is gone."""
+
+    upstream: str
+    service: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardAttempt:
+    """Send the request to this owner as the numbered attempt."""
+
+    request_id: int
+    attempt: int
+    owner: str
+    reference_ms: float | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CancelAttempt:
+    """Cancel an attempt that is no longer wanted."""
+
+    request_id: int
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerChosen:
+    """Relay this attempt's answer to the caller."""
+
+    request_id: int
+    attempt: int
+
+
+OwnerAction = Dispatch | RefuseRequest | AskPermit | ReleasePermit
+IngressAction = ForwardAttempt | CancelAttempt | AnswerChosen | RefuseRequest
