--- /dev/null
+++ b/src/papayastall/_raft_codec.py
@@ -0,0 +1,217 @@
+"""Turns the types of the replicated log into bytes and back."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import pathlib
+import typing as t
+
+import thriftpy2
+from thriftpy2 import protocol
+from thriftpy2 import utils
+
+from papayastall import _raft_types as types
+from papayastall import exceptions
+
+__all__ = [
+    "decode_batch",
+    "decode_members",
+    "decode_meta",
+    "encode_batch",
+    "encode_members",
+    "encode_meta",
+]
+
+_IDL = thriftpy2.load(
+    str(pathlib.Path(__file__).with_name("raft.thrift")),
+    module_name="papayastall_raft_thrift",
+)
+_FACTORY = protocol.TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+
+_BODY_FIELDS: dict[type, str] = {
+    types.VoteRequest: "vote_request",
+    types.VoteReply: "vote_reply",
+    types.Append: "append",
+    types.AppendReply: "append_reply",
+    types.SnapshotChunk: "snapshot_chunk",
+    types.SnapshotReply: "snapshot_reply",
+    types.Join: "join",
+    types.StaleNotice: "stale_notice",
+    types.TimeoutNow: "timeout_now",
+}
+_FIELD_NAMES = {
+    cls: tuple(field.name for field in dataclasses.fields(cls))
+    for cls in (
+        *_BODY_FIELDS,
+        types.Entry,
+        types.Member,
+        types.Members,
+        types.SnapshotMeta,
+    )
+}
+
+
+def _pack(value: t.Any) -> t.Any:
+    """Turn a data class into the thrift struct of the same name."""
+    if isinstance(value, tuple):
+        return [_pack(item) for item in value]
+    cls = type(value)
+    if cls not in _FIELD_NAMES:
+        return value
+    struct = getattr(_IDL, cls.__name__)()
+    for name in _FIELD_NAMES[cls]:
+        setattr(struct, name, _pack(getattr(value, name)))
+    return struct
+
+
+def _require_all(struct: t.Any, cls: type) -> list[t.Any]:
+    values = [getattr(struct, name) for name in _FIELD_NAMES[cls]]
+    if any(value is None for value in values):
+        raise ValueError(f"{cls.__name__} lacks a field")
+    return values
+
+
+def _unpack_entry(struct: t.Any) -> types.Entry:
+    index, term, kind, chain, payload = _require_all(struct, types.Entry)
+    return types.Entry(index, term, types.EntryKind(kind), chain, payload)
+
+
+def _unpack_members(struct: t.Any) -> types.Members:
+    members, retired = _require_all(struct, types.Members)
+    return types.Members(
+        tuple(
+            types.Member(*_require_all(member, types.Member))
+            for member in members
+        ),
+        tuple(retired),
+    )
+
+
+def _unpack_meta(struct: t.Any) -> types.SnapshotMeta:
+    index, term, chain, members = _require_all(struct, types.SnapshotMeta)
+    return types.SnapshotMeta(index, term, chain, _unpack_members(members))
+
+
+def _unpack_body(struct: t.Any) -> types.Body:
+    for cls, name in _BODY_FIELDS.items():
+        body = getattr(struct, name)
+        if body is None:
+            continue
+        values = _require_all(body, cls)
+        if cls is types.Append:
+            values[4] = tuple(_unpack_entry(entry) for entry in values[4])
+        elif cls is types.SnapshotChunk:
+            values[0] = _unpack_meta(values[0])
+        return t.cast(types.Body, cls(*values))
+    raise ValueError("message without a body")
+
+
+def _decode(cls: t.Any, data: bytes) -> t.Any:
+    try:
+        return utils.deserialize(cls(), data, _FACTORY)
+    except Exception as error:
+        raise _bad_frame(error) from error
+
+
+def _bad_frame(error: Exception) -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(
+        exceptions.ErrorCode.BAD_FRAME,
+        f"bytes are no message of the replicated log ({error}); run the "
+        "same version on all nodes",
+        step="raft-decode",
+    )
+
+
+def _encode(struct: t.Any) -> bytes:
+    return utils.serialize(struct, _FACTORY)
+
+
+def encode_members(members: types.Members) -> bytes:
+    """Return the payload of a ``MEMBERS`` entry."""
+    return _encode(_pack(members))
+
+
+def decode_members(data: bytes) -> types.Members:
+    """Read the payload of a ``MEMBERS`` entry.
+
+    :raises papayastall.exceptions.ProtocolError: it is none.
+    """
+    try:
+        return _unpack_members(_decode(_IDL.Members, data))
+    except (TypeError, ValueError) as error:
+        raise _bad_frame(error) from error
+
+
+def encode_meta(meta: types.SnapshotMeta) -> bytes:
+    """Return what a snapshot file says about its snapshot."""
+    return _encode(_pack(meta))
+
+
+def decode_meta(data: bytes) -> types.SnapshotMeta:
+    """Read what a snapshot file says about its snapshot.
+
+    :raises papayastall.exceptions.ProtocolError: it says nothing.
+    """
+    try:
+        return _unpack_meta(_decode(_IDL.SnapshotMeta, data))
+    except (TypeError, ValueError) as error:
+        raise _bad_frame(error) from error
+
+
+def encode_batch(
+    sender: types.Sender,
+    messages: cabc.Iterable[tuple[int, types.Message]],
+) -> bytes:
+    """Return the bytes of all messages to one process.
+
+    :param messages: pairs of group and message.
+    """
+    structs = []
+    for group, message in messages:
+        struct = _IDL.Message(
+            group=group,
+            to_id=message.to_id,
+            cluster_id=message.cluster_id,
+            term=message.term,
+        )
+        name = _BODY_FIELDS[type(message.body)]
+        setattr(struct, name, _pack(message.body))
+        structs.append(struct)
+    return _encode(
+        _IDL.Batch(
+            folder_id=sender.folder_id,
+            boot=sender.boot,
+            boot_nonce=sender.boot_nonce,
+            messages=structs,
+        )
+    )
+
+
+def decode_batch(
+    data: bytes, peer: str, own_address: str
+) -> list[tuple[int, types.Message]]:
+    """Read the messages of one process.
+
+    :param peer: address of the sender.
+    :raises papayastall.exceptions.ProtocolError: they are malformed.
+    """
+    batch = _decode(_IDL.Batch, data)
+    sender = types.Sender(peer, batch.folder_id, batch.boot, batch.boot_nonce)
+    try:
+        return [
+            (
+                struct.group,
+                types.Message(
+                    own_address,
+                    struct.to_id,
+                    sender,
+                    struct.cluster_id,
+                    struct.term,
+                    _unpack_body(struct),
+                ),
+            )
+            for struct in batch.messages
+        ]
+    except (TypeError, ValueError) as error:
+        raise _bad_frame(error) from error
--- /dev/null
+++ b/src/papayastall/_raft_election.py
@@ -0,0 +1,152 @@
+"""Votes: who may lead, and the promises that protect a leader's lease."""
+
+from __future__ import annotations
+
+from papayastall import _raft_state
+from papayastall import _raft_types as types
+
+__all__ = ["Election"]
+
+
+class Election:
+    """Pre-vote and vote of one replica.
+
+    :param state: blackboard of the replica.
+    """
+
+    __slots__ = ("_forced", "_state", "_votes")
+
+    def __init__(self, state: _raft_state.RaftState) -> None:
+        self._state = state
+        self._votes: set[int] = set()
+        self._forced = False
+
+    def promised(self, now_s: float) -> bool:
+        """Whether a leader may still count on this replica's word."""
+        if self._state.role is types.Role.LEADER:
+            return True
+        elapsed_s = now_s - self._state.heard_s
+        return elapsed_s < self._state.timings.election_min_s
+
+    def tick(self, now_s: float) -> None:
+        """Ask for an election when no leader was heard for too long."""
+        state = self._state
+        if now_s < state.election_deadline_s:
+            return
+        state.leader = None
+        state.reset_election(now_s)
+        if not state.is_voter:
+            return
+        self._ask(pre=True)
+        self._count(state.identity.folder_id)
+        if self._has_majority():
+            self._stand()
+
+    def campaign_now(self, now_s: float) -> None:
+        """Stand for election at once, as the leader asked."""
+        self._state.reset_election(now_s)
+        self._forced = True
+        self._stand()
+
+    def _ask(self, pre: bool) -> None:
+        state = self._state
+        state.role = types.Role.PRE_CANDIDATE if pre else types.Role.CANDIDATE
+        if pre:
+            self._forced = False
+        self._votes = set()
+        term = state.term + 1 if pre else state.term
+        request = types.VoteRequest(
+            pre, self._forced, state.log.last_index, state.log.last_term
+        )
+        for member in state.log.members.members:
+            if member.voter and member.folder_id != state.identity.folder_id:
+                state.out.messages.append(
+                    state.message(
+                        member.address, member.folder_id, request, term
+                    )
+                )
+
+    def _stand(self) -> None:
+        state = self._state
+        state.set_term(state.term + 1)
+        state.vote = state.identity.folder_id
+        state.write_hard_state()
+        self._ask(pre=False)
+
+    def persisted(self) -> bool:
+        """Count the own vote, now durable; return whether it won."""
+        if self._state.role is not types.Role.CANDIDATE:
+            return False
+        return self._count(self._state.identity.folder_id)
+
+    def on_request(
+        self, now_s: float, message: types.Message, body: types.VoteRequest
+    ) -> None:
+        """Answer a request for a vote."""
+        if body.pre:
+            self._on_pre_request(now_s, message, body)
+            return
+        state = self._state
+        if self.promised(now_s) and not body.forced:
+            return
+        if message.term > state.term:
+            state.set_term(message.term)
+        candidate_id = message.sender.folder_id
+        granted = (
+            message.term == state.term
+            and state.role is types.Role.FOLLOWER
+            and state.vote in (0, candidate_id)
+            and self._is_up_to_date(body)
+        )
+        if granted:
+            state.cluster_id = state.cluster_id or message.cluster_id
+            state.vote = candidate_id
+            state.write_hard_state()
+            state.reset_election(now_s)
+        state.reply(message.sender, types.VoteReply(False, granted))
+
+    def _on_pre_request(
+        self, now_s: float, message: types.Message, body: types.VoteRequest
+    ) -> None:
+        state = self._state
+        granted = (
+            message.term > state.term
+            and not self.promised(now_s)
+            and self._is_up_to_date(body)
+        )
+        term = message.term if granted else state.term
+        state.reply(message.sender, types.VoteReply(True, granted), term)
+
+    def _is_up_to_date(self, body: types.VoteRequest) -> bool:
+        log = self._state.log
+        return (body.last_term, body.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+
+    def on_reply(self, message: types.Message, body: types.VoteReply) -> bool:
+        """Count a vote; return whether this replica was elected."""
+        state = self._state
+        voter_id = message.sender.folder_id
+        if not body.granted:
+            return False
+        if body.pre:
+            if (
+                state.role is types.Role.PRE_CANDIDATE
+                and message.term == state.term + 1
+            ):
+                self._count(voter_id)
+                if self._has_majority():
+                    self._stand()
+            return False
+        if state.role is not types.Role.CANDIDATE:
+            return False
+        return message.term == state.term and self._count(voter_id)
+
+    def _count(self, voter_id: int) -> bool:
+        if voter_id in self._state.log.members.voter_ids():
+            self._votes.add(voter_id)
+        return self._has_majority()
+
+    def _has_majority(self) -> bool:
+        return len(self._votes) >= self._state.quorum_size()
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -51,6 +51,7 @@
     FLOOR = "floor"
     STORAGE_DAMAGED = "storage-damaged"
     STORAGE_FAILED = "storage-failed"
+    FOLDER_IN_USE = "folder-in-use"
     INTERNAL = "internal"
 
 
