--- /dev/null
+++ b/src/papayastall/wire.thrift
@@ -0,0 +1,118 @@
+// Frames between nodes. A frame is a 4-byte length, a header (version,
+// kind, config index) and one of these structs. Fields may be added with
+// new numbers; readers ignore numbers that they do not know.
+
+struct HeaderField {
+  1: binary name,
+  2: binary value,
+}
+
+struct Load {
+  1: string owner,
+  2: string service_name,
+  3: i32 slots,
+  4: double weight,
+  5: i32 in_flight,
+  6: i32 queued,
+  7: double latency_ms,
+}
+
+struct Hello {
+  1: string node,
+  2: i64 boot_id,
+  3: string failure_domain,
+}
+
+struct Open {
+  1: i64 request_id,
+  2: string service_name,
+  3: string route,
+  4: string team,
+  5: bool idempotent,
+  6: i32 remaining_ms,
+  7: double reference_ms,
+  8: i64 fingerprint,
+  9: binary method,
+  10: binary target,
+  11: list<HeaderField> headers,
+  12: binary body,
+  13: bool body_follows,
+  14: string claim_token,
+  15: string claim_key,
+}
+
+struct BodyChunk {
+  1: i64 request_id,
+  2: binary data,
+  3: bool last,
+}
+
+struct Cancel {
+  1: i64 request_id,
+}
+
+struct Credit {
+  1: i64 request_id,
+  2: i64 received_bytes,
+  3: bool done,
+}
+
+struct Query {
+  1: i64 request_id,
+  2: bool has_head,
+  3: i64 received_bytes,
+}
+
+struct AnswerHead {
+  1: i64 request_id,
+  2: i32 status,
+  3: list<HeaderField> headers,
+  4: Load load,
+}
+
+struct AnswerChunk {
+  1: i64 request_id,
+  2: i64 offset_bytes,
+  3: binary data,
+  4: bool last,
+}
+
+struct Refuse {
+  1: i64 request_id,
+  2: string code,
+  3: bool ran_unknown,
+  4: i32 retry_after_ms,
+  5: bool final,
+  6: Load load,
+  7: string message,
+}
+
+struct Running {
+  1: i64 request_id,
+}
+
+struct Ping {
+  1: i64 number,
+}
+
+struct Pong {
+  1: i64 number,
+}
+
+struct Cast {
+  1: i16 channel,
+  2: binary body,
+}
+
+struct Call {
+  1: i64 call_id,
+  2: i16 channel,
+  3: binary body,
+}
+
+struct CallAnswer {
+  1: i64 call_id,
+  2: binary body,
+  3: string error_code,
+  4: string error_message,
+}
