Add frames and links between nodes

Cause: nodes could not speak to each other. Change: typed frames over thrift, one connection per pair opened on need, calls and casts by channel, pings only while work is outstanding, replacement of silent connections.

--- /dev/null
+++ b/src/papayastall/_connection.py
@@ -0,0 +1,131 @@
+"""One TCP connection between two nodes that carries frames."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import contextlib
+import time
+
+import anyio
+import anyio.abc
+
+from papayastall import _frames
+from papayastall import exceptions
+
+__all__ = ["Connection", "MAX_UNSENT_BYTES"]
+
+MAX_UNSENT_BYTES = 16 << 20
+READ_SIZE_BYTES = 1 << 16
+
+ReceiveFrame = cabc.Callable[["Connection", int, _frames.Frame], None]
+
+
+class Connection:
+    """Sends and receives frames on one byte stream.
+
+    Frames are sent in order, many to one write. Whatever the peer sends
+    that is no frame ends this connection and nothing else.
+
+    :param receive_frame: called with each frame and the sender's index.
+    """
+
+    def __init__(
+        self, stream: anyio.abc.ByteStream, receive_frame: ReceiveFrame
+    ) -> None:
+        self._stream = stream
+        self._receive_frame = receive_frame
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
+        self._wakeup = anyio.Event()
+        self._closed = anyio.Event()
+        self.peer: _frames.Hello | None = None
+        self.last_received_s = time.monotonic()
+        self.error: exceptions.ProtocolError | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether no frame goes out any more."""
+        return self._closed.is_set()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be written."""
+        return self._unsent_bytes
+
+    def send(self, frame: _frames.Frame, config_index: int) -> None:
+        """Queue a frame; a connection that takes no bytes is closed."""
+        if self.is_closed:
+            return
+        data = _frames.encode(frame, config_index)
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            self.close()
+        self._wakeup.set()
+
+    def close(self) -> None:
+        """End the connection; what is unsent is lost."""
+        self._closed.set()
+        self._wakeup.set()
+
+    async def run(self) -> None:
+        """Send and receive until either side closes."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write_frames)
+                tasks.start_soon(self._read_frames)
+                await self._closed.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.close()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
+                with contextlib.suppress(anyio.BrokenResourceError, OSError):
+                    await anyio.aclose_forcefully(self._stream)
+
+    async def _write_frames(self) -> None:
+        try:
+            while not self.is_closed:
+                await self._wakeup.wait()
+                self._wakeup = anyio.Event()
+                data = b"".join(self._unsent)
+                self._unsent.clear()
+                if data:
+                    await self._stream.send(data)
+                self._unsent_bytes -= len(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            pass
+        finally:
+            self.close()
+
+    async def _read_frames(self) -> None:
+        buffer = bytearray()
+        try:
+            while not self.is_closed:
+                buffer += await self._stream.receive(READ_SIZE_BYTES)
+                self.last_received_s = time.monotonic()
+                self._take_frames(buffer)
+        except exceptions.ProtocolError as error:
+            self.error = error
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            OSError,
+        ):
+            pass
+        finally:
+            self.close()
+
+    def _take_frames(self, buffer: bytearray) -> None:
+        position = 0
+        header_size = _frames.HEADER.size
+        while len(buffer) - position >= header_size:
+            start = position + header_size
+            header = _frames.decode_header(bytes(buffer[position:start]))
+            end = start + header.size_bytes
+            if len(buffer) < end:
+                break
+            frame = _frames.decode_body(header, bytes(buffer[start:end]))
+            position = end
+            self._receive_frame(self, header.config_index, frame)
+        del buffer[:position]
--- /dev/null
+++ b/src/papayastall/_frames.py
@@ -0,0 +1,370 @@
+"""Frames between nodes: slotted classes and their encoding.
+
+A frame on a link is a header (length, version, kind, config index)
+followed by a thrift struct. Readers refuse versions outside the range they
+know and ignore struct fields that they do not know.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import struct
+import typing as t
+
+from papayastall import _decision_types
+from papayastall import _thrift
+from papayastall import exceptions
+
+__all__ = [
+    "HEADER",
+    "MAX_FRAME_SIZE_BYTES",
+    "AnswerChunk",
+    "AnswerHead",
+    "BodyChunk",
+    "Call",
+    "CallAnswer",
+    "Cancel",
+    "Cast",
+    "Credit",
+    "Frame",
+    "Hello",
+    "Open",
+    "Ping",
+    "Pong",
+    "Query",
+    "ReceivedFrame",
+    "Refuse",
+    "Running",
+    "decode_body",
+    "decode_header",
+    "encode",
+]
+
+VERSION = 1
+MAX_FRAME_SIZE_BYTES = 1 << 20
+HEADER = struct.Struct(">IBBq")
+
+wire = _thrift.load_module("wire")
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """Opens a link; ``boot_id`` tells a restarted node from its former."""
+
+    node: str
+    boot_id: int
+    failure_domain: str
+
+
+@dataclasses.dataclass(slots=True)
+class Open:
+    """Asks an owner to run a request.
+
+    :param reference_ms: median answer time of the service; 0 if unknown.
+    :param fingerprint: digest of service, method, target and body.
+    :param body_follows: more of the body comes in :class:`BodyChunk`.
+    :param claim_token: the holder of the idempotency key's claim, or "".
+    """
+
+    request_id: int
+    service_name: str
+    route: str
+    team: str
+    idempotent: bool
+    remaining_ms: int
+    reference_ms: float
+    fingerprint: int
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    body_follows: bool
+    claim_token: str
+    claim_key: str
+
+
+@dataclasses.dataclass(slots=True)
+class BodyChunk:
+    """A further part of a request's body."""
+
+    request_id: int
+    data: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Cancel:
+    """The caller no longer waits for this request."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class Credit:
+    """Acknowledges answer bytes; ``done`` lets the owner forget it all."""
+
+    request_id: int
+    received_bytes: int
+    done: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Query:
+    """Asks, on a new link, what became of a request."""
+
+    request_id: int
+    has_head: bool
+    received_bytes: int
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    request_id: int
+    status: int
+    headers: Headers
+    load: _decision_types.OwnerLoad | None
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerChunk:
+    """A part of an answer's body at its offset."""
+
+    request_id: int
+    offset_bytes: int
+    data: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Refuse:
+    """Ends a request without a whole answer.
+
+    :param ran_unknown: false means that the request did not run.
+    :param retry_after_ms: when to come back; -1 where that does not help.
+    """
+
+    request_id: int
+    code: str
+    ran_unknown: bool
+    retry_after_ms: int
+    final: bool
+    load: _decision_types.OwnerLoad | None
+    message: str
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """Answers a query: the request is queued or runs."""
+
+    request_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class Ping:
+    """Asks for a sign of life while work is outstanding."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class Pong:
+    """Answers a ping."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class Cast:
+    """A one-way message of a subsystem."""
+
+    channel: int
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A message of a subsystem that wants an answer."""
+
+    call_id: int
+    channel: int
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class CallAnswer:
+    """The answer to a call; ``error_code`` is "" where it went well."""
+
+    call_id: int
+    body: bytes
+    error_code: str
+    error_message: str
+
+
+Frame = (
+    Hello
+    | Open
+    | BodyChunk
+    | Cancel
+    | Credit
+    | Query
+    | AnswerHead
+    | AnswerChunk
+    | Refuse
+    | Running
+    | Ping
+    | Pong
+    | Cast
+    | Call
+    | CallAnswer
+)
+
+_KINDS: list[type[t.Any]] = [
+    Hello,
+    Open,
+    BodyChunk,
+    Cancel,
+    Credit,
+    Query,
+    AnswerHead,
+    AnswerChunk,
+    Refuse,
+    Running,
+    Ping,
+    Pong,
+    Cast,
+    Call,
+    CallAnswer,
+]
+_NUMBERS = {kind: number for number, kind in enumerate(_KINDS, 1)}
+_FIELDS = {
+    kind: [field.name for field in dataclasses.fields(kind)] for kind in _KINDS
+}
+_CHECKS = {
+    "int": int,
+    "str": str,
+    "bytes": bytes,
+    "bool": bool,
+    "float": float,
+}
+_SCALARS = {
+    kind: [
+        (field.name, _CHECKS[field.type])
+        for field in dataclasses.fields(kind)
+        if isinstance(field.type, str) and field.type in _CHECKS
+    ]
+    for kind in _KINDS
+}
+
+
+@dataclasses.dataclass(slots=True)
+class ReceivedFrame:
+    """The header of a frame that is being received.
+
+    :param size_bytes: length of the struct that follows.
+    :param config_index: highest config index that the sender has seen.
+    """
+
+    size_bytes: int
+    kind: int
+    config_index: int
+
+
+def encode(frame: Frame, config_index: int) -> bytes:
+    """Return a frame with its header."""
+    kind = type(frame)
+    values = {name: getattr(frame, name) for name in _FIELDS[kind]}
+    if "headers" in values:
+        values["headers"] = [
+            wire.HeaderField(name=name, value=value)
+            for name, value in values["headers"]
+        ]
+    if "load" in values:
+        values["load"] = _encode_load(values["load"])
+    body = _thrift.encode(getattr(wire, kind.__name__)(**values))
+    header = HEADER.pack(len(body), VERSION, _NUMBERS[kind], config_index)
+    return header + body
+
+
+def decode_header(data: bytes) -> ReceivedFrame:
+    """Return the header that ``data`` holds.
+
+    :raises papayastall.exceptions.ProtocolError: unknown version or kind,
+        or a size over the limit.
+    """
+    size_bytes, version, kind, config_index = HEADER.unpack(data)
+    if version != VERSION:
+        raise _bad_frame(f"version {version} is not known")
+    if not 1 <= kind <= len(_KINDS):
+        raise _bad_frame(f"kind {kind} is not known")
+    if size_bytes > MAX_FRAME_SIZE_BYTES:
+        raise _bad_frame(f"{size_bytes} bytes are over the limit")
+    return ReceivedFrame(size_bytes, kind, config_index)
+
+
+def decode_body(header: ReceivedFrame, body: bytes) -> Frame:
+    """Return the frame whose struct is ``body``.
+
+    :raises papayastall.exceptions.ProtocolError: the struct is malformed
+        or lacks a field.
+    """
+    kind = _KINDS[header.kind - 1]
+    struct_value = _thrift.decode(getattr(wire, kind.__name__), body)
+    values = {name: getattr(struct_value, name) for name in _FIELDS[kind]}
+    for name, expected in _SCALARS[kind]:
+        if type(values[name]) is not expected:
+            raise _bad_frame(f"{kind.__name__} lacks a proper {name}")
+    if "headers" in values:
+        values["headers"] = _decode_headers(values["headers"])
+    if "load" in values:
+        values["load"] = _decode_load(values["load"])
+    return t.cast(Frame, kind(**values))
+
+
+def _decode_headers(fields: t.Any) -> Headers:
+    headers = [(field.name, field.value) for field in fields or []]
+    for name, value in headers:
+        if not isinstance(name, bytes) or not isinstance(value, bytes):
+            raise _bad_frame("a header field is no bytes")
+    return headers
+
+
+def _encode_load(load: _decision_types.OwnerLoad | None) -> t.Any:
+    if load is None:
+        return None
+    return wire.Load(
+        owner=load.owner,
+        service_name=load.service,
+        slots=load.slots,
+        weight=load.weight,
+        in_flight=load.in_flight,
+        queued=load.queued,
+        latency_ms=load.latency_ms,
+    )
+
+
+def _decode_load(load: t.Any) -> _decision_types.OwnerLoad | None:
+    if load is None:
+        return None
+    if not isinstance(load.owner, str) or load.weight is None:
+        raise _bad_frame("a load lacks a field")
+    return _decision_types.OwnerLoad(
+        owner=load.owner,
+        service=load.service_name,
+        slots=load.slots or 0,
+        weight=load.weight,
+        in_flight=load.in_flight or 0,
+        queued=load.queued or 0,
+        latency_ms=load.latency_ms,
+    )
+
+
+def _bad_frame(message: str) -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(
+        exceptions.ErrorCode.BAD_FRAME,
+        f"{message}; run compatible versions on both sides",
+        step="decode",
+    )
--- /dev/null
+++ b/src/papayastall/_links.py
@@ -0,0 +1,457 @@
+"""Links to other nodes: one TCP connection per pair, opened on need.
+
+A link is watched only while something is outstanding on it. A connection
+that stays silent then is replaced, and whoever has work outstanding is
+told so that it can ask what became of it.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import contextlib
+import dataclasses
+import enum
+import itertools
+import ssl
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+from anyio.streams import tls
+
+from papayastall import _connection
+from papayastall import _frames
+from papayastall import _peering
+from papayastall import exceptions
+
+__all__ = ["LinkEvent", "LinkSettings", "Links"]
+
+PING_AFTER_S = 0.25
+SILENT_AFTER_S = 0.7
+DIAL_TIMEOUT_S = 0.5
+WATCH_INTERVAL_S = 0.1
+REDIAL_INTERVAL_S = 0.5
+IDLE_CLOSE_S = 60.0
+MAX_UNSENT_CAST_BYTES = 4 << 20
+HELLO_TIMEOUT_S = 2.0
+
+
+class LinkEvent(enum.Enum):
+    """What happened to the link to a peer."""
+
+    REPLACED = "replaced"
+    """A new connection stands; answers to older frames may be lost."""
+    DOWN = "down"
+    """No connection can be made at present."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkSettings:
+    """Who this node is on its links.
+
+    :param address: own link address, ``ip:port``.
+    :param server_tls: context for accepted connections, or ``None``.
+    :param client_tls: context for dialled connections, or ``None``.
+    """
+
+    address: str
+    boot_id: int
+    failure_domain: str
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    address: str
+    connection: _connection.Connection | None = None
+    boot_id: int = 0
+    outstanding: int = 0
+    watched_since_s: float = 0.0
+    used_s: float = 0.0
+    is_dialling: bool = False
+    dialled_s: float = -REDIAL_INTERVAL_S
+    lost_connection: bool = False
+    unsent: list[_frames.Frame] = dataclasses.field(default_factory=list)
+
+
+FrameHandler = cabc.Callable[[str, int, t.Any], None]
+EventHandler = cabc.Callable[[str, LinkEvent], None]
+
+
+class Links:
+    """All links of one node; implements :class:`_peering.Peering`.
+
+    :param get_config_index: the index that each frame carries.
+    :param see_config_index: told of each index that a peer carries.
+    """
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        get_config_index: cabc.Callable[[], int] = lambda: 0,
+        see_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
+    ) -> None:
+        self.settings = settings
+        self._get_config_index = get_config_index
+        self._see_config_index = see_config_index
+        self._peers: dict[str, _Peer] = {}
+        self._handlers: dict[type, FrameHandler] = {}
+        self._event_handlers: list[EventHandler] = []
+        self._cast_handlers: dict[int, _peering.CastHandler] = {}
+        self._call_handlers: dict[int, _peering.CallHandler] = {}
+        self._call_ids = itertools.count(1)
+        self._calls: dict[int, _PendingCall] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._listener: anyio.abc.Listener[t.Any] | None = None
+        self.rejected_connections = 0
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Listen and watch; runs in ``tasks`` until :meth:`close`."""
+        self._tasks = tasks
+        host, _, port = self.settings.address.rpartition(":")
+        listener: anyio.abc.Listener[t.Any]
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        if self.settings.server_tls is not None:
+            listener = tls.TLSListener(
+                listener,
+                self.settings.server_tls,
+                standard_compatible=False,
+                handshake_timeout=HELLO_TIMEOUT_S,
+            )
+        self._listener = listener
+        tasks.start_soon(self._serve, listener)
+        tasks.start_soon(self._watch)
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._listener is not None:
+            await self._listener.aclose()
+        for peer in self._peers.values():
+            if peer.connection is not None:
+                peer.connection.close()
+
+    def handle_frames(self, kind: type, handler: FrameHandler) -> None:
+        """Register what receives ``(peer, boot_id, frame)`` of a kind."""
+        self._handlers[kind] = handler
+
+    def handle_events(self, handler: EventHandler) -> None:
+        """Register what is told of replaced and failed links."""
+        self._event_handlers.append(handler)
+
+    def handle_casts(
+        self, channel: _peering.Channel, handler: _peering.CastHandler
+    ) -> None:
+        """Register what runs for each one-way message of a channel."""
+        self._cast_handlers[int(channel)] = handler
+
+    def handle_calls(
+        self, channel: _peering.Channel, handler: _peering.CallHandler
+    ) -> None:
+        """Register what answers each call of a channel."""
+        self._call_handlers[int(channel)] = handler
+
+    def send(self, address: str, frame: _frames.Frame) -> None:
+        """Send a frame; dial first where no connection stands."""
+        peer = self._peer(address)
+        peer.used_s = time.monotonic()
+        if peer.connection is not None and not peer.connection.is_closed:
+            peer.connection.send(frame, self._get_config_index())
+            return
+        peer.unsent.append(frame)
+        self._dial(peer)
+
+    def send_if_connected(self, address: str, frame: _frames.Frame) -> None:
+        """Send a frame; drop it where no connection stands."""
+        peer = self._peers.get(address)
+        if peer is not None and peer.connection is not None:
+            peer.used_s = time.monotonic()
+            peer.connection.send(frame, self._get_config_index())
+
+    def watch(self, address: str) -> None:
+        """Count one more piece of work outstanding at the peer."""
+        peer = self._peer(address)
+        if peer.outstanding == 0:
+            peer.watched_since_s = time.monotonic()
+        peer.outstanding += 1
+
+    def unwatch(self, address: str) -> None:
+        """Count one piece of work less."""
+        peer = self._peer(address)
+        peer.outstanding -= 1
+        assert peer.outstanding >= 0, address
+
+    def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
+        """Send without waiting; dropped where the link is down or full."""
+        state = self._peer(peer)
+        connection = state.connection
+        if connection is None or connection.is_closed:
+            self._dial(state)
+            return
+        if connection.unsent_bytes < MAX_UNSENT_CAST_BYTES:
+            state.used_s = time.monotonic()
+            frame = _frames.Cast(int(channel), body)
+            connection.send(frame, self._get_config_index())
+
+    async def call(
+        self,
+        peer: str,
+        channel: _peering.Channel,
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes:
+        """Send and wait for the answer.
+
+        :raises papayastall.exceptions.UnreachableError: no answer in time.
+        :raises papayastall.exceptions.PapayastallError: the peer's error.
+        """
+        if peer == self.settings.address:
+            return await self._call_handlers[int(channel)](peer, body)
+        call_id = next(self._call_ids)
+        pending = _PendingCall(anyio.Event())
+        self._calls[call_id] = pending
+        self.watch(peer)
+        try:
+            self.send(peer, _frames.Call(call_id, int(channel), body))
+            with anyio.move_on_after(timeout_s):
+                await pending.event.wait()
+        finally:
+            self.unwatch(peer)
+            del self._calls[call_id]
+        if pending.answer is None:
+            raise exceptions.UnreachableError(
+                exceptions.ErrorCode.LINK_FAILED,
+                f"no answer within {timeout_s:g} s; check the node",
+                step="call",
+                peer=peer,
+            )
+        return _read_answer(pending.answer, peer)
+
+    def _peer(self, address: str) -> _Peer:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(address)
+        return peer
+
+    async def _serve(self, listener: anyio.abc.Listener[t.Any]) -> None:
+        with contextlib.suppress(anyio.ClosedResourceError):
+            await listener.serve(self._accept)
+
+    async def _accept(self, stream: anyio.abc.ByteStream) -> None:
+        connection = _connection.Connection(stream, self._receive)
+        self._greet(connection)
+        assert self._tasks is not None
+        self._tasks.start_soon(self._expire_without_hello, connection)
+        await self._run(connection)
+
+    async def _expire_without_hello(
+        self, connection: _connection.Connection
+    ) -> None:
+        await anyio.sleep(HELLO_TIMEOUT_S)
+        if connection.peer is None:
+            connection.close()
+
+    def _greet(self, connection: _connection.Connection) -> None:
+        hello = _frames.Hello(
+            self.settings.address,
+            self.settings.boot_id,
+            self.settings.failure_domain,
+        )
+        connection.send(hello, self._get_config_index())
+
+    def _dial(self, peer: _Peer) -> None:
+        if peer.is_dialling or self._tasks is None:
+            return
+        if time.monotonic() - peer.dialled_s < REDIAL_INTERVAL_S:
+            return
+        peer.is_dialling = True
+        self._tasks.start_soon(self._connect, peer)
+
+    async def _connect(self, peer: _Peer) -> None:
+        peer.dialled_s = time.monotonic()
+        stream: anyio.abc.ByteStream | None = None
+        try:
+            with anyio.move_on_after(DIAL_TIMEOUT_S):
+                stream = await self._open_stream(peer.address)
+        except (OSError, anyio.BrokenResourceError, ssl.SSLError):
+            pass
+        finally:
+            peer.is_dialling = False
+        if stream is None:
+            peer.unsent.clear()
+            peer.lost_connection = True
+            self._tell(peer.address, LinkEvent.DOWN)
+            return
+        connection = _connection.Connection(stream, self._receive)
+        self._greet(connection)
+        self._adopt(peer, connection)
+        await self._run(connection)
+
+    async def _open_stream(self, address: str) -> anyio.abc.ByteStream:
+        host, _, port = address.rpartition(":")
+        if self.settings.client_tls is None:
+            return await anyio.connect_tcp(host, int(port))
+        return await anyio.connect_tcp(
+            host,
+            int(port),
+            ssl_context=self.settings.client_tls,
+            tls_standard_compatible=False,
+        )
+
+    def _adopt(self, peer: _Peer, connection: _connection.Connection) -> None:
+        replaced = peer.lost_connection or (
+            peer.connection is not None and peer.connection.is_closed
+        )
+        peer.connection = connection
+        peer.lost_connection = False
+        peer.used_s = time.monotonic()
+        unsent, peer.unsent = peer.unsent, []
+        for frame in unsent:
+            connection.send(frame, self._get_config_index())
+        if replaced:
+            self._tell(peer.address, LinkEvent.REPLACED)
+
+    async def _run(self, connection: _connection.Connection) -> None:
+        await connection.run()
+        if connection.error is not None:
+            self.rejected_connections += 1
+        for peer in self._peers.values():
+            if peer.connection is connection:
+                peer.connection = None
+                peer.lost_connection = True
+                if peer.outstanding:
+                    self._dial(peer)
+
+    def _receive(
+        self,
+        connection: _connection.Connection,
+        config_index: int,
+        frame: _frames.Frame,
+    ) -> None:
+        if isinstance(frame, _frames.Hello):
+            self._receive_hello(connection, frame)
+            return
+        if connection.peer is None:
+            raise exceptions.ProtocolError(
+                exceptions.ErrorCode.BAD_FRAME,
+                "the first frame must be a hello",
+                step="receive",
+            )
+        sender = connection.peer
+        self._see_config_index(sender.node, config_index)
+        match frame:
+            case _frames.Ping():
+                pong = _frames.Pong(frame.number)
+                connection.send(pong, self._get_config_index())
+            case _frames.Pong():
+                pass
+            case _frames.Cast():
+                self._receive_cast(sender.node, frame)
+            case _frames.Call():
+                assert self._tasks is not None
+                self._tasks.start_soon(self._answer_call, connection, frame)
+            case _frames.CallAnswer():
+                pending = self._calls.get(frame.call_id)
+                if pending is not None:
+                    pending.answer = frame
+                    pending.event.set()
+            case _:
+                handler = self._handlers.get(type(frame))
+                if handler is not None:
+                    handler(sender.node, sender.boot_id, frame)
+
+    def _receive_hello(
+        self, connection: _connection.Connection, hello: _frames.Hello
+    ) -> None:
+        connection.peer = hello
+        peer = self._peer(hello.node)
+        peer.boot_id = hello.boot_id
+        if peer.connection is None or peer.connection.is_closed:
+            self._adopt(peer, connection)
+
+    def _receive_cast(self, sender: str, frame: _frames.Cast) -> None:
+        handler = self._cast_handlers.get(frame.channel)
+        if handler is not None:
+            assert self._tasks is not None
+            self._tasks.start_soon(handler, sender, frame.body)
+
+    async def _answer_call(
+        self, connection: _connection.Connection, frame: _frames.Call
+    ) -> None:
+        assert connection.peer is not None
+        answer = _frames.CallAnswer(frame.call_id, b"", "", "")
+        handler = self._call_handlers.get(frame.channel)
+        if handler is None:
+            answer.error_code = exceptions.ErrorCode.BAD_FRAME.value
+            answer.error_message = f"channel {frame.channel} has no handler"
+        else:
+            try:
+                answer.body = await handler(connection.peer.node, frame.body)
+            except exceptions.PapayastallError as error:
+                answer.error_code = error.code.value
+                answer.error_message = error.message
+        connection.send(answer, self._get_config_index())
+
+    async def _watch(self) -> None:
+        numbers = itertools.count(1)
+        last_s = time.monotonic()
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            now_s = time.monotonic()
+            pause_s = now_s - last_s - WATCH_INTERVAL_S
+            last_s = now_s
+            for peer in list(self._peers.values()):
+                self._watch_peer(peer, now_s, pause_s, next(numbers))
+
+    def _watch_peer(
+        self, peer: _Peer, now_s: float, pause_s: float, number: int
+    ) -> None:
+        connection = peer.connection
+        if connection is None:
+            if peer.outstanding:
+                self._dial(peer)
+            return
+        if not peer.outstanding:
+            if now_s - max(peer.used_s, connection.last_received_s) > (
+                IDLE_CLOSE_S
+            ):
+                connection.close()
+            return
+        if pause_s > PING_AFTER_S:
+            # This process was not running: the silence is its own.
+            peer.watched_since_s = now_s
+        silent_s = now_s - max(
+            connection.last_received_s, peer.watched_since_s
+        )
+        if silent_s > SILENT_AFTER_S:
+            connection.close()
+            peer.lost_connection = True
+            peer.connection = None
+            self._dial(peer)
+        elif silent_s > PING_AFTER_S:
+            connection.send(_frames.Ping(number), self._get_config_index())
+
+    def _tell(self, address: str, event: LinkEvent) -> None:
+        for handler in self._event_handlers:
+            handler(address, event)
+
+
+@dataclasses.dataclass(slots=True)
+class _PendingCall:
+    event: anyio.Event
+    answer: _frames.CallAnswer | None = None
+
+
+def _read_answer(answer: _frames.CallAnswer, peer: str) -> bytes:
+    if not answer.error_code:
+        return answer.body
+    try:
+        code = exceptions.ErrorCode(answer.error_code)
+    except ValueError:
+        code = exceptions.ErrorCode.INTERNAL
+    raise exceptions.PapayastallError(
+        code, answer.error_message, step="call", peer=peer
+    )
--- a/src/papayastall/_peering.py
+++ b/src/papayastall/_peering.py
@@ -24,8 +24,8 @@
     HISTOGRAM = 7
 
 
-CastHandler = cabc.Callable[[str, bytes], cabc.Awaitable[None]]
-CallHandler = cabc.Callable[[str, bytes], cabc.Awaitable[bytes]]
+CastHandler = cabc.Callable[[str, bytes], cabc.Coroutine[t.Any, t.Any, None]]
+CallHandler = cabc.Callable[[str, bytes], cabc.Coroutine[t.Any, t.Any, bytes]]
 
 
 class Peering(t.Protocol):
