--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -39,6 +39,7 @@
         self._wakeup = anyio.Event()
         self._closed = anyio.Event()
         self.peer: _frames.Hello | None = None
+        self.address = ""
         self.last_received_s = time.monotonic()
         self.error: exceptions.ProtocolError | None = None
 
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -83,6 +83,9 @@
     body_follows: bool
     claim_token: str
     claim_key: str
+    reference_error_ratio: float = 0.0
+    healthy_share: float = 1.0
+    last_resort: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc as cabc
 import contextlib
 import dataclasses
@@ -30,6 +31,7 @@
 PING_AFTER_S = 0.25
 SILENT_AFTER_S = 0.7
 DIAL_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
 WATCH_INTERVAL_S = 0.1
 REDIAL_INTERVAL_S = 0.5
 IDLE_CLOSE_S = 60.0
@@ -73,7 +75,7 @@
     is_dialling: bool = False
     dialled_s: float = -REDIAL_INTERVAL_S
     lost_connection: bool = False
-    unsent: list[_frames.Frame] = dataclasses.field(default_factory=list)
+    ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
 FrameHandler = cabc.Callable[[str, int, t.Any], None]
@@ -106,6 +108,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._listener: anyio.abc.Listener[t.Any] | None = None
         self.rejected_connections = 0
+        self._beat_s = time.monotonic()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen and watch; runs in ``tasks`` until :meth:`close`."""
@@ -154,25 +157,54 @@
         """Register what answers each call of a channel."""
         self._call_handlers[int(channel)] = handler
 
-    def send(self, address: str, frame: _frames.Frame) -> None:
-        """Send a frame; dial first where no connection stands."""
+    async def connect(self, address: str) -> int:
+        """Wait for a link and return the peer's boot id.
+
+        :raises papayastall.exceptions.UnreachableError: no link in time;
+            nothing was sent.
+        """
+        if address == self.settings.address:
+            return self.settings.boot_id
         peer = self._peer(address)
-        peer.used_s = time.monotonic()
-        if peer.connection is not None and not peer.connection.is_closed:
-            peer.connection.send(frame, self._get_config_index())
-            return
-        peer.unsent.append(frame)
-        self._dial(peer)
+        if peer.connection is None or peer.connection.is_closed:
+            peer.ready = anyio.Event()
+            self._dial(peer)
+            with anyio.move_on_after(CONNECT_TIMEOUT_S):
+                await peer.ready.wait()
+            if peer.connection is None or peer.connection.is_closed:
+                raise exceptions.UnreachableError(
+                    exceptions.ErrorCode.LINK_FAILED,
+                    "no link can be made; check the node and the network",
+                    step="connect",
+                    peer=address,
+                )
+        return peer.boot_id
+
+    def boot_id(self, address: str) -> int:
+        """Return the boot id in the peer's last hello, 0 before one."""
+        if address == self.settings.address:
+            return self.settings.boot_id
+        return self._peer(address).boot_id
 
-    def send_if_connected(self, address: str, frame: _frames.Frame) -> None:
-        """Send a frame; drop it where no connection stands."""
-        peer = self._peers.get(address)
-        if peer is not None and peer.connection is not None:
+    def send(self, address: str, frame: _frames.Frame) -> None:
+        """Send a frame; it is dropped where no connection stands.
+
+        Frames to this node itself go to its own handlers.
+        """
+        if address == self.settings.address:
+            handler = self._handlers[type(frame)]
+            loop = asyncio.get_running_loop()
+            loop.call_soon(handler, address, self.settings.boot_id, frame)
+            return
+        peer = self._peer(address)
+        if peer.connection is not None:
             peer.used_s = time.monotonic()
             peer.connection.send(frame, self._get_config_index())
 
     def watch(self, address: str) -> None:
         """Count one more piece of work outstanding at the peer."""
+        if address == self.settings.address:
+            return
         peer = self._peer(address)
         if peer.outstanding == 0:
             peer.watched_since_s = time.monotonic()
@@ -180,6 +212,8 @@
 
     def unwatch(self, address: str) -> None:
         """Count one piece of work less."""
+        if address == self.settings.address:
+            return
         peer = self._peer(address)
         peer.outstanding -= 1
         assert peer.outstanding >= 0, address
@@ -215,8 +249,9 @@
         self._calls[call_id] = pending
         self.watch(peer)
         try:
-            self.send(peer, _frames.Call(call_id, int(channel), body))
             with anyio.move_on_after(timeout_s):
+                await self.connect(peer)
+                self.send(peer, _frames.Call(call_id, int(channel), body))
                 await pending.event.wait()
         finally:
             self.unwatch(peer)
@@ -243,9 +278,12 @@
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(stream, self._receive)
         self._greet(connection)
+        self._start_expiry(connection)
+        await self._run(connection)
+
+    def _start_expiry(self, connection: _connection.Connection) -> None:
         assert self._tasks is not None
         self._tasks.start_soon(self._expire_without_hello, connection)
-        await self._run(connection)
 
     async def _expire_without_hello(
         self, connection: _connection.Connection
@@ -281,13 +319,13 @@
         finally:
             peer.is_dialling = False
         if stream is None:
-            peer.unsent.clear()
             peer.lost_connection = True
             self._tell(peer.address, LinkEvent.DOWN)
             return
         connection = _connection.Connection(stream, self._receive)
+        connection.address = peer.address
         self._greet(connection)
-        self._adopt(peer, connection)
+        self._start_expiry(connection)
         await self._run(connection)
 
     async def _open_stream(self, address: str) -> anyio.abc.ByteStream:
@@ -302,15 +340,11 @@
         )
 
     def _adopt(self, peer: _Peer, connection: _connection.Connection) -> None:
-        replaced = peer.lost_connection or (
-            peer.connection is not None and peer.connection.is_closed
-        )
+        replaced = peer.lost_connection
         peer.connection = connection
         peer.lost_connection = False
         peer.used_s = time.monotonic()
-        unsent, peer.unsent = peer.unsent, []
-        for frame in unsent:
-            connection.send(frame, self._get_config_index())
+        peer.ready.set()
         if replaced:
             self._tell(peer.address, LinkEvent.REPLACED)
 
@@ -325,6 +359,10 @@
                 if peer.outstanding:
                     self._dial(peer)
 
+    def seconds_since_beat(self) -> float:
+        """Return for how long this process may not have read frames."""
+        return max(0.0, time.monotonic() - self._beat_s - WATCH_INTERVAL_S)
+
     def _receive(
         self,
         connection: _connection.Connection,
@@ -341,7 +379,7 @@
                 step="receive",
             )
         sender = connection.peer
-        self._see_config_index(sender.node, config_index)
+        self._see_config_index(connection.address, config_index)
         match frame:
             case _frames.Ping():
                 pong = _frames.Pong(frame.number)
@@ -349,7 +387,7 @@
             case _frames.Pong():
                 pass
             case _frames.Cast():
-                self._receive_cast(sender.node, frame)
+                self._receive_cast(connection.address, frame)
             case _frames.Call():
                 assert self._tasks is not None
                 self._tasks.start_soon(self._answer_call, connection, frame)
@@ -361,16 +399,19 @@
             case _:
                 handler = self._handlers.get(type(frame))
                 if handler is not None:
-                    handler(sender.node, sender.boot_id, frame)
+                    handler(connection.address, sender.boot_id, frame)
 
     def _receive_hello(
         self, connection: _connection.Connection, hello: _frames.Hello
     ) -> None:
         connection.peer = hello
-        peer = self._peer(hello.node)
+        connection.address = connection.address or hello.node
+        peer = self._peer(connection.address)
+        if peer.connection is not None:
+            # The peer opens a second link only where it lost the first.
+            peer.lost_connection = True
         peer.boot_id = hello.boot_id
-        if peer.connection is None or peer.connection.is_closed:
-            self._adopt(peer, connection)
+        self._adopt(peer, connection)
 
     def _receive_cast(self, sender: str, frame: _frames.Cast) -> None:
         handler = self._cast_handlers.get(frame.channel)
@@ -381,7 +422,6 @@
     async def _answer_call(
         self, connection: _connection.Connection, frame: _frames.Call
     ) -> None:
-        assert connection.peer is not None
         answer = _frames.CallAnswer(frame.call_id, b"", "", "")
         handler = self._call_handlers.get(frame.channel)
         if handler is None:
@@ -389,7 +429,7 @@
             answer.error_message = f"channel {frame.channel} has no handler"
         else:
             try:
-                answer.body = await handler(connection.peer.node, frame.body)
+                answer.body = await handler(connection.address, frame.body)
             except exceptions.PapayastallError as error:
                 answer.error_code = error.code.value
                 answer.error_message = error.message
@@ -402,7 +442,7 @@
             await anyio.sleep(WATCH_INTERVAL_S)
             now_s = time.monotonic()
             pause_s = now_s - last_s - WATCH_INTERVAL_S
-            last_s = now_s
+            last_s = self._beat_s = now_s
             for peer in list(self._peers.values()):
                 self._watch_peer(peer, now_s, pause_s, next(numbers))
 
--- /dev/null
+++ b/src/papayastall/owner.py
@@ -0,0 +1,413 @@
+"""The owner's side of requests: runs them at the upstreams of this node."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+
+from papayastall import _decision_types
+from papayastall import _frames
+from papayastall import _links
+from papayastall import _owner_controller
+from papayastall import _owner_runs
+from papayastall import _upstream_client
+from papayastall import exceptions
+
+__all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
+
+TICK_INTERVAL_S = 0.02
+WINDOW_BYTES = 256 << 10
+MAX_CHUNK_BYTES = 64 << 10
+EXPIRE_INTERVAL_S = 1.0
+MAX_CLAIMED_ANSWER_BYTES = 64 << 10
+
+Outcome = _decision_types.Outcome
+Actions = cabc.Sequence[_decision_types.OwnerAction]
+
+
+class PermitAsker(t.Protocol):
+    """Asks the control state for permits to eject."""
+
+    def ask(self, action: _decision_types.AskPermit) -> None:
+        """Ask; the answer comes through :meth:`Owner.permit_answered`."""
+
+    def release(self, action: _decision_types.ReleasePermit) -> None:
+        """Give a permit back."""
+
+
+class ClaimRecorder(t.Protocol):
+    """Records the outcome of a request with an idempotency key."""
+
+    async def record(self, outcome: ClaimedAnswer) -> None:
+        """Make the answer durable; may give up after a time."""
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimedAnswer:
+    """The answer of a claimed request, as a resend would get it.
+
+    :param complete: false where the body is too large to keep or the
+        answer broke; a resend then gets "outcome unknown".
+    """
+
+    claim_key: str
+    claim_token: str
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    complete: bool
+
+
+class Owner:
+    """Runs requests that ingresses open, and keeps their answers.
+
+    :param spread_suspect: told of requests that may crash upstreams.
+    """
+
+    def __init__(
+        self,
+        links: _links.Links,
+        controller: _owner_controller.OwnerController,
+        permits: PermitAsker,
+        claims: ClaimRecorder | None = None,
+        spread_suspect: cabc.Callable[
+            [_decision_types.SuspectNews], None
+        ] = lambda news: None,
+    ) -> None:
+        self.controller = controller
+        self._links = links
+        self._permits = permits
+        self._claims = claims
+        self._spread_suspect = spread_suspect
+        self._runs = _owner_runs.RunTable()
+        self._client = _upstream_client.UpstreamClient()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Take frames and run requests in ``tasks``."""
+        self._tasks = tasks
+        self._links.handle_frames(_frames.Open, self._receive_open)
+        self._links.handle_frames(_frames.BodyChunk, self._receive_body)
+        self._links.handle_frames(_frames.Cancel, self._receive_cancel)
+        self._links.handle_frames(_frames.Credit, self._receive_credit)
+        self._links.handle_frames(_frames.Query, self._receive_query)
+        tasks.start_soon(self._tick)
+
+    async def close(self) -> None:
+        """Close the connections to upstreams."""
+        await self._client.close()
+
+    def running(self) -> int:
+        """Return how many requests have not ended."""
+        return self._runs.running()
+
+    def announce(
+        self, announcement: _decision_types.UpstreamAnnouncement
+    ) -> None:
+        """Take in an upstream's announcement."""
+        self.perform(self.controller.announce(time.monotonic(), announcement))
+
+    def permit_answered(self, upstream: str, granted: bool) -> None:
+        """Take in the answer of the control state."""
+        now_s = time.monotonic()
+        self.perform(self.controller.permit_answered(now_s, upstream, granted))
+
+    def perform(self, actions: Actions) -> None:
+        """Carry out what the controller decided."""
+        for action in actions:
+            match action:
+                case _decision_types.Dispatch():
+                    self._dispatch(action)
+                case _decision_types.RefuseRequest():
+                    self._refuse(action)
+                case _decision_types.AskPermit():
+                    self._permits.ask(action)
+                case _decision_types.ReleasePermit():
+                    self._permits.release(action)
+                case _decision_types.SuspectNews():
+                    self._spread_suspect(action)
+
+    def _receive_open(
+        self, ingress: str, boot_id: int, frame: _frames.Open
+    ) -> None:
+        # Frames that lay unread while this process was stopped are older
+        # than they look.
+        remaining_s = frame.remaining_ms / 1000
+        remaining_s -= self._links.seconds_since_beat()
+        key = (ingress, boot_id, frame.request_id)
+        deadline_s = time.monotonic() + remaining_s
+        run = self._runs.add(key, frame, deadline_s)
+        if run is None:
+            return
+        run.body += frame.body
+        if not frame.body_follows:
+            self._submit(run)
+
+    def _receive_body(
+        self, ingress: str, boot_id: int, frame: _frames.BodyChunk
+    ) -> None:
+        run = self._runs.find((ingress, boot_id, frame.request_id))
+        if run is None or run.submitted:
+            return
+        run.body += frame.data
+        if frame.last:
+            self._submit(run)
+
+    def _submit(self, run: _owner_runs.Run) -> None:
+        run.submitted = True
+        frame = run.open
+        kind = _decision_types.RequestKind.NON_IDEMPOTENT
+        if frame.idempotent:
+            kind = _decision_types.RequestKind.LOOKUP
+        request = _decision_types.OwnerRequest(
+            request_id=run.local_id,
+            service=frame.service_name,
+            route=frame.route,
+            team=frame.team,
+            kind=kind,
+            deadline_s=run.deadline_s,
+            reference_ms=frame.reference_ms or None,
+            fingerprint=frame.fingerprint,
+            hints=_decision_types.RequestHints(
+                reference_error_ratio=frame.reference_error_ratio,
+                healthy_share=frame.healthy_share,
+                last_resort=frame.last_resort,
+            ),
+        )
+        self.perform(self.controller.submit(time.monotonic(), request))
+
+    def _receive_cancel(
+        self, ingress: str, boot_id: int, frame: _frames.Cancel
+    ) -> None:
+        run = self._runs.find((ingress, boot_id, frame.request_id))
+        if run is None or run.ended_s is not None:
+            return
+        run.abandoned = True
+        run.credit.set()
+        if not run.dispatched:
+            self.perform(
+                self.controller.cancel(time.monotonic(), run.local_id)
+            )
+            self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=False)
+        elif run.open.idempotent and run.scope is not None:
+            run.scope.cancel()
+
+    def _receive_credit(
+        self, ingress: str, boot_id: int, frame: _frames.Credit
+    ) -> None:
+        run = self._runs.find((ingress, boot_id, frame.request_id))
+        if run is None:
+            return
+        run.acknowledge(frame.received_bytes)
+        if frame.done and run.ended_s is not None:
+            self._runs.forget(run, time.monotonic())
+
+    def _receive_query(
+        self, ingress: str, boot_id: int, frame: _frames.Query
+    ) -> None:
+        key = (ingress, boot_id, frame.request_id)
+        run = self._runs.find(key)
+        if run is None:
+            self._runs.fence(key, time.monotonic())
+            refusal = _frames.Refuse(
+                request_id=frame.request_id,
+                code=exceptions.ErrorCode.LINK_FAILED.value,
+                ran_unknown=False,
+                retry_after_ms=0,
+                final=False,
+                load=None,
+                message="the request was lost on its way and did not run",
+            )
+            self._links.send(ingress, refusal)
+            return
+        run.acknowledge(frame.received_bytes)
+        self._send_again(run, frame)
+
+    def _send_again(self, run: _owner_runs.Run, frame: _frames.Query) -> None:
+        self._links.send(run.ingress, _frames.Running(frame.request_id))
+        if run.head is not None and not frame.has_head:
+            self._links.send(run.ingress, run.head)
+        for chunk in run.unacknowledged:
+            self._links.send(run.ingress, chunk)
+        if run.refusal is not None:
+            self._links.send(run.ingress, run.refusal)
+
+    def _dispatch(self, action: _decision_types.Dispatch) -> None:
+        run = self._runs.find_local(action.request_id)
+        assert run is not None, "dispatch of an unknown request"
+        assert not run.dispatched, "a request is dispatched once"
+        run.dispatched = True
+        run.scope = anyio.CancelScope()
+        assert self._tasks is not None
+        self._tasks.start_soon(self._execute, run, action.upstream)
+
+    def _refuse(self, action: _decision_types.RefuseRequest) -> None:
+        run = self._runs.find_local(action.request_id)
+        if run is None or run.ended_s is not None:
+            return
+        retry_after_ms = -1
+        if action.retry_after_s is not None:
+            retry_after_ms = int(action.retry_after_s * 1000)
+        self._end(
+            run,
+            action.code,
+            ran_unknown=action.ran is exceptions.RanState.UNKNOWN,
+            retry_after_ms=retry_after_ms,
+            final=action.final,
+        )
+
+    def _end(
+        self,
+        run: _owner_runs.Run,
+        code: exceptions.ErrorCode,
+        *,
+        ran_unknown: bool,
+        retry_after_ms: int = -1,
+        final: bool = False,
+    ) -> None:
+        run.ended_s = time.monotonic()
+        run.refusal = _frames.Refuse(
+            request_id=run.open.request_id,
+            code=code.value,
+            ran_unknown=ran_unknown,
+            retry_after_ms=retry_after_ms,
+            final=final,
+            load=self._load(run),
+            message="",
+        )
+        self._links.send(run.ingress, run.refusal)
+
+    async def _execute(self, run: _owner_runs.Run, upstream: str) -> None:
+        sink = _RunSink(self, run)
+        request = _upstream_client.UpstreamRequest(
+            upstream=upstream,
+            method=run.open.method,
+            target=run.open.target,
+            headers=run.open.headers,
+            body=bytes(run.body),
+            idempotent=run.open.idempotent,
+        )
+        outcome = Outcome.CANCELLED
+        timeout_s = run.deadline_s - time.monotonic()
+        assert run.scope is not None
+        with run.scope:
+            outcome = await self._client.run(request, timeout_s, sink)
+        whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
+        if run.open.claim_token and self._claims is not None:
+            await self._record(sink, run, outcome, self._claims)
+        actions = self.controller.finished(
+            time.monotonic(), run.local_id, outcome
+        )
+        if whole:
+            self.send_chunk(run, b"", last=True)
+            run.ended_s = time.monotonic()
+        elif outcome is Outcome.CANCELLED:
+            self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=True)
+        self.perform(actions)
+
+    async def _record(
+        self,
+        sink: _RunSink,
+        run: _owner_runs.Run,
+        outcome: _decision_types.Outcome,
+        claims: ClaimRecorder,
+    ) -> None:
+        if outcome in (Outcome.SHED, Outcome.CONNECT_FAILED):
+            return
+        whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
+        await claims.record(
+            ClaimedAnswer(
+                claim_key=run.open.claim_key,
+                claim_token=run.open.claim_token,
+                status=sink.status,
+                headers=sink.headers,
+                body=bytes(sink.body),
+                complete=whole and not sink.overflow,
+            )
+        )
+
+    def _load(self, run: _owner_runs.Run) -> _decision_types.OwnerLoad:
+        return self.controller.load(
+            time.monotonic(), run.open.service_name, run.open.route
+        )
+
+    def send_head(
+        self,
+        run: _owner_runs.Run,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """Send status and headers of an answer to its ingress."""
+        self.controller.first_byte(time.monotonic(), run.local_id)
+        run.head = _frames.AnswerHead(
+            run.open.request_id, status, headers, self._load(run)
+        )
+        self._links.send(run.ingress, run.head)
+
+    def send_chunk(
+        self, run: _owner_runs.Run, data: bytes, *, last: bool
+    ) -> None:
+        """Send a part of an answer and keep it until acknowledged."""
+        chunk = _frames.AnswerChunk(
+            run.open.request_id, run.sent_bytes, data, last
+        )
+        run.sent_bytes += len(data)
+        run.unacknowledged.append(chunk)
+        self._links.send(run.ingress, chunk)
+
+    async def _tick(self) -> None:
+        expire_s = 0.0
+        while True:
+            await anyio.sleep(TICK_INTERVAL_S)
+            now_s = time.monotonic()
+            self.perform(self.controller.tick(now_s))
+            if now_s > expire_s:
+                self._runs.expire(now_s)
+                expire_s = now_s + EXPIRE_INTERVAL_S
+
+
+class _RunSink(_upstream_client.AnswerSink):
+    """Passes an upstream's answer to the ingress, and keeps a claimed one."""
+
+    def __init__(self, owner: Owner, run: _owner_runs.Run) -> None:
+        self._owner = owner
+        self._run = run
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.overflow = False
+
+    async def send_head(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Take the status and the headers."""
+        self.status = status
+        self.headers = headers
+        self._owner.send_head(self._run, status, headers)
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Take a part of the body; waits while the window is full."""
+        run = self._run
+        if run.open.claim_token:
+            self._keep(data)
+        for start in range(0, len(data), MAX_CHUNK_BYTES):
+            while not run.abandoned and (
+                run.sent_bytes - run.acknowledged_bytes > WINDOW_BYTES
+            ):
+                run.credit = anyio.Event()
+                await run.credit.wait()
+            if run.abandoned:
+                return
+            part = data[start : start + MAX_CHUNK_BYTES]
+            self._owner.send_chunk(run, part, last=False)
+
+    def _keep(self, data: bytes) -> None:
+        if len(self.body) + len(data) > MAX_CLAIMED_ANSWER_BYTES:
+            self.overflow = True
+        else:
+            self.body += data
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -39,6 +39,9 @@
   13: bool body_follows,
   14: string claim_token,
   15: string claim_key,
+  16: double reference_error_ratio,
+  17: double healthy_share,
+  18: bool last_resort,
 }
 
 struct BodyChunk {
