--- /dev/null
+++ b/src/papayastall/_cli_commands.py
@@ -0,0 +1,279 @@
+"""The operators' commands: each calls a node and prints its answer."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import pathlib
+import sys
+import time
+import typing as t
+
+import httpcore
+import orjson
+
+from papayastall import _control_client
+from papayastall import _tables
+from papayastall import exceptions
+
+__all__ = [
+    "Arguments",
+    "NotFinishedError",
+    "apply",
+    "demo",
+    "drain",
+    "print_data",
+    "show",
+    "status",
+    "undrain",
+    "upstreams",
+]
+
+Arguments = dict[str, t.Any]
+
+POLL_INTERVAL_S = 0.2
+
+NODE_COLUMNS = ("node", "state", "failure_domain", "index")
+UPSTREAM_COLUMNS = (
+    "upstream",
+    "service",
+    "owner",
+    "state",
+    "slots",
+    "in_flight",
+    "weight",
+)
+DOCUMENT_COLUMNS = ("name", "revision", "digest")
+
+T = t.TypeVar("T")
+
+
+class NotFinishedError(exceptions.PapayastallError):
+    """A change was accepted and is not in force everywhere in time."""
+
+
+def print_data(arguments: Arguments, data: object, text: str) -> None:
+    """Print the data as JSON if asked for, else the text."""
+    if arguments["--json"]:
+        options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+        print(orjson.dumps(data, option=options).decode())
+    elif text:
+        print(text)
+
+
+def connect(arguments: Arguments) -> _control_client.ControlClient:
+    """Return a client of the node that the options name."""
+    target = _control_client.find_target(
+        arguments["--settings"],
+        arguments["--node"],
+        arguments["--token-file"],
+        arguments["--authority"],
+    )
+    return _control_client.ControlClient(target)
+
+
+def apply(arguments: Arguments) -> None:
+    """Apply documents; with ``--wait`` until every live node has them."""
+    client = connect(arguments)
+    documents = [
+        {"source": path, "text": _read_document(path)}
+        for path in arguments["<document>"]
+    ]
+    answer = client.post("/v1/documents", {"documents": documents})
+    if arguments["--wait"]:
+        _wait_until_in_force(client, int(answer["index"]), arguments)
+    columns = ("name", "revision", "result")
+    print_data(arguments, answer, _format(columns, answer["results"]))
+
+
+def show(arguments: Arguments) -> None:
+    """Print the documents in force, or the text of one."""
+    answer = connect(arguments).get("/v1/documents")
+    documents = answer["documents"]
+    name = arguments["<name>"]
+    if name is None:
+        print_data(arguments, answer, _format(DOCUMENT_COLUMNS, documents))
+        return
+    for document in documents:
+        if document["name"] == name:
+            print_data(arguments, document, document["text"].rstrip())
+            return
+    known = ", ".join(document["name"] for document in documents) or "none"
+    raise exceptions.BadInputError(
+        exceptions.ErrorCode.BAD_REQUEST,
+        f"no document {name!r}; there are: {known}",
+        step="show",
+    )
+
+
+def status(arguments: Arguments) -> None:
+    """Print the nodes and the control replicas."""
+    answer = connect(arguments).get("/v1/status")
+    control = answer.get("control") or {}
+    lines = [
+        f"node {answer['node']}, configuration index {answer['index']}",
+        f"control leader {control.get('leader') or 'not known'}, "
+        f"replicas {', '.join(control.get('replicas', ())) or 'none'}",
+        "",
+        _format(NODE_COLUMNS, answer["nodes"]),
+    ]
+    print_data(arguments, answer, "\n".join(lines))
+
+
+def upstreams(arguments: Arguments) -> None:
+    """Print the upstreams that the node knows of."""
+    answer = connect(arguments).get("/v1/upstreams")
+    wanted = arguments["--service"]
+    if wanted is not None:
+        answer["upstreams"] = [
+            upstream
+            for upstream in answer["upstreams"]
+            if upstream["service"] == wanted
+        ]
+    text = _format(UPSTREAM_COLUMNS, answer["upstreams"])
+    print_data(arguments, answer, text)
+
+
+def drain(arguments: Arguments) -> None:
+    """Take an upstream out; with ``--wait`` until nothing runs there."""
+    client = connect(arguments)
+    upstream = arguments["<upstream>"]
+    answer = client.post("/v1/drain", {"upstream": upstream})
+    if arguments["--wait"]:
+        _wait_until_drained(client, upstream, arguments)
+    print_data(arguments, answer, f"{upstream} is leaving")
+
+
+def undrain(arguments: Arguments) -> None:
+    """Put a drained upstream back."""
+    upstream = arguments["<upstream>"]
+    answer = connect(arguments).post("/v1/undrain", {"upstream": upstream})
+    print_data(arguments, answer, f"{upstream} may serve again")
+
+
+def demo(arguments: Arguments) -> None:
+    """Send a lookup and a booking through a node and print the answers."""
+    address = arguments["<caller-address>"]
+    requests = (
+        ("GET", arguments["<lookup-path>"], None),
+        ("POST", arguments["<booking-path>"], b'{"demo": true}'),
+    )
+    answers = [
+        _send_demo_request(address, method, path, body)
+        for method, path, body in requests
+    ]
+    columns = ("request", "status", "answer")
+    print_data(arguments, {"answers": answers}, _format(columns, answers))
+
+
+def _send_demo_request(
+    address: str, method: str, path: str, body: bytes | None
+) -> dict[str, t.Any]:
+    try:
+        response = httpcore.request(
+            method, f"http://{address}{path}", content=body
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise exceptions.UnreachableError(
+            exceptions.ErrorCode.LINK_FAILED,
+            f"no answer ({error}); is this the caller address of a node?",
+            step="demo",
+            peer=address,
+        ) from error
+    return {
+        "request": f"{method} {path}",
+        "status": response.status,
+        "answer": response.content.decode(errors="replace").strip(),
+    }
+
+
+def _format(
+    columns: cabc.Sequence[str], rows: cabc.Iterable[dict[str, t.Any]]
+) -> str:
+    values = [[row.get(column) for column in columns] for row in rows]
+    return _tables.format_table(columns, values)
+
+
+def _read_document(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_DOCUMENT,
+            f"can't read {path}: {error}",
+            step="read document",
+        ) from error
+
+
+def _wait_until_in_force(
+    client: _control_client.ControlClient, index: int, arguments: Arguments
+) -> None:
+    def find_behind() -> list[str]:
+        nodes = client.get("/v1/status")["nodes"]
+        return [
+            node["node"]
+            for node in nodes
+            if node["state"] == "alive" and (node["index"] or 0) < index
+        ]
+
+    behind = _poll(find_behind, "nodes behind", arguments)
+    if behind:
+        raise NotFinishedError(
+            exceptions.ErrorCode.NOT_READY,
+            f"accepted as index {index}, not yet in force on: "
+            f"{', '.join(behind)}; 'papayastall status' shows them",
+            step="apply --wait",
+        )
+
+
+def _wait_until_drained(
+    client: _control_client.ControlClient, upstream: str, arguments: Arguments
+) -> None:
+    def find_running() -> list[str]:
+        rows = client.get("/v1/upstreams")["upstreams"]
+        return [
+            f"{row['in_flight']} requests at {row['owner']}"
+            for row in rows
+            if row["upstream"] == upstream and row["in_flight"]
+        ]
+
+    running = _poll(find_running, "owners still at work", arguments)
+    if running:
+        raise NotFinishedError(
+            exceptions.ErrorCode.NOT_READY,
+            f"{upstream} is leaving and still has {', '.join(running)}; "
+            "wait on, nothing new goes there",
+            step="drain --wait",
+        )
+
+
+def _poll(
+    find_left: cabc.Callable[[], list[T]], label: str, arguments: Arguments
+) -> list[T]:
+    """Ask until nothing is left or time is up; return what is left."""
+    deadline_s = time.monotonic() + _parse_timeout_s(arguments["--timeout"])
+    while True:
+        left = find_left()
+        _print_progress(f"{label}: {len(left)}", last=not left)
+        if not left or time.monotonic() >= deadline_s:
+            return left
+        time.sleep(POLL_INTERVAL_S)
+
+
+def _parse_timeout_s(text: str) -> float:
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = -1.0
+    if not 0 <= timeout_s < float("inf"):
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_SETTINGS,
+            f"--timeout: {text!r} is not a number of seconds",
+            step="read options",
+        )
+    return timeout_s
+
+
+def _print_progress(text: str, *, last: bool) -> None:
+    if sys.stderr.isatty():
+        end = "\n" if last else ""
+        print(f"\r\x1b[K{text}", end=end, file=sys.stderr, flush=True)
