--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -53,6 +53,7 @@
     STORAGE_FAILED = "storage-failed"
     FOLDER_IN_USE = "folder-in-use"
     INTERNAL = "internal"
+    STEERED_AWAY = "steered-away"
 
 
 class RanState(enum.Enum):
