--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -77,6 +77,11 @@
             state.term, state.vote, state.cluster_id, state.commit_index
         )
 
+    @property
+    def snapshot_index(self) -> int:
+        """Index that the latest snapshot covers."""
+        return self._state.snapshot.index
+
     @property
     def leader(self) -> str | None:
         """Address of the leader, as far as it is known."""
--- a/src/papayastall/_raft_codec.py
+++ b/src/papayastall/_raft_codec.py
@@ -4,14 +4,10 @@
 
 import collections.abc as cabc
 import dataclasses
-import pathlib
 import typing as t
 
-import thriftpy2
-from thriftpy2 import protocol
-from thriftpy2 import utils
-
 from papayastall import _raft_types as types
+from papayastall import _thrift
 from papayastall import exceptions
 
 __all__ = [
@@ -23,11 +19,7 @@
     "encode_meta",
 ]
 
-_IDL = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("raft.thrift")),
-    module_name="papayastall_raft_thrift",
-)
-_FACTORY = protocol.TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+_IDL = _thrift.load_module("raft")
 
 _BODY_FIELDS: dict[type, str] = {
     types.VoteRequest: "vote_request",
@@ -107,13 +99,6 @@
     raise ValueError("message without a body")
 
 
-def _decode(cls: t.Any, data: bytes) -> t.Any:
-    try:
-        return utils.deserialize(cls(), data, _FACTORY)
-    except Exception as error:
-        raise _bad_frame(error) from error
-
-
 def _bad_frame(error: Exception) -> exceptions.ProtocolError:
     return exceptions.ProtocolError(
         exceptions.ErrorCode.BAD_FRAME,
@@ -123,13 +108,9 @@
     )
 
 
-def _encode(struct: t.Any) -> bytes:
-    return utils.serialize(struct, _FACTORY)
-
-
 def encode_members(members: types.Members) -> bytes:
     """Return the payload of a ``MEMBERS`` entry."""
-    return _encode(_pack(members))
+    return _thrift.encode(_pack(members))
 
 
 def decode_members(data: bytes) -> types.Members:
@@ -138,14 +119,14 @@
     :raises papayastall.exceptions.ProtocolError: it is none.
     """
     try:
-        return _unpack_members(_decode(_IDL.Members, data))
+        return _unpack_members(_thrift.decode(_IDL.Members, data))
     except (TypeError, ValueError) as error:
         raise _bad_frame(error) from error
 
 
 def encode_meta(meta: types.SnapshotMeta) -> bytes:
     """Return what a snapshot file says about its snapshot."""
-    return _encode(_pack(meta))
+    return _thrift.encode(_pack(meta))
 
 
 def decode_meta(data: bytes) -> types.SnapshotMeta:
@@ -154,7 +135,7 @@
     :raises papayastall.exceptions.ProtocolError: it says nothing.
     """
     try:
-        return _unpack_meta(_decode(_IDL.SnapshotMeta, data))
+        return _unpack_meta(_thrift.decode(_IDL.SnapshotMeta, data))
     except (TypeError, ValueError) as error:
         raise _bad_frame(error) from error
 
@@ -178,7 +159,7 @@
         name = _BODY_FIELDS[type(message.body)]
         setattr(struct, name, _pack(message.body))
         structs.append(struct)
-    return _encode(
+    return _thrift.encode(
         _IDL.Batch(
             folder_id=sender.folder_id,
             boot=sender.boot,
@@ -196,7 +177,7 @@
     :param peer: address of the sender.
     :raises papayastall.exceptions.ProtocolError: they are malformed.
     """
-    batch = _decode(_IDL.Batch, data)
+    batch = _thrift.decode(_IDL.Batch, data)
     sender = types.Sender(peer, batch.folder_id, batch.boot, batch.boot_nonce)
     try:
         return [
--- /dev/null
+++ b/tests/fake_files.py
@@ -0,0 +1,154 @@
+"""A file layer that loses all unsynced data at a crash, and can fail."""
+
+from __future__ import annotations
+
+import dataclasses
+import errno
+import os
+import random
+
+
+@dataclasses.dataclass(slots=True)
+class _Inode:
+    durable: bytes = b""
+    pending: bytes = b""
+
+    @property
+    def data(self) -> bytes:
+        return self.durable + self.pending
+
+
+class _FakeFile:
+    def __init__(self, files: FakeFiles, inode: _Inode) -> None:
+        self._files = files
+        self._inode = inode
+
+    def write(self, data: bytes) -> None:
+        if self._files.is_failing():
+            self._inode.pending += data[: len(data) // 2]
+            raise self._files.error()
+        self._inode.pending += data
+
+    def sync(self) -> None:
+        if self._files.is_failing():
+            # Pages that could not be written count as clean afterwards.
+            self._inode.durable += b"\0" * len(self._inode.pending)
+            self._inode.pending = b""
+            raise self._files.error()
+        if self._files.ignores_sync:
+            return
+        self._inode.durable += self._inode.pending
+        self._inode.pending = b""
+
+    def close(self) -> None:
+        pass
+
+
+class _FakeLock:
+    def __init__(self, files: FakeFiles) -> None:
+        self._files = files
+
+    def close(self) -> None:
+        self._files.is_locked = False
+
+
+class FakeFiles:
+    """Files in memory.
+
+    :param seed: decides what a crash leaves of unsynced data.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._rng = random.Random(seed)
+        self._names: dict[str, _Inode] = {}
+        self._durable_names: dict[str, _Inode] = {}
+        self.is_locked = False
+        self.ignores_sync = False
+        self.operations = 0
+        self.fail_at: int | None = None
+        self.errno = errno.EIO
+
+    def is_failing(self) -> bool:
+        """Count an operation; tell whether it must fail."""
+        self.operations += 1
+        return self.fail_at is not None and self.operations >= self.fail_at
+
+    def error(self) -> OSError:
+        return OSError(self.errno, os.strerror(self.errno))
+
+    def crash(self) -> None:
+        """Lose what was not synced, but for a torn part of it."""
+        if self._rng.random() < 0.5:
+            self._names = dict(self._durable_names)
+        self._durable_names = dict(self._names)
+        for inode in self._names.values():
+            kept = self._rng.randint(0, len(inode.pending))
+            torn = bytearray(inode.pending[:kept])
+            if torn and self._rng.random() < 0.5:
+                torn[self._rng.randrange(len(torn))] ^= 0xFF
+            inode.durable += bytes(torn)
+            inode.pending = b""
+        self.is_locked = False
+        self.fail_at = None
+
+    def copy(self) -> FakeFiles:
+        """Return an older copy to be put back later."""
+        copied = FakeFiles(self._rng.randrange(1 << 30))
+        copied._names = {
+            name: _Inode(inode.data) for name, inode in self._names.items()
+        }
+        copied._durable_names = dict(copied._names)
+        return copied
+
+    def damage(self, path: str, offset: int) -> None:
+        """Flip all bits of one byte."""
+        inode = self._names[path]
+        data = bytearray(inode.data)
+        data[offset] ^= 0xFF
+        inode.durable, inode.pending = bytes(data), b""
+
+    def make_folder(self, path: str) -> None:
+        pass
+
+    def list_names(self, path: str) -> list[str]:
+        return sorted(
+            os.path.basename(name)
+            for name in self._names
+            if os.path.dirname(name) == path
+        )
+
+    def lock(self, path: str) -> _FakeLock:
+        if self.is_locked:
+            raise BlockingIOError
+        self.is_locked = True
+        return _FakeLock(self)
+
+    def open_append(self, path: str) -> _FakeFile:
+        return _FakeFile(self, self._names.setdefault(path, _Inode()))
+
+    def read(self, path: str, offset: int = 0, size: int = -1) -> bytes:
+        if path not in self._names:
+            raise FileNotFoundError(errno.ENOENT, "no such file", path)
+        data = self._names[path].data
+        return data[offset:] if size < 0 else data[offset : offset + size]
+
+    def size_bytes(self, path: str) -> int:
+        return len(self._names[path].data)
+
+    def truncate(self, path: str, size: int) -> None:
+        inode = self._names[path]
+        inode.durable, inode.pending = inode.data[:size], b""
+
+    def rename(self, old: str, new: str) -> None:
+        if self.is_failing():
+            raise self.error()
+        self._names[new] = self._names.pop(old)
+
+    def remove(self, path: str) -> None:
+        del self._names[path]
+
+    def sync_folder(self, path: str) -> None:
+        if self.is_failing():
+            raise self.error()
+        if not self.ignores_sync:
+            self._durable_names = dict(self._names)
--- /dev/null
+++ b/tests/raft_cluster.py
@@ -0,0 +1,358 @@
+"""Several nodes with a fake clock, a fake network and fake disks.
+
+The nodes run the code of the product; only what a task and a thread do
+in :mod:`papayastall._replica` is done here step by step. The checks watch
+from outside what no single node can see.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import heapq
+import json
+import random
+
+from papayastall import _data_folder
+from papayastall import _raft_codec as codec
+from papayastall import _raft_types as types
+from papayastall import _replica_set
+from papayastall import _storage
+from papayastall import exceptions
+from tests import fake_files
+
+FOLDER = "/data"
+STEP_S = 0.05
+OPTIONS = _replica_set.SetOptions(
+    snapshot_entries=12,
+    kept_entries=3,
+    generation_bytes=6000,
+    chunk_bytes=40,
+)
+
+
+class Machine:
+    """Keeps all commands that it was given."""
+
+    def __init__(self) -> None:
+        self.commands: list[str] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.append(command.decode())
+        return b"%d" % len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return json.dumps(self.commands).encode()
+
+    def restore(self, data: bytes) -> None:
+        self.commands = json.loads(data)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One node; ``replicas`` is there while its process runs."""
+
+    address: str
+    files: fake_files.FakeFiles
+    machine: Machine
+    clock_rate: float
+    storage: _storage.Storage | None = None
+    replicas: _replica_set.ReplicaSet | None = None
+    inbox: list[bytes] = dataclasses.field(default_factory=list)
+    senders: list[str] = dataclasses.field(default_factory=list)
+    folder_id: int = 0
+    frozen_until_s: float = 0.0
+    failure: exceptions.PapayastallError | None = None
+
+    @property
+    def group(self) -> _replica_set.Group:
+        assert self.replicas is not None
+        return self.replicas.groups[0]
+
+
+class Cluster:
+    """A group of nodes under test.
+
+    :param seed: decides delays, losses, clock rates and torn writes.
+    """
+
+    set_class = _replica_set.ReplicaSet
+    storage_class = _storage.Storage
+
+    def __init__(self, seed: int, size: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.addresses = tuple(f"10.0.0.{i + 1}:1" for i in range(size))
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.max_delay_s = 0.05
+        self._in_flight: list[tuple[float, int, str, str, bytes]] = []
+        self._count = 0
+        self._committed: dict[int, int] = {}
+        self._leaders: dict[int, int] = {}
+        self.acknowledged: list[str] = []
+        self.acknowledged_index = 0
+        for address in self.addresses:
+            self.add_node(address)
+
+    def add_node(self, address: str) -> Node:
+        """Give a node an empty disk, make its folder, and start it."""
+        node = Node(
+            address,
+            fake_files.FakeFiles(self.rng.randrange(1 << 30)),
+            Machine(),
+            self.rng.uniform(0.98, 1.02),
+        )
+        self.nodes[address] = node
+        self.init_folder(node)
+        self.start(node)
+        return node
+
+    def init_folder(self, node: Node) -> None:
+        _data_folder.create_data_folder(
+            FOLDER,
+            1,
+            files=node.files,
+            folder_id=self.rng.getrandbits(60) + 1,
+        )
+
+    def start(self, node: Node) -> None:
+        """Start a node's process on what its disk holds."""
+        node.storage = self.storage_class(FOLDER, node.files)
+        try:
+            folder = node.storage.open(self.rng.getrandbits(60))
+        except exceptions.StorageError as error:
+            if error.code is not exceptions.ErrorCode.STORAGE_FAILED:
+                raise
+            node.failure = error
+            self.crash(node)
+            return
+        node.folder_id = folder.folder_id
+        node.machine = Machine()
+        node.failure = None
+        node.inbox.clear()
+        node.senders.clear()
+        node.replicas = self.set_class(
+            folder,
+            node.address,
+            self.addresses,
+            [node.machine],
+            types.Timings(),
+            OPTIONS,
+            random.Random(self.rng.getrandbits(30)),
+            self.clock_s(node),
+        )
+
+    def clock_s(self, node: Node) -> float:
+        return self.now_s * node.clock_rate
+
+    def crash(self, node: Node) -> None:
+        """Kill a node's process and lose what was not synced."""
+        node.replicas = None
+        node.storage = None
+        node.files.crash()
+
+    def restart(self, node: Node) -> None:
+        """Kill a node's process and start it again."""
+        self.crash(node)
+        self.start(node)
+
+    def lose_disk(self, node: Node) -> None:
+        """Kill a node, empty its disk, make a new folder, start it."""
+        self.crash(node)
+        node.files = fake_files.FakeFiles(self.rng.randrange(1 << 30))
+        self.init_folder(node)
+        self.start(node)
+
+    def running(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.replicas]
+
+    def leader(self) -> Node | None:
+        """Return the leader of the latest term, if there is one."""
+        leaders = [
+            node
+            for node in self.running()
+            if node.group.replica.role is types.Role.LEADER
+        ]
+        if not leaders:
+            return None
+        return max(leaders, key=lambda node: node.group.replica.term)
+
+    def propose(self, node: Node, command: str) -> bool:
+        """Propose at a node; return whether it was taken up."""
+        if node.replicas is None:
+            return False
+        try:
+            node.group.propose(
+                self.clock_s(node), [(command.encode(), command)]
+            )
+        except exceptions.PapayastallError:
+            return False
+        return True
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            self._deliver()
+            for node in self.running():
+                if node.frozen_until_s <= self.now_s:
+                    self._turn(node)
+            self._check()
+
+    def run_until(
+        self, condition: cabc.Callable[[], bool], limit_s: float = 30.0
+    ) -> None:
+        """Let time pass until a condition holds."""
+        end_s = self.now_s + limit_s
+        while not condition():
+            assert self.now_s < end_s, "the condition never held"
+            self.run(STEP_S)
+
+    def has_leader(self) -> bool:
+        leader = self.leader()
+        return leader is not None and leader.group.applied_index > 1
+
+    def _turn(self, node: Node) -> None:
+        replicas, storage = node.replicas, node.storage
+        assert replicas is not None and storage is not None
+        now_s = self.clock_s(node)
+        pairs = list(zip(node.senders, node.inbox, strict=True))
+        node.inbox.clear()
+        node.senders.clear()
+        for sender, body in pairs:
+            for group, message in codec.decode_batch(
+                body, sender, node.address
+            ):
+                replicas.step(now_s, group, message)
+        replicas.tick(now_s)
+        while True:
+            turn = replicas.prepare(storage.wal_bytes)
+            self._send(node, turn.early)
+            if replicas.stale is not None:
+                node.failure = exceptions.StorageError(
+                    exceptions.ErrorCode.STORAGE_DAMAGED,
+                    replicas.stale,
+                    step="test",
+                )
+                self.crash(node)
+                return
+            try:
+                turn.run(storage)
+            except exceptions.StorageError as error:
+                node.failure = error
+                self.crash(node)
+                return
+            for resolved in replicas.finish(now_s, turn):
+                if isinstance(resolved.resolution, _replica_set.Applied):
+                    self.acknowledged.append(str(resolved.token))
+                    self.acknowledged_index = max(
+                        self.acknowledged_index, node.group.applied_index
+                    )
+            self._send(node, turn.messages)
+            if not replicas.has_work():
+                return
+
+    def _send(
+        self, node: Node, messages: list[tuple[int, types.Message]]
+    ) -> None:
+        assert node.replicas is not None
+        for pair in messages:
+            to = pair[1].to
+            if (node.address, to) in self.cuts:
+                continue
+            body = codec.encode_batch(node.replicas.identity, [pair])
+            copies = 2 if self.rng.random() < self.repeat else 1
+            for _ in range(copies):
+                if self.rng.random() < self.loss:
+                    continue
+                at_s = self.now_s + self.rng.uniform(0, self.max_delay_s)
+                self._count += 1
+                heapq.heappush(
+                    self._in_flight,
+                    (at_s, self._count, node.address, to, body),
+                )
+
+    def _deliver(self) -> None:
+        while self._in_flight and self._in_flight[0][0] <= self.now_s:
+            _, _, sender, to, body = heapq.heappop(self._in_flight)
+            node = self.nodes.get(to)
+            if node is not None and node.replicas is not None:
+                node.senders.append(sender)
+                node.inbox.append(body)
+
+    def _check(self) -> None:
+        """Check what only an observer of all nodes can see."""
+        for node in self.running():
+            replica = node.group.replica
+            own_id = replica.log.members.find(node.address)
+            if replica.role is types.Role.LEADER and own_id is not None:
+                known = self._leaders.setdefault(
+                    replica.term, own_id.folder_id
+                )
+                assert known == own_id.folder_id, "two leaders in a term"
+            self._check_committed(node)
+            self._check_lease(node)
+
+    def _check_committed(self, node: Node) -> None:
+        log = node.group.replica.log
+        first = max(log.base.index, 1)
+        for index in range(first, node.group.applied_index + 1):
+            chain = log.chain_at(index)
+            if chain is not None:
+                known = self._committed.setdefault(index, chain)
+                assert known == chain, "a committed entry changed"
+
+    def _check_lease(self, node: Node) -> None:
+        if node.frozen_until_s > self.now_s:
+            return
+        try:
+            index = node.group.replica.read_index(self.clock_s(node))
+        except exceptions.PapayastallError:
+            return
+        assert index >= self.acknowledged_index, "a read under lease is old"
+
+    def settle(self) -> None:
+        """Heal all and check that nothing acknowledged was lost."""
+        self.cuts.clear()
+        self.loss = self.repeat = 0.0
+        self.max_delay_s = 0.05
+        for node in self.nodes.values():
+            node.frozen_until_s = 0.0
+            node.files.fail_at = None
+            if node.replicas is None:
+                if "older copy" in str(node.failure) or "replaced" in str(
+                    node.failure
+                ):
+                    self.lose_disk(node)
+                else:
+                    self.start(node)
+        self.run_until(self._is_settled, 60.0)
+        self.check_kept()
+
+    def _is_settled(self) -> bool:
+        leader = self.leader()
+        if leader is None or not self.propose(leader, "settle"):
+            return False
+        self.run(1.0)
+        indexes = {node.group.applied_index for node in self.running()}
+        voters = leader.group.replica.log.members.voter_ids()
+        return (
+            len(indexes) == 1
+            and len(self.running()) == len(self.nodes)
+            and len(voters) == len(self.nodes)
+            and "settle" in self.acknowledged
+        )
+
+    def check_kept(self) -> None:
+        """Check that all that was acknowledged is in the state."""
+        leader = self.leader()
+        assert leader is not None
+        commands = leader.machine.commands
+        missing = set(self.acknowledged) - set(commands)
+        assert not missing, f"acknowledged and lost: {missing}"
+        for node in self.running():
+            assert node.machine.commands == commands, "states differ"
