Add the ingress: callers' requests, attempts, answers

Cause: callers had no way in. Change: an ASGI application that reads a request whole, lets the controller choose owners, streams the chosen answer, breaks the caller's connection where the answer broke, and tells errors as problem JSON.

--- /dev/null
+++ b/src/papayastall/_attempts.py
@@ -0,0 +1,387 @@
+"""Sends attempts to owners and takes in what the owners answer."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import itertools
+import random
+import time
+
+import anyio
+import anyio.abc
+
+from papayastall import _decision_types
+from papayastall import _exchange
+from papayastall import _frames
+from papayastall import _ingress_controller
+from papayastall import _links
+from papayastall import exceptions
+
+__all__ = ["AttemptSender"]
+
+TICK_INTERVAL_S = 0.02
+REDIAL_INTERVAL_S = 1.0
+LATE_GRACE_S = 1.0
+BODY_PART_BYTES = 256 << 10
+CREDIT_INTERVAL_BYTES = 64 << 10
+
+Actions = cabc.Sequence[_decision_types.IngressAction]
+_Code = exceptions.ErrorCode
+_Result = _decision_types.AttemptResult
+
+
+class AttemptSender:
+    """Carries out the ingress controller's decisions over the links."""
+
+    def __init__(
+        self,
+        links: _links.Links,
+        controller: _ingress_controller.IngressController,
+        rng: random.Random,
+    ) -> None:
+        self.controller = controller
+        self._links = links
+        self._wire_ids = itertools.count(rng.getrandbits(48) + 1)
+        self._exchanges: dict[int, _exchange.Exchange] = {}
+        self._attempts: dict[int, _exchange.Attempt] = {}
+        self._down_peers: dict[str, float] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Take frames and let time pass in ``tasks``."""
+        self._tasks = tasks
+        links = self._links
+        links.handle_frames(_frames.AnswerHead, self._receive_head)
+        links.handle_frames(_frames.AnswerChunk, self._receive_chunk)
+        links.handle_frames(_frames.Refuse, self._receive_refuse)
+        links.handle_frames(_frames.Running, self._receive_running)
+        links.handle_events(self._receive_event)
+        tasks.start_soon(self._tick)
+
+    def open(self, exchange: _exchange.Exchange) -> None:
+        """Begin a request."""
+        self._exchanges[exchange.request.request_id] = exchange
+        now_s = time.monotonic()
+        self.perform(self.controller.begin(now_s, exchange.request))
+
+    def close(self, exchange: _exchange.Exchange) -> None:
+        """End a request; what is left of it is cancelled."""
+        request_id = exchange.request.request_id
+        now_s = time.monotonic()
+        self.perform(self.controller.caller_gone(now_s, request_id))
+        self._exchanges.pop(request_id, None)
+        for attempt in list(exchange.attempts.values()):
+            self._cancel(attempt)
+
+    def acknowledge(
+        self, attempt: _exchange.Attempt, relayed_bytes: int
+    ) -> None:
+        """Let the owner send more of an answer."""
+        credit = _frames.Credit(attempt.wire_id, relayed_bytes, False)
+        self._links.send(attempt.owner, credit)
+
+    def perform(self, actions: Actions) -> None:
+        """Carry out what the controller decided."""
+        for action in actions:
+            exchange = self._exchanges.get(action.request_id)
+            if exchange is None:
+                continue
+            match action:
+                case _decision_types.ForwardAttempt():
+                    self._forward(exchange, action)
+                case _decision_types.CancelAttempt():
+                    attempt = exchange.attempts.get(action.attempt)
+                    if attempt is not None:
+                        self._cancel(attempt)
+                case _decision_types.AnswerChosen():
+                    assert exchange.chosen is None, "one answer is chosen"
+                    exchange.chosen = exchange.attempts[action.attempt]
+                    exchange.notify()
+                case _decision_types.RefuseRequest():
+                    exchange.refusal = action
+                    exchange.notify()
+
+    def _forward(
+        self,
+        exchange: _exchange.Exchange,
+        action: _decision_types.ForwardAttempt,
+    ) -> None:
+        attempt = _exchange.Attempt(
+            next(self._wire_ids), exchange, action.attempt, action.owner
+        )
+        exchange.attempts[action.attempt] = attempt
+        self._attempts[attempt.wire_id] = attempt
+        self._links.watch(attempt.owner)
+        assert self._tasks is not None
+        self._tasks.start_soon(self._send_open, attempt, action)
+
+    async def _send_open(
+        self,
+        attempt: _exchange.Attempt,
+        action: _decision_types.ForwardAttempt,
+    ) -> None:
+        try:
+            boot_id = await self._links.connect(attempt.owner)
+        except exceptions.UnreachableError:
+            self._note_down(attempt.owner)
+            self._end(attempt, _Result.NOT_RUN, _Code.LINK_FAILED)
+            return
+        if attempt.wire_id not in self._attempts:
+            return
+        request = attempt.exchange.request
+        remaining_s = request.deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
+            return
+        attempt.owner_boot_id = boot_id
+        for frame in _make_frames(attempt, action, remaining_s):
+            self._links.send(attempt.owner, frame)
+
+    def _cancel(self, attempt: _exchange.Attempt) -> None:
+        if self._attempts.get(attempt.wire_id) is None:
+            return
+        self._drop(attempt)
+        if attempt.owner_boot_id and not attempt.complete:
+            cancel = _frames.Cancel(attempt.wire_id)
+            self._links.send(attempt.owner, cancel)
+
+    def _drop(self, attempt: _exchange.Attempt) -> None:
+        del self._attempts[attempt.wire_id]
+        attempt.exchange.attempts.pop(attempt.number, None)
+        self._links.unwatch(attempt.owner)
+
+    def _find(self, owner: str, wire_id: int) -> _exchange.Attempt | None:
+        attempt = self._attempts.get(wire_id)
+        if attempt is None or attempt.owner != owner:
+            return None
+        return attempt
+
+    def _receive_head(
+        self, owner: str, boot_id: int, frame: _frames.AnswerHead
+    ) -> None:
+        attempt = self._find(owner, frame.request_id)
+        if attempt is None or attempt.head is not None:
+            return
+        attempt.head = frame
+        self.perform(
+            self.controller.answer_started(
+                time.monotonic(),
+                attempt.exchange.request.request_id,
+                attempt.number,
+                frame.load,
+                frame.status,
+            )
+        )
+
+    def _receive_chunk(
+        self, owner: str, boot_id: int, frame: _frames.AnswerChunk
+    ) -> None:
+        attempt = self._find(owner, frame.request_id)
+        if attempt is None:
+            self._let_forget(owner, frame.request_id, frame.last)
+            return
+        if attempt.head is None or frame.offset_bytes > (
+            attempt.received_bytes
+        ):
+            # Parts were lost with a connection; the query brings them.
+            return
+        if frame.offset_bytes < attempt.received_bytes:
+            return
+        if frame.data:
+            attempt.received_bytes += len(frame.data)
+            attempt.chunks.append(frame.data)
+        if frame.last:
+            self._complete(attempt)
+        attempt.exchange.notify()
+
+    def _complete(self, attempt: _exchange.Attempt) -> None:
+        assert attempt.head is not None
+        attempt.complete = True
+        self._let_forget(attempt.owner, attempt.wire_id, True)
+        self._drop(attempt)
+        self._tell_end(
+            attempt,
+            _Result.ANSWERED,
+            status=attempt.head.status,
+            load=attempt.head.load,
+        )
+
+    def _let_forget(self, owner: str, wire_id: int, last: bool) -> None:
+        if last:
+            self._links.send(owner, _frames.Credit(wire_id, 1 << 62, True))
+
+    def _receive_refuse(
+        self, owner: str, boot_id: int, frame: _frames.Refuse
+    ) -> None:
+        self._let_forget(owner, frame.request_id, True)
+        attempt = self._find(owner, frame.request_id)
+        if attempt is None:
+            return
+        result = _Result.UNKNOWN if frame.ran_unknown else _Result.NOT_RUN
+        if attempt.head is not None:
+            result = _Result.UNKNOWN
+        retry_after_s = None
+        if frame.retry_after_ms >= 0:
+            retry_after_s = frame.retry_after_ms / 1000
+        self._end(
+            attempt, result, _read_code(frame), retry_after_s, frame.load
+        )
+
+    def _receive_running(
+        self, owner: str, boot_id: int, frame: _frames.Running
+    ) -> None:
+        """A query was answered: the request waits or runs."""
+
+    def _end(
+        self,
+        attempt: _exchange.Attempt,
+        result: _decision_types.AttemptResult,
+        code: exceptions.ErrorCode,
+        retry_after_s: float | None = None,
+        load: _decision_types.OwnerLoad | None = None,
+    ) -> None:
+        if attempt.wire_id not in self._attempts:
+            return
+        attempt.broken = True
+        self._drop(attempt)
+        self._tell_end(
+            attempt,
+            result,
+            code=code,
+            retry_after_s=retry_after_s,
+            load=load,
+        )
+        attempt.exchange.notify()
+
+    def _tell_end(
+        self,
+        attempt: _exchange.Attempt,
+        result: _decision_types.AttemptResult,
+        *,
+        status: int | None = None,
+        code: exceptions.ErrorCode | None = None,
+        retry_after_s: float | None = None,
+        load: _decision_types.OwnerLoad | None = None,
+    ) -> None:
+        outcome = _decision_types.AttemptOutcome(
+            request_id=attempt.exchange.request.request_id,
+            attempt=attempt.number,
+            result=result,
+            status=status,
+            code=code,
+            retry_after_s=retry_after_s,
+            load=load,
+        )
+        self.perform(self.controller.attempt_ended(time.monotonic(), outcome))
+
+    def _receive_event(self, peer: str, event: _links.LinkEvent) -> None:
+        match event:
+            case _links.LinkEvent.DOWN:
+                self._note_down(peer)
+                self._give_up_lookups(peer)
+            case _links.LinkEvent.REPLACED:
+                self._note_up(peer)
+                self._query(peer)
+
+    def _note_down(self, peer: str) -> None:
+        self._down_peers.setdefault(peer, time.monotonic())
+        self.controller.link_failed(time.monotonic(), peer)
+
+    def _note_up(self, peer: str) -> None:
+        if self._down_peers.pop(peer, None) is not None:
+            self.controller.link_ok(time.monotonic(), peer)
+
+    def _at(self, peer: str) -> list[_exchange.Attempt]:
+        return [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.owner == peer and attempt.owner_boot_id
+        ]
+
+    def _give_up_lookups(self, peer: str) -> None:
+        for attempt in self._at(peer):
+            kind = attempt.exchange.request.kind
+            if kind is _decision_types.RequestKind.LOOKUP:
+                self._end(attempt, _Result.UNKNOWN, _Code.LINK_FAILED)
+
+    def _query(self, peer: str) -> None:
+        boot_id = self._links.boot_id(peer)
+        for attempt in self._at(peer):
+            if attempt.owner_boot_id != boot_id:
+                # The owner restarted and does not know what it ran.
+                self._end(attempt, _Result.UNKNOWN, _Code.LINK_FAILED)
+                continue
+            query = _frames.Query(
+                attempt.wire_id,
+                attempt.head is not None,
+                attempt.received_bytes,
+            )
+            self._links.send(peer, query)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_INTERVAL_S)
+            now_s = time.monotonic()
+            self.perform(self.controller.tick(now_s))
+            self._end_late(now_s)
+            for peer, tried_s in list(self._down_peers.items()):
+                if now_s - tried_s > REDIAL_INTERVAL_S:
+                    self._down_peers[peer] = now_s
+                    assert self._tasks is not None
+                    self._tasks.start_soon(self._redial, peer)
+
+    def _end_late(self, now_s: float) -> None:
+        """End started answers whose owner is out of reach for too long."""
+        for attempt in list(self._attempts.values()):
+            deadline_s = attempt.exchange.request.deadline_s
+            if now_s > deadline_s + LATE_GRACE_S:
+                self._end(attempt, _Result.UNKNOWN, _Code.DEADLINE_EXCEEDED)
+
+    async def _redial(self, peer: str) -> None:
+        try:
+            await self._links.connect(peer)
+        except exceptions.UnreachableError:
+            return
+        self._note_up(peer)
+
+
+def _read_code(frame: _frames.Refuse) -> exceptions.ErrorCode:
+    try:
+        return exceptions.ErrorCode(frame.code)
+    except ValueError:
+        return exceptions.ErrorCode.INTERNAL
+
+
+def _make_frames(
+    attempt: _exchange.Attempt,
+    action: _decision_types.ForwardAttempt,
+    remaining_s: float,
+) -> cabc.Iterator[_frames.Frame]:
+    exchange = attempt.exchange
+    request = exchange.request
+    body = exchange.body
+    yield _frames.Open(
+        request_id=attempt.wire_id,
+        service_name=request.service,
+        route=request.route,
+        team=request.team,
+        idempotent=request.kind is _decision_types.RequestKind.LOOKUP,
+        remaining_ms=max(1, int(remaining_s * 1000)),
+        reference_ms=action.reference_ms or 0.0,
+        fingerprint=request.fingerprint,
+        method=exchange.method,
+        target=exchange.target,
+        headers=exchange.headers,
+        body=body[:BODY_PART_BYTES],
+        body_follows=len(body) > BODY_PART_BYTES,
+        claim_token=exchange.claim_token,
+        claim_key=exchange.claim_key,
+        reference_error_ratio=action.hints.reference_error_ratio,
+        healthy_share=action.hints.healthy_share,
+        last_resort=action.hints.last_resort,
+    )
+    for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
+        end = start + BODY_PART_BYTES
+        yield _frames.BodyChunk(
+            attempt.wire_id, body[start:end], end >= len(body)
+        )
--- /dev/null
+++ b/src/papayastall/_exchange.py
@@ -0,0 +1,92 @@
+"""One caller's request at its ingress, and the attempts to answer it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import anyio
+
+from papayastall import _decision_types
+from papayastall import _frames
+from papayastall import exceptions
+
+__all__ = ["Attempt", "Exchange"]
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt at one owner.
+
+    :param wire_id: number of the attempt on the links.
+    :param owner_boot_id: of the owner when the request was sent to it;
+        0 while nothing has been sent.
+    :param received_bytes: length of the answer's body so far.
+    """
+
+    wire_id: int
+    exchange: Exchange
+    number: int
+    owner: str
+    owner_boot_id: int = 0
+    head: _frames.AnswerHead | None = None
+    chunks: collections.deque[bytes] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    received_bytes: int = 0
+    complete: bool = False
+    broken: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A caller's request while it waits for its answer.
+
+    :param changed: set whenever there is more to tell the caller.
+    """
+
+    request: _decision_types.IngressRequest
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    claim_key: str = ""
+    claim_token: str = ""
+    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    chosen: Attempt | None = None
+    refusal: _decision_types.RefuseRequest | None = None
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    async def wait_for_outcome(self) -> None:
+        """Wait until an answer is chosen or the request is refused."""
+        while self.chosen is None and self.refusal is None:
+            await self._wait()
+
+    async def next_chunk(self) -> bytes | None:
+        """Return the next part of the chosen answer, ``None`` at its end.
+
+        :raises papayastall.exceptions.OutcomeUnknownError: it broke off.
+        """
+        attempt = self.chosen
+        assert attempt is not None
+        while True:
+            if attempt.chunks:
+                return attempt.chunks.popleft()
+            if attempt.complete:
+                return None
+            if attempt.broken:
+                raise exceptions.OutcomeUnknownError(
+                    exceptions.ErrorCode.UPSTREAM_FAILED,
+                    "the answer broke off",
+                    step="relay",
+                    peer=attempt.owner,
+                )
+            await self._wait()
+
+    def notify(self) -> None:
+        """Wake whoever waits for news."""
+        self.changed.set()
+
+    async def _wait(self) -> None:
+        self.changed = anyio.Event()
+        await self.changed.wait()
--- /dev/null
+++ b/src/papayastall/_problem.py
@@ -0,0 +1,104 @@
+"""Errors as problem JSON (RFC 9457) over HTTP."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import orjson
+
+from papayastall import exceptions
+
+__all__ = ["Problem", "problem_of", "status_of"]
+
+_Code = exceptions.ErrorCode
+
+_STATUSES = {
+    _Code.BAD_REQUEST: 400,
+    _Code.BAD_DOCUMENT: 400,
+    _Code.BAD_ANNOUNCEMENT: 400,
+    _Code.UNAUTHORIZED: 401,
+    _Code.UNKNOWN_SERVICE: 404,
+    _Code.REVISION_CONFLICT: 409,
+    _Code.STILL_RUNNING: 409,
+    _Code.BODY_TOO_LARGE: 413,
+    _Code.KEY_REUSED: 422,
+    _Code.CRASHING_REQUEST: 422,
+    _Code.INTERNAL: 500,
+    _Code.UPSTREAM_FAILED: 502,
+    _Code.LINK_FAILED: 502,
+    _Code.DEADLINE_EXCEEDED: 504,
+}
+DEFAULT_STATUS = 503
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Problem:
+    """One error as it is told to a caller or an operator.
+
+    :param ran: whether the request ran; ``None`` where nothing could run.
+    :param retry_after_s: when to come back; ``None`` where that is no use.
+    """
+
+    code: exceptions.ErrorCode
+    detail: str
+    step: str
+    ran: exceptions.RanState | None = exceptions.RanState.NO
+    peer: str | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return status_of(self.code)
+
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers of the answer."""
+        headers = [(b"content-type", b"application/problem+json")]
+        if self.retry_after_s is not None:
+            seconds = max(1, math.ceil(self.retry_after_s))
+            headers.append((b"retry-after", str(seconds).encode()))
+        return headers
+
+    def body(self) -> bytes:
+        """Return the JSON text."""
+        values: dict[str, object] = {
+            "type": f"urn:papayastall:error:{self.code.value}",
+            "title": self.code.value.replace("-", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "code": self.code.value,
+            "step": self.step,
+        }
+        if self.ran is not None:
+            values["ran"] = self.ran.value
+        if self.peer is not None:
+            values["peer"] = self.peer
+        if self.retry_after_s is not None:
+            values["retry_after_s"] = round(self.retry_after_s, 3)
+        return orjson.dumps(values)
+
+
+def status_of(code: exceptions.ErrorCode) -> int:
+    """Return the HTTP status that belongs to an error code."""
+    return _STATUSES.get(code, DEFAULT_STATUS)
+
+
+def problem_of(error: exceptions.PapayastallError) -> Problem:
+    """Return the problem that tells of an error."""
+    retry_after_s = None
+    ran: exceptions.RanState | None = None
+    match error:
+        case exceptions.RefusedError():
+            retry_after_s = error.retry_after_s
+            ran = exceptions.RanState.NO
+        case exceptions.OutcomeUnknownError():
+            ran = exceptions.RanState.UNKNOWN
+    return Problem(
+        error.code,
+        error.message,
+        error.step,
+        ran,
+        error.peer,
+        retry_after_s,
+    )
--- /dev/null
+++ b/src/papayastall/ingress.py
@@ -0,0 +1,424 @@
+"""The callers' side of a node: an ASGI application for HTTP/1.1.
+
+The body of a request is read whole, up to its service's limit, before any
+owner gets it, so that half a request never runs and a refused one can be
+sent elsewhere. Answers are streamed.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import itertools
+import time
+import typing as t
+
+import anyio
+import xxhash
+
+from papayastall import _attempts
+from papayastall import _decision_types
+from papayastall import _exchange
+from papayastall import _problem
+from papayastall import _upstream_client
+from papayastall import blackboard as blackboards
+from papayastall import documents
+from papayastall import exceptions
+
+__all__ = ["ClaimGate", "Ingress", "KeptAnswer", "Timing"]
+
+BODY_TIMEOUT_S = 10.0
+MAX_TEAM_LENGTH = 64
+NOT_READY_RETRY_S = 1.0
+UNKNOWN_ROUTE = "unknown"
+KEY_HEADER = b"idempotency-key"
+OWNER_HEADER = b"papayastall-owner"
+MAX_KEY_LENGTH = 255
+
+Scope = dict[str, t.Any]
+Receive = cabc.Callable[[], cabc.Awaitable[dict[str, t.Any]]]
+Send = cabc.Callable[[dict[str, t.Any]], cabc.Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+_Code = exceptions.ErrorCode
+_Kind = _decision_types.RequestKind
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeptAnswer:
+    """The first answer to an idempotency key."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ClaimGate(t.Protocol):
+    """Claims idempotency keys before requests are forwarded."""
+
+    async def claim(
+        self, key: str, fingerprint: int, deadline_s: float
+    ) -> str | KeptAnswer:
+        """Return the token of a durable claim, or the first answer.
+
+        :raises papayastall.exceptions.PapayastallError: the key is taken
+            or can't be claimed; nothing was run.
+        """
+
+    async def release(self, key: str, token: str) -> None:
+        """Free the key of a request that did not run."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Timing:
+    """How long a request took at its ingress, for the histograms."""
+
+    service: str
+    route: str
+    team: str
+    status: int
+    total_ms: float
+
+
+class Ingress:
+    """Answers callers; one instance per node.
+
+    :param claims: gate for idempotency keys; ``None`` refuses them.
+    :param note_timing: told of each request that got an answer.
+    """
+
+    def __init__(
+        self,
+        blackboard: blackboards.Blackboard,
+        attempts: _attempts.AttemptSender,
+        claims: ClaimGate | None = None,
+        note_timing: cabc.Callable[[Timing], None] = lambda timing: None,
+    ) -> None:
+        self._blackboard = blackboard
+        self._attempts = attempts
+        self._claims = claims
+        self._note_timing = note_timing
+        self._request_ids = itertools.count(1)
+        self.open_requests = 0
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request (the ASGI entry point)."""
+        if scope["type"] != "http":
+            return
+        self.open_requests += 1
+        try:
+            await self._answer(scope, receive, send)
+        finally:
+            self.open_requests -= 1
+
+    async def _answer(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        started_s = time.monotonic()
+        reply = _Reply(send, self._blackboard)
+        try:
+            exchange = await self._read(scope, receive, started_s)
+            if await self._claim(scope, exchange, reply):
+                return
+            await self._run(exchange, receive, reply)
+        except exceptions.PapayastallError as error:
+            await reply.send_problem(_problem.problem_of(error))
+            return
+        timing = Timing(
+            exchange.request.service,
+            exchange.request.route,
+            exchange.request.team,
+            reply.status,
+            (time.monotonic() - started_s) * 1000,
+        )
+        self._note_timing(timing)
+
+    async def _read(
+        self, scope: Scope, receive: Receive, started_s: float
+    ) -> _exchange.Exchange:
+        target = _read_target(scope)
+        path = target.decode("latin-1")
+        document = self._find_document(path)
+        route = documents.find_route(document, scope["method"], path)
+        timeout_ms = _read_timeout_ms(scope, document, route)
+        limit_bytes = document.limits.max_body_bytes
+        body = await _read_body(scope, receive, limit_bytes)
+        method = scope["method"].encode()
+        digest = xxhash.xxh3_64()
+        for part in (document.name.encode(), method, target, body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        request = _decision_types.IngressRequest(
+            request_id=next(self._request_ids),
+            service=document.name,
+            route=route.name if route else UNKNOWN_ROUTE,
+            team=_read_team(scope, document),
+            kind=route.kind if route else _Kind.NON_IDEMPOTENT,
+            deadline_s=started_s + timeout_ms / 1000,
+            fingerprint=digest.intdigest() >> 1,
+        )
+        return _exchange.Exchange(
+            request, method, target, list(scope["headers"]), body
+        )
+
+    def _find_document(self, path: str) -> documents.Document:
+        if not self._blackboard.config_ready:
+            raise exceptions.RefusedError(
+                _Code.NOT_READY,
+                "this node has not learned the configuration yet",
+                step="route",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        name = documents.find_service_name(path)
+        document = self._blackboard.services.get(name)
+        if document is None:
+            raise exceptions.RefusedError(
+                _Code.UNKNOWN_SERVICE,
+                f"no service {name!r}; a path starts with /SERVICE/",
+                step="route",
+            )
+        return document
+
+    async def _claim(
+        self, scope: Scope, exchange: _exchange.Exchange, reply: _Reply
+    ) -> bool:
+        """Claim the request's key; true where it is answered already."""
+        key = _read_key(scope)
+        use = self._key_use(exchange)
+        if use is documents.IdempotencyKeyUse.REQUIRED and not key:
+            raise exceptions.RefusedError(
+                _Code.BAD_REQUEST,
+                "this request needs an Idempotency-Key header",
+                step="claim",
+            )
+        if not key or use is documents.IdempotencyKeyUse.IGNORED:
+            return False
+        if exchange.request.kind is _Kind.LOOKUP:
+            return False
+        if self._claims is None:
+            raise exceptions.RefusedError(
+                _Code.CLAIM_UNAVAILABLE,
+                "idempotency keys can't be claimed at present",
+                step="claim",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        request = exchange.request
+        scoped_key = f"{request.service}/{key}"
+        result = await self._claims.claim(
+            scoped_key, request.fingerprint, request.deadline_s
+        )
+        if isinstance(result, KeptAnswer):
+            await reply.start(result.status, result.headers)
+            await reply.finish(result.body)
+            return True
+        exchange.claim_key = scoped_key
+        exchange.claim_token = result
+        return False
+
+    def _key_use(
+        self, exchange: _exchange.Exchange
+    ) -> documents.IdempotencyKeyUse:
+        document = self._blackboard.services[exchange.request.service]
+        for route in document.routes:
+            if route.name == exchange.request.route:
+                return route.idempotency_key
+        return documents.IdempotencyKeyUse.ACCEPTED
+
+    async def _run(
+        self, exchange: _exchange.Exchange, receive: Receive, reply: _Reply
+    ) -> None:
+        self._attempts.open(exchange)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+                await exchange.wait_for_outcome()
+                if exchange.refusal is not None:
+                    await self._refuse(exchange, exchange.refusal, reply)
+                else:
+                    await self._relay(exchange, reply)
+                tasks.cancel_scope.cancel()
+        except* exceptions.OutcomeUnknownError as group:
+            raise _Aborted from group
+        finally:
+            self._attempts.close(exchange)
+
+    async def _refuse(
+        self,
+        exchange: _exchange.Exchange,
+        refusal: _decision_types.RefuseRequest,
+        reply: _Reply,
+    ) -> None:
+        not_run = refusal.ran is exceptions.RanState.NO
+        if not_run and exchange.claim_token and self._claims is not None:
+            await self._claims.release(
+                exchange.claim_key, exchange.claim_token
+            )
+        detail = "the request did not run"
+        if not not_run:
+            detail = "the request may have run; ask before sending it again"
+        await reply.send_problem(
+            _problem.Problem(
+                refusal.code,
+                detail,
+                "forward",
+                refusal.ran,
+                None,
+                refusal.retry_after_s,
+            )
+        )
+
+    async def _relay(
+        self, exchange: _exchange.Exchange, reply: _Reply
+    ) -> None:
+        attempt = exchange.chosen
+        assert attempt is not None
+        assert attempt.head is not None
+        assert attempt.exchange is exchange, "an answer goes to its request"
+        headers = [*attempt.head.headers]
+        headers.append((OWNER_HEADER, attempt.owner.encode()))
+        await reply.start(attempt.head.status, headers)
+        relayed_bytes = 0
+        acknowledged_bytes = 0
+        while (data := await exchange.next_chunk()) is not None:
+            await reply.send_chunk(data)
+            relayed_bytes += len(data)
+            if relayed_bytes - acknowledged_bytes >= (
+                _attempts.CREDIT_INTERVAL_BYTES
+            ):
+                acknowledged_bytes = relayed_bytes
+                self._attempts.acknowledge(attempt, relayed_bytes)
+        await reply.finish(b"")
+
+
+class _Aborted(Exception):
+    """Makes the HTTP server cut the connection of a broken answer."""
+
+
+class _Reply:
+    """Sends one answer to the caller."""
+
+    def __init__(self, send: Send, blackboard: blackboards.Blackboard) -> None:
+        self._send = send
+        self._blackboard = blackboard
+        self.status = 0
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and the headers."""
+        self.status = status
+        if self._blackboard.stopping:
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a part of the body; waits while the caller is slow."""
+        message = {"type": "http.response.body", "body": data}
+        await self._send({**message, "more_body": True})
+
+    async def finish(self, data: bytes) -> None:
+        """Send the last part of the body."""
+        await self._send({"type": "http.response.body", "body": data})
+
+    async def send_problem(self, problem: _problem.Problem) -> None:
+        """Send an error as the whole answer."""
+        if self.status:
+            raise _Aborted(problem.detail)
+        body = problem.body()
+        headers = problem.headers()
+        headers.append((b"content-length", str(len(body)).encode()))
+        await self.start(problem.status, headers)
+        await self.finish(body)
+
+
+async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def _read_body(
+    scope: Scope, receive: Receive, limit_bytes: int
+) -> bytes:
+    length = _find_header(scope, b"content-length")
+    if length is not None and int(length) > limit_bytes:
+        raise _body_too_large(limit_bytes)
+    body = bytearray()
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                break
+            body += message.get("body", b"")
+            if len(body) > limit_bytes:
+                raise _body_too_large(limit_bytes)
+            if not message.get("more_body", False):
+                return bytes(body)
+    raise exceptions.RefusedError(
+        _Code.BAD_REQUEST,
+        f"the body did not arrive whole within {BODY_TIMEOUT_S:g} s",
+        step="read",
+    )
+
+
+def _body_too_large(limit_bytes: int) -> exceptions.RefusedError:
+    return exceptions.RefusedError(
+        _Code.BODY_TOO_LARGE,
+        f"the body is over {limit_bytes} bytes; send less",
+        step="read",
+    )
+
+
+def _find_header(scope: Scope, name: bytes) -> bytes | None:
+    for key, value in scope["headers"]:
+        if key == name:
+            return t.cast(bytes, value)
+    return None
+
+
+def _read_target(scope: Scope) -> bytes:
+    target: bytes = scope["raw_path"]
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    return target
+
+
+def _read_timeout_ms(
+    scope: Scope,
+    document: documents.Document,
+    route: documents.Route | None,
+) -> int:
+    timeout_ms: int = document.timeout_ms
+    if route is not None and route.timeout_ms is not None:
+        timeout_ms = route.timeout_ms
+    text = _find_header(scope, _upstream_client.TIMEOUT_HEADER)
+    if text is None:
+        return timeout_ms
+    if not text.isdigit() or len(text) > 9 or int(text) == 0:
+        raise exceptions.RefusedError(
+            _Code.BAD_REQUEST,
+            "Papayastall-Timeout-Ms must be a number of milliseconds",
+            step="read",
+        )
+    return min(timeout_ms, int(text))
+
+
+def _read_team(scope: Scope, document: documents.Document) -> str:
+    text = _find_header(scope, document.team_header.lower().encode())
+    return (text or b"").decode("latin-1")[:MAX_TEAM_LENGTH]
+
+
+def _read_key(scope: Scope) -> str:
+    text = (_find_header(scope, KEY_HEADER) or b"").decode("latin-1")
+    if len(text) > MAX_KEY_LENGTH:
+        raise exceptions.RefusedError(
+            _Code.BAD_REQUEST,
+            f"Idempotency-Key is over {MAX_KEY_LENGTH} characters",
+            step="read",
+        )
+    return text
