--- /dev/null
+++ b/src/papayastall/_admission.py
@@ -0,0 +1,122 @@
+"""The bounded queue of one service at one owner, fair between teams."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from papayastall import _decision_types as types
+
+__all__ = ["QueuedRequest", "TeamQueue"]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueuedRequest:
+    """A request that waits for a slot."""
+
+    request: types.OwnerRequest
+    queued_s: float
+
+
+class TeamQueue:
+    """Requests in order of arrival within a team, teams in turn."""
+
+    __slots__ = ("_by_team", "_size")
+
+    def __init__(self) -> None:
+        self._by_team: collections.OrderedDict[
+            str, collections.deque[QueuedRequest]
+        ] = collections.OrderedDict()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def ahead_of(self, team: str) -> int:
+        """Return how many run before a new request of this team."""
+        own = len(self._by_team.get(team, ()))
+        return sum(
+            min(len(waiting), own + (name != team))
+            for name, waiting in self._by_team.items()
+        )
+
+    def push(self, item: QueuedRequest) -> None:
+        """Add a request behind the others of its team."""
+        waiting = self._by_team.setdefault(
+            item.request.team, collections.deque()
+        )
+        waiting.append(item)
+        self._size += 1
+
+    def push_front(self, item: QueuedRequest) -> None:
+        """Put back a request that was just taken, first in turn."""
+        team = item.request.team
+        self._by_team.setdefault(team, collections.deque()).appendleft(item)
+        self._by_team.move_to_end(team, last=False)
+        self._size += 1
+
+    def pop(self) -> QueuedRequest | None:
+        """Take the next request; its team goes to the end of the turn."""
+        if not self._by_team:
+            return None
+        team, waiting = next(iter(self._by_team.items()))
+        item = waiting.popleft()
+        self._size -= 1
+        if waiting:
+            self._by_team.move_to_end(team)
+        else:
+            del self._by_team[team]
+        return item
+
+    def displace_for(self, team: str) -> QueuedRequest | None:
+        """Take the newest request of the longest team, if that is fairer.
+
+        :returns: ``None`` when the team itself waits with as many.
+        """
+        longest = max(self._by_team, key=lambda name: len(self._by_team[name]))
+        own = len(self._by_team.get(team, ()))
+        waiting = self._by_team[longest]
+        if len(waiting) <= own + 1:
+            return None
+        item = waiting.pop()
+        self._size -= 1
+        return item
+
+    def remove(self, request_id: int) -> QueuedRequest | None:
+        """Take out one request by its id."""
+        for team, waiting in self._by_team.items():
+            for item in waiting:
+                if item.request.request_id == request_id:
+                    waiting.remove(item)
+                    self._size -= 1
+                    if not waiting:
+                        del self._by_team[team]
+                    return item
+        return None
+
+    def take_late(self, latest_s: float) -> list[QueuedRequest]:
+        """Take out all requests whose deadline is before this time."""
+        late: list[QueuedRequest] = []
+        for team in list(self._by_team):
+            waiting = self._by_team[team]
+            late.extend(
+                item for item in waiting if item.request.deadline_s < latest_s
+            )
+            kept = collections.deque(
+                item for item in waiting if item.request.deadline_s >= latest_s
+            )
+            if kept:
+                self._by_team[team] = kept
+            else:
+                del self._by_team[team]
+        self._size -= len(late)
+        return late
+
+    def take_all(self) -> list[QueuedRequest]:
+        """Take out everything."""
+        items = [
+            item for waiting in self._by_team.values() for item in waiting
+        ]
+        self._by_team.clear()
+        self._size = 0
+        return items
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -29,7 +29,9 @@
     "OwnerRequest",
     "RefuseRequest",
     "ReleasePermit",
+    "RequestHints",
     "RequestKind",
+    "SuspectNews",
     "UpstreamAnnouncement",
     "UpstreamState",
 ]
@@ -95,14 +97,31 @@
     lease_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestHints:
+    """What an ingress knows of the whole service, sent with each request.
+
+    :param reference_error_ratio: share of failed answers on this route over
+        all owners, 0 to 1.
+    :param healthy_share: share of the service's slots that no owner steers
+        away, 0 to 1.
+    :param last_resort: no better owner is left; steering is overridden.
+    """
+
+    reference_error_ratio: float = 0.0
+    healthy_share: float = 1.0
+    last_resort: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class OwnerRequest:
     """A request that an ingress asks an owner to run.
 
     :param deadline_s: on the owner's own clock.
-    :param reference_ms: median time of the service's recent answers as
+    :param reference_ms: median time of the route's recent answers as
         the ingress sees it over all owners; ``None`` while unknown.
     :param fingerprint: digest of service, method, target and body.
+    :param hints: what the ingress knows of the whole service.
     """
 
     request_id: int
@@ -113,6 +132,7 @@
     deadline_s: float
     reference_ms: float | None
     fingerprint: int
+    hints: RequestHints = RequestHints()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -120,7 +140,8 @@
     """The load of one owner for one service, carried on answers.
 
     :param weight: sum over its upstreams of slots times steering weight.
-    :param latency_ms: recent median upstream time, ``None`` while unknown.
+    :param latency_ms: recent median upstream time on the route of the
+        answer that carries this, ``None`` while unknown.
     """
 
     owner: str
@@ -219,6 +240,7 @@
     attempt: int
     owner: str
     reference_ms: float | None
+    hints: RequestHints = RequestHints()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -237,5 +259,20 @@
     attempt: int
 
 
-OwnerAction = Dispatch | RefuseRequest | AskPermit | ReleasePermit
+@dataclasses.dataclass(slots=True, frozen=True)
+class SuspectNews:
+    """Tell every node that a request may crash upstreams, or does not.
+
+    :param upstream: the upstream that was lost with it, as ``ip:port``.
+    :param cleared: a later run of the same request was answered.
+    """
+
+    fingerprint: int
+    upstream: str
+    cleared: bool
+
+
+OwnerAction = (
+    Dispatch | RefuseRequest | AskPermit | ReleasePermit | SuspectNews
+)
 IngressAction = ForwardAttempt | CancelAttempt | AnswerChosen | RefuseRequest
--- /dev/null
+++ b/src/papayastall/_ingress_controller.py
@@ -0,0 +1,457 @@
+"""All decisions of an ingress about its callers' requests."""
+
+from __future__ import annotations
+
+import random
+
+from papayastall import _decision_types as types
+from papayastall import _ingress_state as state
+from papayastall import _retry
+from papayastall import _routing
+from papayastall import _service_policy
+from papayastall import _service_view
+from papayastall import _suspects
+from papayastall import exceptions
+
+__all__ = ["IngressController"]
+
+_Code = exceptions.ErrorCode
+_Ran = exceptions.RanState
+_Actions = list[types.IngressAction]
+
+_FINAL_CODES = frozenset(
+    {
+        _Code.CRASHING_REQUEST,
+        _Code.DEADLINE_EXCEEDED,
+        _Code.KEY_REUSED,
+        _Code.STILL_RUNNING,
+        _Code.CLAIM_UNAVAILABLE,
+        _Code.BAD_REQUEST,
+        _Code.BODY_TOO_LARGE,
+        _Code.CANCELLED,
+    }
+)
+"""Refusals that another owner would repeat."""
+_MAX_LOSSES = 2
+
+
+class IngressController:
+    """Decides which owner runs a caller's request, and what comes next.
+
+    :param node: link address of this node as ``ip:port``.
+    :param rng: source of all random choices.
+    """
+
+    def __init__(self, node: str, rng: random.Random) -> None:
+        self._node = node
+        self._rng = rng
+        self._services: dict[str, state.ServiceView] = {}
+        self._pending: dict[int, state.PendingRequest] = {}
+        self._suspects = _suspects.SuspectRegistry()
+        self._links_down: set[str] = set()
+
+    def configure(
+        self, service: str, policy: _service_policy.ServicePolicy
+    ) -> None:
+        """Set the policy of a service; requests in hand are kept."""
+        known = self._services.get(service)
+        if known is None:
+            budget = _retry.RetryBudget(policy.retry_ratio)
+            self._services[service] = state.ServiceView(policy, budget)
+        else:
+            known.policy = policy
+            known.budget.ratio = policy.retry_ratio
+
+    def set_owner(self, now_s: float, advert: types.OwnerAdvert) -> None:
+        """Take in what membership tells of an owner."""
+        service = self._service(advert.service)
+        known = service.owners.get(advert.owner)
+        if known is None:
+            service.owners[advert.owner] = _routing.OwnerView(
+                advert=advert,
+                slots=advert.slots,
+                weight=float(advert.slots),
+                is_link_down=advert.owner in self._links_down,
+            )
+            return
+        if known.advert.slots != advert.slots:
+            known.slots = advert.slots
+            known.weight = float(advert.slots)
+        known.advert = advert
+
+    def remove_owner(self, owner: str, service: str | None = None) -> None:
+        """Send no more work to an owner, of one service or of all."""
+        for name, view in self._services.items():
+            if service is None or service == name:
+                view.owners.pop(owner, None)
+
+    def begin(self, now_s: float, request: types.IngressRequest) -> _Actions:
+        """Take in a caller's request."""
+        assert request.request_id not in self._pending, "begun twice"
+        service = self._service(request.service)
+        if request.deadline_s <= now_s:
+            return [_refuse(request, _Code.DEADLINE_EXCEEDED, _Ran.NO)]
+        if self._suspects.is_blocked(now_s, request.fingerprint):
+            return [_refuse_crashing(request, _Ran.NO)]
+        service.budget.deposit(now_s)
+        pending = state.PendingRequest(request)
+        self._pending[request.request_id] = pending
+        return self._forward_or_end(now_s, pending)
+
+    def answer_started(
+        self,
+        now_s: float,
+        request_id: int,
+        attempt: int,
+        load: types.OwnerLoad | None,
+        status: int | None = None,
+    ) -> _Actions:
+        """Take in the head of an answer.
+
+        The answer is streamed to the caller from here on, unless the
+        actions cancel this attempt and send another.
+        """
+        pending = self._pending.get(request_id)
+        if pending is None or attempt not in pending.open:
+            return [types.CancelAttempt(request_id, attempt)]
+        if pending.chosen is not None:
+            return []
+        self._note_heard(now_s, pending, attempt, load)
+        failed = status is not None and status >= 500
+        _service_view.note_answer(
+            self._service(pending.request.service),
+            pending.request.route,
+            load,
+            failed,
+        )
+        if failed and self._may_replace(pending):
+            replaced = self._replace(now_s, pending, attempt)
+            if replaced:
+                return replaced
+        return self._choose(now_s, pending, attempt)
+
+    def attempt_ended(
+        self, now_s: float, outcome: types.AttemptOutcome
+    ) -> _Actions:
+        """Take in how an attempt ended."""
+        pending = self._pending.get(outcome.request_id)
+        if pending is None or outcome.attempt not in pending.open:
+            return []
+        self._note_heard(now_s, pending, outcome.attempt, outcome.load)
+        actions: _Actions = []
+        if outcome.result is types.AttemptResult.ANSWERED:
+            if pending.chosen is None:
+                actions = self.answer_started(
+                    now_s,
+                    outcome.request_id,
+                    outcome.attempt,
+                    outcome.load,
+                    outcome.status,
+                )
+            self._close(now_s, pending, outcome.attempt)
+            if pending.chosen == outcome.attempt:
+                del self._pending[outcome.request_id]
+            return actions
+        attempt = self._close(now_s, pending, outcome.attempt)
+        assert attempt is not None
+        if pending.chosen == outcome.attempt:
+            del self._pending[outcome.request_id]
+            return []
+        self._note_failure(now_s, pending, attempt, outcome)
+        return self._after_failure(now_s, pending, outcome)
+
+    def link_failed(self, now_s: float, peer: str) -> None:
+        """Send no new work to a peer whose link is down."""
+        self._links_down.add(peer)
+        self._set_link(peer, is_down=True)
+
+    def link_ok(self, now_s: float, peer: str) -> None:
+        """Take in that the link to a peer works."""
+        self._links_down.discard(peer)
+        self._set_link(peer, is_down=False)
+
+    def caller_gone(self, now_s: float, request_id: int) -> _Actions:
+        """Cancel what is left of a request whose caller went away."""
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
+            return []
+        return self._cancel_open(now_s, pending, keep=None)
+
+    def suspect(self, now_s: float, news: types.SuspectNews) -> None:
+        """Take in what another node says of a request."""
+        self._suspects.note(now_s, news)
+
+    def tick(self, now_s: float) -> _Actions:
+        """Do what time alone brings about; call every 20 to 100 ms."""
+        actions: _Actions = []
+        for service in self._services.values():
+            _service_view.find_silent(now_s, service)
+        for pending in list(self._pending.values()):
+            if pending.chosen is not None:
+                continue
+            if pending.request.deadline_s <= now_s:
+                actions += self._end(now_s, pending, _Code.DEADLINE_EXCEEDED)
+            elif self._is_hedge_due(now_s, pending):
+                actions += self._hedge(now_s, pending)
+        return actions
+
+    def owners(self, service: str) -> list[_routing.OwnerView]:
+        """Return the owners of a service as this ingress sees them."""
+        return list(self._service(service).owners.values())
+
+    def _service(self, name: str) -> state.ServiceView:
+        known = self._services.get(name)
+        if known is None:
+            policy = _service_policy.ServicePolicy()
+            budget = _retry.RetryBudget(policy.retry_ratio)
+            known = state.ServiceView(policy, budget)
+            self._services[name] = known
+        return known
+
+    def _set_link(self, peer: str, is_down: bool) -> None:
+        for service in self._services.values():
+            view = service.owners.get(peer)
+            if view is not None:
+                view.is_link_down = is_down
+
+    def _forward(
+        self, now_s: float, pending: state.PendingRequest
+    ) -> types.ForwardAttempt | None:
+        request = pending.request
+        service = self._service(request.service)
+        losses = self._suspects.losses(now_s, request.fingerprint)
+        choice = _service_view.choose(
+            now_s, service, pending, losses > 0, self._rng
+        )
+        if choice is None:
+            return None
+        owner = choice.view.advert.owner
+        attempt = state.Attempt(pending.next_number, owner, now_s)
+        pending.next_number += 1
+        pending.open[attempt.number] = attempt
+        pending.tried.add(owner)
+        choice.view.in_flight += 1
+        key = (request.request_id, attempt.number)
+        choice.view.outstanding[key] = now_s
+        pending.hedge_due_s = _service_view.hedge_due_s(
+            now_s, service, request
+        )
+        return types.ForwardAttempt(
+            request.request_id,
+            attempt.number,
+            owner,
+            _service_view.reference_ms(service, request.route),
+            _service_view.hints(
+                now_s, service, request.route, choice.is_last_resort
+            ),
+        )
+
+    def _forward_or_end(
+        self, now_s: float, pending: state.PendingRequest
+    ) -> _Actions:
+        if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
+            assert not pending.open, "a second attempt while one is open"
+            assert not pending.has_unknown, "an attempt may have run it"
+        forward = self._forward(now_s, pending)
+        if forward is not None:
+            return [forward]
+        code = pending.last_code or _Code.NO_UPSTREAM
+        return self._end(now_s, pending, code)
+
+    def _note_heard(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        number: int,
+        load: types.OwnerLoad | None,
+    ) -> None:
+        service = self._service(pending.request.service)
+        view = service.owners.get(pending.open[number].owner)
+        if view is None or load is None:
+            return
+        view.heard_s = now_s
+        view.is_silent = False
+        view.note_load(now_s, load)
+
+    def _note_failure(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        attempt: state.Attempt,
+        outcome: types.AttemptOutcome,
+    ) -> None:
+        pending.last_code = outcome.code
+        pending.retry_after_s = outcome.retry_after_s
+        if outcome.result is types.AttemptResult.NOT_RUN:
+            pending.refusals += 1
+            service = self._service(pending.request.service)
+            _service_view.note_refusal(now_s, service, attempt.owner, outcome)
+            return
+        pending.has_unknown = True
+        if outcome.code is _Code.UPSTREAM_FAILED:
+            pending.losses += 1
+
+    def _after_failure(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        outcome: types.AttemptOutcome,
+    ) -> _Actions:
+        request = pending.request
+        code = outcome.code or _Code.UPSTREAM_FAILED
+        if pending.open:
+            return []
+        if self._suspects.is_blocked(now_s, request.fingerprint):
+            return self._end(now_s, pending, _Code.CRASHING_REQUEST)
+        if code in _FINAL_CODES or request.deadline_s <= now_s:
+            return self._end(now_s, pending, code)
+        if outcome.result is types.AttemptResult.NOT_RUN:
+            if self._may_try_again(now_s, pending, code):
+                return self._forward_or_end(now_s, pending)
+            return self._end(now_s, pending, code)
+        if request.kind is types.RequestKind.NON_IDEMPOTENT:
+            return self._end(now_s, pending, code)
+        if pending.losses >= _MAX_LOSSES:
+            return self._end(now_s, pending, code)
+        if not self._service(request.service).budget.take(now_s):
+            return self._end(now_s, pending, code)
+        return self._forward_or_end(now_s, pending)
+
+    def _may_try_again(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        code: exceptions.ErrorCode,
+    ) -> bool:
+        service = self._service(pending.request.service)
+        if pending.has_unknown:
+            if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
+                return False
+        if pending.refusals > service.policy.routing.max_refusals:
+            return False
+        if code is not _Code.OVERLOADED:
+            return True
+        return _service_view.has_room(now_s, service, pending)
+
+    def _may_replace(self, pending: state.PendingRequest) -> bool:
+        return pending.request.kind is types.RequestKind.LOOKUP
+
+    def _replace(
+        self, now_s: float, pending: state.PendingRequest, number: int
+    ) -> _Actions:
+        others = [num for num in pending.open if num != number]
+        cancel = types.CancelAttempt(pending.request.request_id, number)
+        if others:
+            self._close(now_s, pending, number)
+            pending.has_unknown = True
+            return [cancel]
+        if not self._service(pending.request.service).budget.take(now_s):
+            return []
+        forward = self._forward(now_s, pending)
+        if forward is None:
+            return []
+        self._close(now_s, pending, number)
+        pending.has_unknown = True
+        return [cancel, forward]
+
+    def _choose(
+        self, now_s: float, pending: state.PendingRequest, number: int
+    ) -> _Actions:
+        pending.chosen = number
+        actions: _Actions = [
+            types.AnswerChosen(pending.request.request_id, number)
+        ]
+        actions += self._cancel_open(now_s, pending, keep=number)
+        return actions
+
+    def _cancel_open(
+        self, now_s: float, pending: state.PendingRequest, keep: int | None
+    ) -> _Actions:
+        actions: _Actions = []
+        for number in list(pending.open):
+            if number == keep:
+                continue
+            self._close(now_s, pending, number)
+            actions.append(
+                types.CancelAttempt(pending.request.request_id, number)
+            )
+        return actions
+
+    def _close(
+        self, now_s: float, pending: state.PendingRequest, number: int
+    ) -> state.Attempt | None:
+        attempt = pending.open.pop(number, None)
+        if attempt is None:
+            return None
+        service = self._service(pending.request.service)
+        view = service.owners.get(attempt.owner)
+        if view is None:
+            return attempt
+        key = (pending.request.request_id, number)
+        if view.outstanding.pop(key, None) is not None:
+            view.in_flight -= 1
+            assert view.in_flight >= 0
+        return attempt
+
+    def _is_hedge_due(
+        self, now_s: float, pending: state.PendingRequest
+    ) -> bool:
+        if pending.hedge_due_s is None or now_s < pending.hedge_due_s:
+            return False
+        if pending.request.kind is not types.RequestKind.LOOKUP:
+            return False
+        if len(pending.open) != 1 or pending.losses:
+            return False
+        fingerprint = pending.request.fingerprint
+        return not self._suspects.losses(now_s, fingerprint)
+
+    def _hedge(self, now_s: float, pending: state.PendingRequest) -> _Actions:
+        pending.hedge_due_s = None
+        service = self._service(pending.request.service)
+        if not _service_view.has_room(now_s, service, pending):
+            return []
+        if not service.budget.take(now_s):
+            return []
+        forward = self._forward(now_s, pending)
+        return [forward] if forward is not None else []
+
+    def _end(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        code: exceptions.ErrorCode,
+    ) -> _Actions:
+        request = pending.request
+        may_have_run = pending.has_unknown or bool(pending.open)
+        ran = _Ran.UNKNOWN if may_have_run else _Ran.NO
+        actions = self._cancel_open(now_s, pending, keep=None)
+        del self._pending[request.request_id]
+        if code is _Code.CRASHING_REQUEST:
+            return [*actions, _refuse_crashing(request, ran)]
+        retry_after_s = pending.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
+        if ran is _Ran.UNKNOWN and (
+            request.kind is types.RequestKind.NON_IDEMPOTENT
+        ):
+            retry_after_s = None
+        return [*actions, _refuse(request, code, ran, retry_after_s)]
+
+
+def _refuse(
+    request: types.IngressRequest,
+    code: exceptions.ErrorCode,
+    ran: exceptions.RanState,
+    retry_after_s: float | None = None,
+) -> types.RefuseRequest:
+    return types.RefuseRequest(
+        request.request_id, code, ran, retry_after_s, final=False
+    )
+
+
+def _refuse_crashing(
+    request: types.IngressRequest, ran: exceptions.RanState
+) -> types.RefuseRequest:
+    return types.RefuseRequest(
+        request.request_id, _Code.CRASHING_REQUEST, ran, None, final=True
+    )
--- /dev/null
+++ b/src/papayastall/_ingress_state.py
@@ -0,0 +1,70 @@
+"""What an ingress keeps of its requests and services (its blackboard)."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from papayastall import _decision_types as types
+from papayastall import _health
+from papayastall import _retry
+from papayastall import _routing
+from papayastall import _service_policy
+from papayastall import exceptions
+
+__all__ = ["Attempt", "PendingRequest", "RouteReference", "ServiceView"]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Attempt:
+    """One attempt that is still open."""
+
+    number: int
+    owner: str
+    sent_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class PendingRequest:
+    """A caller's request and its attempts.
+
+    :param has_unknown: an attempt may have run it and gave no answer.
+    :param losses: attempts that ended with the loss of an upstream.
+    """
+
+    request: types.IngressRequest
+    open: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    next_number: int = 1
+    refusals: int = 0
+    has_unknown: bool = False
+    losses: int = 0
+    chosen: int | None = None
+    last_code: exceptions.ErrorCode | None = None
+    retry_after_s: float | None = None
+    hedge_due_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class RouteReference:
+    """Time and share of failures of one route over all owners."""
+
+    median: _health.MedianEstimate = dataclasses.field(
+        default_factory=_health.MedianEstimate
+    )
+    errors: _health.RatioEstimate = dataclasses.field(
+        default_factory=_health.RatioEstimate
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceView:
+    """One service as an ingress sees it."""
+
+    policy: _service_policy.ServicePolicy
+    budget: _retry.RetryBudget
+    owners: dict[str, _routing.OwnerView] = dataclasses.field(
+        default_factory=dict
+    )
+    references: dict[str, RouteReference] = dataclasses.field(
+        default_factory=dict
+    )
--- /dev/null
+++ b/src/papayastall/_owner_controller.py
@@ -0,0 +1,478 @@
+"""All decisions of an owner about the requests for its upstreams."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import random
+
+from papayastall import _admission
+from papayastall import _decision_types as types
+from papayastall import _ejection
+from papayastall import _leaving
+from papayastall import _owner_evidence
+from papayastall import _owner_state as state
+from papayastall import _placement
+from papayastall import _retry
+from papayastall import _service_policy
+from papayastall import _suspects
+from papayastall import _upstream_registry
+from papayastall import exceptions
+
+__all__ = ["OwnerController"]
+
+_Code = exceptions.ErrorCode
+_MAX_PARKED = 100
+_SHED_PAUSE_S = 0.2
+_MAX_SHED_PAUSE_S = 5.0
+
+
+class OwnerController:
+    """Decides which request runs when on which upstream of one owner.
+
+    :param owner: link address of this node as ``ip:port``.
+    :param failure_domain: of this node, for its adverts.
+    :param rng: source of all random choices.
+    """
+
+    def __init__(
+        self, owner: str, failure_domain: str, rng: random.Random
+    ) -> None:
+        self._owner = owner
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._services: dict[str, state.ServiceState] = {}
+        self._registry = _upstream_registry.UpstreamRegistry()
+        self._running: dict[int, state.RunningRequest] = {}
+        self._queued: set[int] = set()
+        self._parked: dict[int, types.OwnerRequest] = {}
+        self._suspects = _suspects.SuspectRegistry()
+
+    def configure(
+        self, service: str, policy: _service_policy.ServicePolicy
+    ) -> None:
+        """Set the policy of a service; work in hand is kept."""
+        known = self._services.get(service)
+        if known is None:
+            self._services[service] = state.ServiceState(policy)
+        else:
+            known.policy = policy
+
+    def announce(
+        self, now_s: float, announcement: types.UpstreamAnnouncement
+    ) -> list[types.OwnerAction]:
+        """Take in an upstream's announcement."""
+        service = self._service(announcement.service)
+        self._registry.announce(
+            now_s, announcement, service.policy.thresholds()
+        )
+        return self._drain(now_s, announcement.service)
+
+    def submit(
+        self, now_s: float, request: types.OwnerRequest
+    ) -> list[types.OwnerAction]:
+        """Admit, queue or refuse a request of an ingress."""
+        request_id = request.request_id
+        assert request_id not in self._running, "request submitted twice"
+        assert request_id not in self._queued, "request submitted twice"
+        assert request_id not in self._parked, "request submitted twice"
+        service = self._service(request.service)
+        service.healthy_share = request.hints.healthy_share
+        if request.deadline_s <= now_s:
+            return [self._refuse(request, _Code.DEADLINE_EXCEEDED)]
+        losses = self._suspects.losses(now_s, request.fingerprint)
+        if losses >= _suspects.MAX_LOSSES:
+            return [self._refuse_crashing(request)]
+        if losses:
+            return self._place_suspect(now_s, request)
+        return self._place(now_s, request)
+
+    def finished(
+        self,
+        now_s: float,
+        request_id: int,
+        outcome: types.Outcome,
+        retry_after_s: float | None = None,
+    ) -> list[types.OwnerAction]:
+        """Take in how a dispatched request ended.
+
+        An answer that failed, broke or came too late yields a refusal that
+        says whether it ran; a streamed answer that broke is cut by it.
+        """
+        run = self._running.pop(request_id, None)
+        if run is None:
+            return []
+        upstream = self._registry.get(run.upstream)
+        del upstream.running[request_id]
+        service = self._service(run.request.service)
+        if outcome is types.Outcome.SHED:
+            pause_s = retry_after_s or _SHED_PAUSE_S
+            pause_s = min(pause_s, _MAX_SHED_PAUSE_S)
+            upstream.shed_until_s = now_s + pause_s
+        actions = _owner_evidence.note_end(
+            now_s, service, upstream, run, outcome
+        )
+        actions += self._note_suspect(now_s, run, outcome)
+        actions += self._final_answer(run.request, outcome, retry_after_s)
+        actions += self._evaluate(now_s, upstream)
+        actions += self._drain(now_s, run.request.service)
+        return actions
+
+    def first_byte(self, now_s: float, request_id: int) -> None:
+        """Take in that an answer has started."""
+        run = self._running.get(request_id)
+        if run is None or run.first_byte_s is not None:
+            return
+        service = self._service(run.request.service)
+        upstream = self._registry.get(run.upstream)
+        _owner_evidence.note_first_byte(now_s, service, upstream, run)
+
+    def cancel(self, now_s: float, request_id: int) -> list[types.OwnerAction]:
+        """Forget a request that waits; a running one ends by `finished`."""
+        self._parked.pop(request_id, None)
+        if request_id in self._queued:
+            self._queued.remove(request_id)
+            for service in self._services.values():
+                if service.queue.remove(request_id):
+                    break
+        return []
+
+    def tick(self, now_s: float) -> list[types.OwnerAction]:
+        """Do what time alone brings about; call every 20 to 100 ms."""
+        actions: list[types.OwnerAction] = []
+        for upstream in self._registry.remove_gone(now_s):
+            actions += _ejection.forget_permit(upstream)
+        for upstream in self._registry.all():
+            actions += self._evaluate(now_s, upstream)
+        actions += self._retry_parked(now_s)
+        for name, service in self._services.items():
+            actions += self._refuse_late(now_s, service)
+            actions += self._drain(now_s, name)
+        return actions
+
+    def permit_answered(
+        self, now_s: float, upstream: str, granted: bool
+    ) -> list[types.OwnerAction]:
+        """Take in the answer of the control state to `AskPermit`."""
+        known = self._registry.find(upstream)
+        if known is None:
+            return []
+        return _ejection.answer_permit(known, now_s, granted)
+
+    def leave(self, now_s: float, upstream: str) -> list[types.OwnerAction]:
+        """Give an upstream no new work from now on, as operators ask."""
+        known = self._registry.get(upstream)
+        known.left_by_operator = True
+        _leaving.start_leaving(known, now_s)
+        return self._drain(now_s, known.service)
+
+    def undrain(self, now_s: float, upstream: str) -> None:
+        """Take back `leave`."""
+        known = self._registry.get(upstream)
+        known.left_by_operator = False
+        if known.state is not types.UpstreamState.LEAVING:
+            _leaving.stop_leaving(known, now_s)
+
+    def drained(self, now_s: float, upstream: str) -> bool:
+        """Return whether a leaving upstream has no work left to wait for."""
+        known = self._registry.find(upstream)
+        if known is None:
+            return True
+        policy = self._service(known.service).policy
+        return _leaving.is_drained(known, now_s, policy.leave_timeout_ms)
+
+    def suspect(
+        self, now_s: float, news: types.SuspectNews
+    ) -> list[types.OwnerAction]:
+        """Take in what another node says of a request."""
+        self._suspects.note(now_s, news)
+        return self._retry_parked(now_s)
+
+    def load(
+        self, now_s: float, service: str, route: str | None = None
+    ) -> types.OwnerLoad:
+        """Return the load that rides on an answer.
+
+        :param route: route of that answer.
+        """
+        known = self._service(service)
+        tuning = known.policy.thresholds()
+        upstreams = self._registry.of_service(service)
+        present = [up for up in upstreams if not _leaving.is_leaving(up)]
+        median = known.medians.get(route) if route is not None else None
+        return types.OwnerLoad(
+            owner=self._owner,
+            service=service,
+            slots=sum(up.slots for up in present),
+            weight=sum(
+                up.slots * _ejection.weight(up, now_s, tuning)
+                for up in present
+            ),
+            in_flight=sum(
+                min(up.slots, up.slots - up.free_slots(now_s))
+                for up in upstreams
+            ),
+            queued=len(known.queue),
+            latency_ms=_owner_evidence.median_ms(median),
+        )
+
+    def adverts(self, now_s: float) -> list[types.OwnerAdvert]:
+        """Return what membership should tell of this owner."""
+        slots: dict[str, int] = {}
+        for upstream in self._registry.all():
+            if not _leaving.is_leaving(upstream):
+                known = slots.get(upstream.service, 0)
+                slots[upstream.service] = known + upstream.slots
+        return [
+            types.OwnerAdvert(
+                self._owner, service, self._failure_domain, count
+            )
+            for service, count in sorted(slots.items())
+        ]
+
+    def upstreams(self, now_s: float) -> list[state.UpstreamView]:
+        """Return every upstream as operators see it."""
+        return [
+            _owner_evidence.view(now_s, self._service(up.service), up)
+            for up in self._registry.all()
+        ]
+
+    def _service(self, name: str) -> state.ServiceState:
+        known = self._services.get(name)
+        if known is None:
+            known = state.ServiceState(_service_policy.ServicePolicy())
+            self._services[name] = known
+        return known
+
+    def _evaluate(
+        self, now_s: float, upstream: state.Upstream
+    ) -> list[types.OwnerAction]:
+        service = self._service(upstream.service)
+        actions = _owner_evidence.note_slow_trials(now_s, service, upstream)
+        score = _owner_evidence.score(now_s, service, upstream)
+        actions += _ejection.evaluate(
+            upstream,
+            now_s,
+            score,
+            service.healthy_share,
+            service.policy.thresholds(),
+        )
+        return actions
+
+    def _place(
+        self, now_s: float, request: types.OwnerRequest
+    ) -> list[types.OwnerAction]:
+        service = self._service(request.service)
+        upstreams = self._registry.of_service(request.service)
+        choice = _placement.choose(
+            now_s, service, upstreams, request, self._rng
+        )
+        match choice:
+            case _placement.NoUpstream(code):
+                return [self._refuse(request, code)]
+            case _placement.Place(upstream, is_trial):
+                return [self._dispatch(now_s, request, upstream, is_trial)]
+            case _placement.Wait(slots):
+                return self._enqueue(now_s, service, request, slots)
+
+    def _dispatch(
+        self,
+        now_s: float,
+        request: types.OwnerRequest,
+        upstream: state.Upstream,
+        is_trial: bool = False,
+        is_suspect: bool = False,
+    ) -> types.Dispatch:
+        assert upstream.free_slots(now_s) > 0, "slots exceeded"
+        assert not _leaving.is_leaving(upstream), "work for a leaving one"
+        assert request.request_id not in self._running, "dispatched twice"
+        assert request.deadline_s > now_s, "dispatched after its deadline"
+        if is_trial:
+            assert request.kind is types.RequestKind.LOOKUP
+        run = state.RunningRequest(
+            request, upstream.name, now_s, is_suspect, is_trial
+        )
+        self._running[request.request_id] = run
+        upstream.running[request.request_id] = run
+        return types.Dispatch(request.request_id, upstream.name)
+
+    def _enqueue(
+        self,
+        now_s: float,
+        service: state.ServiceState,
+        request: types.OwnerRequest,
+        slots: int,
+    ) -> list[types.OwnerAction]:
+        wait_s = _placement.expected_wait_s(service, request.team, slots)
+        run_s = _placement.expected_run_s(service, request)
+        if now_s + wait_s + run_s > request.deadline_s:
+            return [self._refuse_overloaded(service, request, slots)]
+        actions: list[types.OwnerAction] = []
+        if len(service.queue) >= slots * service.policy.queue_per_slot:
+            displaced = service.queue.displace_for(request.team)
+            if displaced is None:
+                return [self._refuse_overloaded(service, request, slots)]
+            self._queued.remove(displaced.request.request_id)
+            actions.append(
+                self._refuse_overloaded(service, displaced.request, slots)
+            )
+        service.queue.push(_admission.QueuedRequest(request, now_s))
+        self._queued.add(request.request_id)
+        return actions
+
+    def _drain(self, now_s: float, name: str) -> list[types.OwnerAction]:
+        service = self._service(name)
+        upstreams = self._registry.of_service(name)
+        actions: list[types.OwnerAction] = []
+        while (item := service.queue.pop()) is not None:
+            request = item.request
+            choice = _placement.choose(
+                now_s, service, upstreams, request, self._rng
+            )
+            if isinstance(choice, _placement.Wait):
+                service.queue.push_front(item)
+                break
+            self._queued.remove(request.request_id)
+            match choice:
+                case _placement.NoUpstream(code):
+                    actions.append(self._refuse(request, code))
+                case _placement.Place(upstream, is_trial):
+                    if request.deadline_s <= now_s:
+                        code = _Code.DEADLINE_EXCEEDED
+                        actions.append(self._refuse(request, code))
+                    else:
+                        actions.append(
+                            self._dispatch(now_s, request, upstream, is_trial)
+                        )
+        return actions
+
+    def _refuse_late(
+        self, now_s: float, service: state.ServiceState
+    ) -> list[types.OwnerAction]:
+        actions: list[types.OwnerAction] = []
+        for item in service.queue.take_late(now_s):
+            self._queued.remove(item.request.request_id)
+            code = _Code.DEADLINE_EXCEEDED
+            actions.append(self._refuse(item.request, code))
+        return actions
+
+    def _place_suspect(
+        self, now_s: float, request: types.OwnerRequest
+    ) -> list[types.OwnerAction]:
+        if any(
+            run.request.fingerprint == request.fingerprint
+            for run in self._running.values()
+        ):
+            return self._park(request)
+        service = self._service(request.service)
+        upstreams = [
+            up
+            for up in self._registry.of_service(request.service)
+            if not any(run.is_suspect for run in up.running.values())
+        ]
+        choice = _placement.choose(
+            now_s, service, upstreams, request, self._rng
+        )
+        match choice:
+            case _placement.Place(upstream, is_trial):
+                return [
+                    self._dispatch(
+                        now_s, request, upstream, is_trial, is_suspect=True
+                    )
+                ]
+            case _placement.NoUpstream(code) if len(upstreams) == len(
+                self._registry.of_service(request.service)
+            ):
+                return [self._refuse(request, code)]
+        return self._park(request)
+
+    def _park(self, request: types.OwnerRequest) -> list[types.OwnerAction]:
+        if len(self._parked) >= _MAX_PARKED:
+            return [self._refuse(request, _Code.OVERLOADED)]
+        self._parked[request.request_id] = request
+        return []
+
+    def _retry_parked(self, now_s: float) -> list[types.OwnerAction]:
+        actions: list[types.OwnerAction] = []
+        for request in list(self._parked.values()):
+            del self._parked[request.request_id]
+            actions += self.submit(now_s, request)
+        return actions
+
+    def _note_suspect(
+        self, now_s: float, run: state.RunningRequest, outcome: types.Outcome
+    ) -> list[types.OwnerAction]:
+        fingerprint = run.request.fingerprint
+        match outcome:
+            case types.Outcome.BROKEN:
+                cleared = False
+            case types.Outcome.ANSWERED | types.Outcome.FAILED:
+                if not self._suspects.losses(now_s, fingerprint):
+                    return []
+                cleared = True
+            case _:
+                return []
+        news = types.SuspectNews(fingerprint, run.upstream, cleared)
+        self._suspects.note(now_s, news)
+        return [news, *self._retry_parked(now_s)]
+
+    def _final_answer(
+        self,
+        request: types.OwnerRequest,
+        outcome: types.Outcome,
+        retry_after_s: float | None,
+    ) -> cabc.Sequence[types.OwnerAction]:
+        unknown = exceptions.RanState.UNKNOWN
+        match outcome:
+            case types.Outcome.SHED:
+                return [self._refuse(request, _Code.OVERLOADED, retry_after_s)]
+            case types.Outcome.CONNECT_FAILED:
+                return [self._refuse(request, _Code.UPSTREAM_FAILED)]
+            case types.Outcome.BROKEN:
+                code = _Code.UPSTREAM_FAILED
+            case types.Outcome.TIMED_OUT:
+                code = _Code.DEADLINE_EXCEEDED
+            case _:
+                return []
+        return [
+            types.RefuseRequest(
+                request.request_id, code, unknown, None, final=False
+            )
+        ]
+
+    def _refuse_overloaded(
+        self,
+        service: state.ServiceState,
+        request: types.OwnerRequest,
+        slots: int,
+    ) -> types.RefuseRequest:
+        backlog_s = _placement.backlog_s(service, slots)
+        retry_after_s = _retry.jittered_retry_after_s(backlog_s, self._rng)
+        return self._refuse(request, _Code.OVERLOADED, retry_after_s)
+
+    def _refuse_crashing(
+        self, request: types.OwnerRequest
+    ) -> types.RefuseRequest:
+        return types.RefuseRequest(
+            request.request_id,
+            _Code.CRASHING_REQUEST,
+            exceptions.RanState.NO,
+            None,
+            final=True,
+        )
+
+    def _refuse(
+        self,
+        request: types.OwnerRequest,
+        code: exceptions.ErrorCode,
+        retry_after_s: float | None = None,
+    ) -> types.RefuseRequest:
+        assert request.request_id not in self._running, "it did run"
+        if retry_after_s is None:
+            retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
+        return types.RefuseRequest(
+            request.request_id,
+            code,
+            exceptions.RanState.NO,
+            retry_after_s,
+            final=False,
+        )
--- /dev/null
+++ b/src/papayastall/_owner_evidence.py
@@ -0,0 +1,251 @@
+"""What an owner learns from each request that it handed to an upstream."""
+
+from __future__ import annotations
+
+from papayastall import _decision_types as types
+from papayastall import _ejection
+from papayastall import _health
+from papayastall import _owner_state as state
+
+__all__ = [
+    "median_ms",
+    "note_end",
+    "note_first_byte",
+    "note_slow_trials",
+    "reference_s",
+    "score",
+    "view",
+]
+
+_UNKNOWN_REFERENCE_S = 1.0
+_MIN_REFERENCE_S = 0.001
+_MIN_SAMPLES = 20
+_BUSY_STEP = 0.05
+_MAX_ROUTES = 64
+
+
+def median_ms(median: _health.MedianEstimate | None) -> float | None:
+    """Return a median in milliseconds once it rests on enough answers."""
+    if median is None or median.value is None:
+        return None
+    if median.count < _MIN_SAMPLES:
+        return None
+    return median.value * 1000.0
+
+
+def reference_s(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    request: types.OwnerRequest,
+) -> float:
+    """Return the time that the request should take as a rule, seconds."""
+    base_s = _warm_reference_s(service, request) or _UNKNOWN_REFERENCE_S
+    if now_s < upstream.warm_s:
+        return base_s * service.policy.thresholds().cold_factor
+    return base_s
+
+
+def score(
+    now_s: float, service: state.ServiceState, upstream: state.Upstream
+) -> float:
+    """Return the evidence of failure against an upstream now, in nats."""
+    tuning = service.policy.thresholds()
+    samples: list[_health.AgeSample] = []
+    if tuning.latency_evidence:
+        for run in upstream.running.values():
+            age_s = now_s - run.started_s
+            if run.ignored or run.first_byte_s is not None:
+                continue
+            if age_s < tuning.stall_age_s:
+                continue
+            base_s = reference_s(now_s, service, upstream, run.request)
+            samples.append(_health.AgeSample(run.request.route, age_s, base_s))
+    return upstream.evidence.score(samples)
+
+
+def note_first_byte(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+) -> None:
+    """Take in the time to the first byte of an answer."""
+    run.first_byte_s = now_s
+    _add_answer_time(now_s, service, upstream, run)
+
+
+def note_end(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+    outcome: types.Outcome,
+) -> list[types.OwnerAction]:
+    """Take in how a request ended; return what its trial brings about."""
+    match outcome:
+        case types.Outcome.ANSWERED | types.Outcome.FAILED:
+            upstream.last_answer_s = now_s
+            if run.first_byte_s is None:
+                _add_answer_time(now_s, service, upstream, run)
+            _add_answer(service, upstream, run, outcome)
+        case types.Outcome.BROKEN:
+            _add_broken(now_s, service, upstream, run)
+        case types.Outcome.CONNECT_FAILED:
+            upstream.evidence.add_connect_failure()
+        case types.Outcome.TIMED_OUT | types.Outcome.CANCELLED:
+            _add_given_up(now_s, service, upstream, run)
+        case types.Outcome.SHED:
+            pass
+    _hold_slot(now_s, service, upstream, run, outcome)
+    return _note_trial(now_s, service, upstream, run, outcome)
+
+
+def note_slow_trials(
+    now_s: float, service: state.ServiceState, upstream: state.Upstream
+) -> list[types.OwnerAction]:
+    """Count trials that run too long as failed without waiting for them."""
+    tuning = service.policy.thresholds()
+    for run in upstream.running.values():
+        if not run.is_trial:
+            continue
+        base_s = reference_s(now_s, service, upstream, run.request)
+        limit_s = _ejection.trial_limit_s(base_s, tuning)
+        if now_s - run.started_s > limit_s:
+            _ejection.note_trial(upstream, now_s, False, tuning)
+    return []
+
+
+def view(
+    now_s: float, service: state.ServiceState, upstream: state.Upstream
+) -> state.UpstreamView:
+    """Return the upstream as operators see it."""
+    tuning = service.policy.thresholds()
+    is_out = _ejection.is_out(upstream)
+    return state.UpstreamView(
+        upstream=upstream.name,
+        service=upstream.service,
+        slots=upstream.slots,
+        in_flight=len(upstream.running),
+        weight=_ejection.weight(upstream, now_s, tuning),
+        score=score(now_s, service, upstream),
+        state=upstream.state,
+        standing=upstream.standing,
+        out_until_s=upstream.out_until_s if is_out else None,
+    )
+
+
+def _warm_reference_s(
+    service: state.ServiceState, request: types.OwnerRequest
+) -> float | None:
+    known_ms = request.reference_ms
+    if known_ms is None:
+        known_ms = median_ms(service.medians.get(request.route))
+    if known_ms is None:
+        return None
+    return max(_MIN_REFERENCE_S, known_ms / 1000.0)
+
+
+def _add_answer_time(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+) -> None:
+    age_s = now_s - run.started_s
+    base_s = reference_s(now_s, service, upstream, run.request)
+    route = run.request.route
+    if service.policy.thresholds().latency_evidence and not run.ignored:
+        upstream.evidence.add_time(route, age_s, base_s, ended=True)
+    if route not in service.medians and len(service.medians) >= _MAX_ROUTES:
+        return
+    median = service.medians.setdefault(route, _health.MedianEstimate())
+    median.add(age_s)
+
+
+def _add_answer(
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+    outcome: types.Outcome,
+) -> None:
+    if not service.policy.thresholds().error_evidence:
+        return
+    upstream.evidence.add_answer(
+        run.request.route,
+        outcome is types.Outcome.FAILED,
+        run.request.hints.reference_error_ratio,
+    )
+
+
+def _add_broken(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+) -> None:
+    if not service.policy.thresholds().error_evidence:
+        return
+    upstream.evidence.add_broken(
+        now_s, run.request.route, run.request.hints.reference_error_ratio
+    )
+
+
+def _add_given_up(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+) -> None:
+    tuning = service.policy.thresholds()
+    if run.ignored or run.first_byte_s is not None:
+        return
+    age_s = now_s - run.started_s
+    if not tuning.latency_evidence or age_s < tuning.stall_age_s:
+        return
+    base_s = reference_s(now_s, service, upstream, run.request)
+    upstream.evidence.add_time(run.request.route, age_s, base_s, ended=False)
+
+
+def _hold_slot(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+    outcome: types.Outcome,
+) -> None:
+    age_s = now_s - run.started_s
+    base_s = _warm_reference_s(service, run.request) or service.busy_s
+    has_failed = outcome in (
+        types.Outcome.FAILED,
+        types.Outcome.BROKEN,
+        types.Outcome.CONNECT_FAILED,
+    )
+    holds = service.policy.thresholds().hold_failed_slots
+    if has_failed and holds and age_s < base_s:
+        upstream.held_until_s.append(run.started_s + base_s)
+        age_s = base_s
+    service.busy_s += _BUSY_STEP * (age_s - service.busy_s)
+
+
+def _note_trial(
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    run: state.RunningRequest,
+    outcome: types.Outcome,
+) -> list[types.OwnerAction]:
+    is_lookup = run.request.kind is types.RequestKind.LOOKUP
+    if not is_lookup or run.started_s < upstream.standing_since_s:
+        return []
+    tuning = service.policy.thresholds()
+    base_s = reference_s(now_s, service, upstream, run.request)
+    limit_s = _ejection.trial_limit_s(base_s, tuning)
+    match outcome:
+        case types.Outcome.ANSWERED:
+            passed = now_s - run.started_s <= limit_s
+        case types.Outcome.CANCELLED | types.Outcome.SHED:
+            return []
+        case _:
+            passed = False
+    return _ejection.note_trial(upstream, now_s, passed, tuning)
--- /dev/null
+++ b/src/papayastall/_owner_state.py
@@ -0,0 +1,126 @@
+"""What an owner keeps of its upstreams and services (its blackboard)."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+
+from papayastall import _admission
+from papayastall import _decision_types as types
+from papayastall import _health
+from papayastall import _service_policy
+
+__all__ = [
+    "RunningRequest",
+    "ServiceState",
+    "Standing",
+    "Upstream",
+    "UpstreamView",
+]
+
+
+class Standing(enum.Enum):
+    """How far an upstream is trusted with work."""
+
+    HEALTHY = "healthy"
+    STEERED = "steered away"
+    EJECTED = "ejected"
+    RETURNING = "returning"
+
+
+@dataclasses.dataclass(slots=True)
+class RunningRequest:
+    """A request that was handed to an upstream.
+
+    :param ignored: it is older than the upstream's return.
+    """
+
+    request: types.OwnerRequest
+    upstream: str
+    started_s: float
+    is_suspect: bool
+    is_trial: bool
+    first_byte_s: float | None = None
+    ignored: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """One upstream: what it announced and how its work went.
+
+    :param held_until_s: slots kept busy after failures that came too fast.
+    """
+
+    name: str
+    service: str
+    slots: int
+    connections: int
+    state: types.UpstreamState
+    lease_s: float
+    expires_s: float
+    warm_s: float
+    evidence: _health.Evidence
+    running: dict[int, RunningRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    held_until_s: list[float] = dataclasses.field(default_factory=list)
+    standing: Standing = Standing.HEALTHY
+    standing_since_s: float = -math.inf
+    out_until_s: float = 0.0
+    stay_s: float = 0.0
+    relapses: int = 0
+    trials_passed: int = 0
+    permit_held: bool = False
+    permit_asked_s: float = -math.inf
+    shed_until_s: float = 0.0
+    last_answer_s: float = -math.inf
+    leaving_since_s: float | None = None
+    left_by_operator: bool = False
+    cold_since_s: float | None = None
+
+    def free_slots(self, now_s: float) -> int:
+        """Return the slots that can take work now."""
+        if now_s < self.shed_until_s:
+            return 0
+        if self.held_until_s:
+            self.held_until_s = [
+                until_s for until_s in self.held_until_s if until_s > now_s
+            ]
+        return self.slots - len(self.running) - len(self.held_until_s)
+
+    def is_present(self, now_s: float) -> bool:
+        """Return whether it still announces itself or answers real work."""
+        if now_s < self.expires_s:
+            return True
+        return now_s < self.last_answer_s + self.lease_s
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceState:
+    """One service at one owner."""
+
+    policy: _service_policy.ServicePolicy
+    queue: _admission.TeamQueue = dataclasses.field(
+        default_factory=_admission.TeamQueue
+    )
+    medians: dict[str, _health.MedianEstimate] = dataclasses.field(
+        default_factory=dict
+    )
+    busy_s: float = 0.1
+    healthy_share: float = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamView:
+    """An upstream as operators see it."""
+
+    upstream: str
+    service: str
+    slots: int
+    in_flight: int
+    weight: float
+    score: float
+    state: types.UpstreamState
+    standing: Standing
+    out_until_s: float | None
--- /dev/null
+++ b/src/papayastall/_placement.py
@@ -0,0 +1,143 @@
+"""Which of an owner's upstreams a request goes to, and how long it waits."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import random
+
+from papayastall import _decision_types as types
+from papayastall import _ejection
+from papayastall import _leaving
+from papayastall import _owner_state as state
+from papayastall import exceptions
+
+__all__ = [
+    "NoUpstream",
+    "Place",
+    "Wait",
+    "backlog_s",
+    "choose",
+    "expected_run_s",
+    "expected_wait_s",
+]
+
+_TRIAL_SHARE = 0.05
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Run the request on this upstream now."""
+
+    upstream: state.Upstream
+    is_trial: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Wait:
+    """All upstreams that may run it are busy; they have so many slots."""
+
+    slots: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoUpstream:
+    """No upstream here may run it."""
+
+    code: exceptions.ErrorCode
+
+
+def choose(
+    now_s: float,
+    service: state.ServiceState,
+    upstreams: cabc.Sequence[state.Upstream],
+    request: types.OwnerRequest,
+    rng: random.Random,
+) -> Place | Wait | NoUpstream:
+    """Choose the upstream for a request."""
+    usable = [
+        up
+        for up in upstreams
+        if not _leaving.is_leaving(up) and up.is_present(now_s)
+    ]
+    trusted = [up for up in usable if not _ejection.is_out(up)]
+    trial = _trial(now_s, usable, request)
+    if trial and (not trusted or rng.random() < _TRIAL_SHARE):
+        return Place(trial, is_trial=True)
+    if not trusted and request.hints.last_resort:
+        trusted = [
+            up for up in usable if up.standing is state.Standing.STEERED
+        ]
+    if not trusted:
+        return NoUpstream(_why_none(upstreams, usable))
+    return _least_busy(now_s, service, trusted)
+
+
+def expected_wait_s(
+    service: state.ServiceState, team: str, slots: int
+) -> float:
+    """Return how long a new request of this team would wait, seconds."""
+    ahead = service.queue.ahead_of(team)
+    return (ahead + 1) * service.busy_s / max(1, slots)
+
+
+def expected_run_s(
+    service: state.ServiceState, request: types.OwnerRequest
+) -> float:
+    """Return how long the request will run at least as likely as not."""
+    if request.reference_ms is not None:
+        return request.reference_ms / 1000.0
+    median = service.medians.get(request.route)
+    if median is None or median.value is None:
+        return 0.0
+    return median.value
+
+
+def backlog_s(service: state.ServiceState, slots: int) -> float:
+    """Return how long the work already accepted takes, seconds."""
+    return (len(service.queue) + slots) * service.busy_s / max(1, slots)
+
+
+def _trial(
+    now_s: float,
+    usable: cabc.Sequence[state.Upstream],
+    request: types.OwnerRequest,
+) -> state.Upstream | None:
+    if request.kind is not types.RequestKind.LOOKUP:
+        return None
+    for up in usable:
+        if _ejection.is_trial_due(up, now_s) and up.free_slots(now_s) > 0:
+            return up
+    return None
+
+
+def _least_busy(
+    now_s: float,
+    service: state.ServiceState,
+    upstreams: cabc.Sequence[state.Upstream],
+) -> Place | Wait:
+    tuning = service.policy.thresholds()
+    best: state.Upstream | None = None
+    best_share = 0.0
+    for up in upstreams:
+        free = up.free_slots(now_s)
+        if free <= 0:
+            continue
+        weight = max(0.01, _ejection.weight(up, now_s, tuning))
+        share = free / up.slots * weight
+        if share > best_share:
+            best, best_share = up, share
+    if best is None:
+        return Wait(sum(up.slots for up in upstreams))
+    return Place(best, is_trial=False)
+
+
+def _why_none(
+    upstreams: cabc.Sequence[state.Upstream],
+    usable: cabc.Sequence[state.Upstream],
+) -> exceptions.ErrorCode:
+    if usable:
+        return exceptions.ErrorCode.STEERED_AWAY
+    if any(_leaving.is_leaving(up) for up in upstreams):
+        return exceptions.ErrorCode.LEAVING
+    return exceptions.ErrorCode.NO_UPSTREAM
--- /dev/null
+++ b/src/papayastall/_retry.py
@@ -0,0 +1,51 @@
+"""The budget of retries and hedges, and when callers may come back."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+__all__ = ["RetryBudget", "jittered_retry_after_s"]
+
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 30.0
+_BURST_TOKENS = 10.0
+_IDLE_TOKENS_PER_S = 0.2
+
+
+def jittered_retry_after_s(backlog_s: float, rng: random.Random) -> float:
+    """Return when to come back, spread so that callers don't return at once.
+
+    :param backlog_s: time that the work already accepted takes, in seconds.
+    """
+    base_s = max(MIN_RETRY_AFTER_S, backlog_s)
+    delay_s = base_s * rng.uniform(0.5, 1.5)
+    return min(MAX_RETRY_AFTER_S, delay_s)
+
+
+@dataclasses.dataclass(slots=True)
+class RetryBudget:
+    """Allows extra attempts as a share of the callers' own requests."""
+
+    ratio: float
+    tokens: float = _BURST_TOKENS
+    updated_s: float = 0.0
+
+    def deposit(self, now_s: float) -> None:
+        """Count one request of a caller."""
+        self._refill(now_s)
+        self.tokens = min(_BURST_TOKENS, self.tokens + self.ratio)
+
+    def take(self, now_s: float) -> bool:
+        """Take one extra attempt out of the budget, if there is one."""
+        self._refill(now_s)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self.updated_s)
+        self.updated_s = now_s
+        added = elapsed_s * _IDLE_TOKENS_PER_S
+        self.tokens = min(_BURST_TOKENS, self.tokens + added)
--- /dev/null
+++ b/src/papayastall/_routing.py
@@ -0,0 +1,92 @@
+"""Which owner an ingress sends a request to."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import math
+import random
+
+from papayastall import _decision_types as types
+from papayastall import _service_policy
+
+__all__ = ["OwnerView", "choose_owner", "load_share"]
+
+_STEERED_SHARE = 0.05
+"""An owner with less weight per slot than this is steered away."""
+_STEERED_WORD_S = 5.0
+_MIN_WEIGHT = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class OwnerView:
+    """What an ingress knows of one owner of one service.
+
+    :param others_in_flight: work of other ingresses at the last answer.
+    """
+
+    advert: types.OwnerAdvert
+    slots: int
+    weight: float
+    others_in_flight: float = 0.0
+    load_s: float = -math.inf
+    in_flight: int = 0
+    outstanding: dict[tuple[int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    heard_s: float = -math.inf
+    is_link_down: bool = False
+    is_silent: bool = False
+    avoid_until_s: float = 0.0
+
+    def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
+        """Take in the load that rode on an answer."""
+        self.slots = load.slots
+        self.weight = load.weight
+        total = load.in_flight + load.queued
+        self.others_in_flight = max(0.0, total - self.in_flight)
+        self.load_s = now_s
+
+    def is_steered(self, now_s: float) -> bool:
+        """Return whether the owner steers all its upstreams away.
+
+        Word of it lasts a few seconds; then a request may go and ask again,
+        which the owner refuses unrun where nothing has changed.
+        """
+        if now_s > self.load_s + _STEERED_WORD_S:
+            return False
+        return self.weight <= _STEERED_SHARE * self.slots
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Return whether ordinary work goes elsewhere."""
+        if self.is_link_down or self.is_silent or self.is_steered(now_s):
+            return True
+        return now_s < self.avoid_until_s
+
+
+def load_share(view: OwnerView, now_s: float, decay_s: float) -> float:
+    """Return the load per unit of weight with one request more."""
+    fresh = math.exp(-(now_s - view.load_s) / decay_s)
+    in_flight = view.in_flight + view.others_in_flight * fresh
+    return (in_flight + 1.0) / max(_MIN_WEIGHT, view.weight)
+
+
+def choose_owner(
+    now_s: float,
+    views: cabc.Sequence[OwnerView],
+    failure_domain: str,
+    tuning: _service_policy.RoutingTuning,
+    rng: random.Random,
+) -> OwnerView | None:
+    """Draw a few owners at random and return the least loaded of them."""
+    if not views:
+        return None
+    count = min(tuning.choices, len(views))
+    drawn = rng.sample(views, count)
+    return min(
+        drawn,
+        key=lambda view: (
+            load_share(view, now_s, tuning.load_decay_s),
+            view.advert.failure_domain != failure_domain,
+        ),
+    )
--- /dev/null
+++ b/src/papayastall/_service_policy.py
@@ -0,0 +1,115 @@
+"""The policy of one service, as the request controllers need it."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+__all__ = [
+    "HealthPriority",
+    "HealthTuning",
+    "RoutingTuning",
+    "ServicePolicy",
+    "health_tuning",
+]
+
+
+class HealthPriority(enum.Enum):
+    """Which error of judgement costs a service's users more."""
+
+    DETECTION = "detection"
+    """Work given to a failing upstream: react to little evidence."""
+    CAPACITY = "capacity"
+    """A healthy upstream left unused: wait for more evidence."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HealthTuning:
+    """Thresholds of steering away, ejection and return.
+
+    Scores are log-likelihood ratios (nats) of "failing" over "healthy".
+
+    :param steer_score: score at which an upstream's weight falls to zero.
+    :param eject_score: score at which a permit to eject is asked for.
+    :param stall_age_s: requests in flight younger than this are no evidence.
+    :param eject_confirm_s: how long an upstream is steered away first.
+    :param stay_s: first stay away; doubled at each relapse.
+    :param slow_start_s: time from return to full weight.
+    """
+
+    steer_score: float
+    eject_score: float
+    stall_age_s: float
+    eject_confirm_s: float = 3.0
+    stay_s: float = 2.0
+    max_stay_s: float = 300.0
+    forget_stays_s: float = 600.0
+    return_lookups: int = 3
+    slow_start_s: float = 10.0
+    cold_grace_s: float = 10.0
+    cold_factor: float = 10.0
+    min_healthy_share: float = 0.5
+    latency_evidence: bool = True
+    error_evidence: bool = True
+    per_route_evidence: bool = True
+    hold_failed_slots: bool = True
+
+
+_DETECTION = HealthTuning(steer_score=9.0, eject_score=18.0, stall_age_s=0.3)
+_CAPACITY = HealthTuning(steer_score=12.0, eject_score=22.0, stall_age_s=1.0)
+
+
+def health_tuning(priority: HealthPriority) -> HealthTuning:
+    """Return the thresholds that belong to a priority."""
+    match priority:
+        case HealthPriority.DETECTION:
+            return _DETECTION
+        case HealthPriority.CAPACITY:
+            return _CAPACITY
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RoutingTuning:
+    """Limits of routing, retries and hedges at an ingress.
+
+    :param choices: owners drawn at random, of which the best is taken.
+    :param trial_ratio: share of lookups offered to owners steered away.
+    :param hedge_factor: a lookup is hedged at this multiple of the median.
+    :param silence_s: an owner with work outstanding that sends nothing for
+        this long is avoided.
+    """
+
+    choices: int = 2
+    trial_ratio: float = 0.02
+    hedges: bool = True
+    hedge_factor: float = 5.0
+    min_hedge_s: float = 0.02
+    max_refusals: int = 3
+    silence_s: float = 0.7
+    silence_factor: float = 15.0
+    load_decay_s: float = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServicePolicy:
+    """What operators set for one service.
+
+    :param floor_slots: healthy slots that must always remain.
+    :param queue_per_slot: requests that may wait, per slot of the owner.
+    :param retry_ratio: retries and hedges per request of callers.
+    :param leave_timeout_ms: time for work in flight of a leaving upstream.
+    :param failure_domain: of this node; breaks ties in routing.
+    """
+
+    floor_slots: int = 0
+    health_priority: HealthPriority = HealthPriority.CAPACITY
+    queue_per_slot: int = 4
+    retry_ratio: float = 0.1
+    leave_timeout_ms: int = 30_000
+    failure_domain: str = ""
+    health: HealthTuning | None = None
+    routing: RoutingTuning = RoutingTuning()
+
+    def thresholds(self) -> HealthTuning:
+        """Return the health thresholds in force."""
+        return self.health or health_tuning(self.health_priority)
--- /dev/null
+++ b/src/papayastall/_service_view.py
@@ -0,0 +1,208 @@
+"""What an ingress concludes of one service from the answers it saw."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from papayastall import _decision_types as types
+from papayastall import _ingress_state as state
+from papayastall import _routing
+from papayastall import exceptions
+
+__all__ = [
+    "OwnerChoice",
+    "choose",
+    "find_silent",
+    "has_room",
+    "hedge_due_s",
+    "hints",
+    "note_answer",
+    "note_refusal",
+    "reference_ms",
+]
+
+_Code = exceptions.ErrorCode
+_MIN_SAMPLES = 10
+_MAX_ROUTES = 64
+_OVERLOADED_PAUSE_S = 0.05
+_LEAVING_PAUSE_S = 2.0
+_UNKNOWN_HEDGE_S = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnerChoice:
+    """The owner for the next attempt."""
+
+    view: _routing.OwnerView
+    is_last_resort: bool
+
+
+def choose(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    is_suspect: bool,
+    rng: random.Random,
+) -> OwnerChoice | None:
+    """Choose the owner for the next attempt of a request.
+
+    :param is_suspect: an upstream was lost with this request; it goes to
+        the same owner from every ingress, so that it runs alone.
+    """
+    policy = service.policy
+    tuning = policy.routing
+    untried = [
+        view
+        for name, view in service.owners.items()
+        if name not in pending.tried
+    ]
+    usable = [view for view in untried if not view.is_avoided(now_s)]
+    if is_suspect and usable:
+        home = max(
+            usable,
+            key=lambda view: _home_rank(
+                view.advert.owner, pending.request.fingerprint
+            ),
+        )
+        return OwnerChoice(home, False)
+    if pending.request.kind is types.RequestKind.LOOKUP and (
+        not pending.tried
+    ):
+        doubted = [
+            view
+            for view in untried
+            if view.is_silent or view.is_steered(now_s)
+        ]
+        if doubted and rng.random() < tuning.trial_ratio:
+            return OwnerChoice(rng.choice(doubted), False)
+    view = _routing.choose_owner(
+        now_s, usable, policy.failure_domain, tuning, rng
+    )
+    if view is not None:
+        return OwnerChoice(view, False)
+    reachable = [view for view in untried if not view.is_link_down]
+    view = _routing.choose_owner(
+        now_s, reachable or untried, policy.failure_domain, tuning, rng
+    )
+    return OwnerChoice(view, True) if view is not None else None
+
+
+def has_room(
+    now_s: float, service: state.ServiceView, pending: state.PendingRequest
+) -> bool:
+    """Return whether another owner seems to have a free slot."""
+    decay_s = service.policy.routing.load_decay_s
+    return any(
+        name not in pending.tried
+        and not view.is_avoided(now_s)
+        and _routing.load_share(view, now_s, decay_s) <= 1.0
+        for name, view in service.owners.items()
+    )
+
+
+def reference_ms(service: state.ServiceView, route: str) -> float | None:
+    """Return the median time of a route over all owners, milliseconds."""
+    known = service.references.get(route)
+    if known is None or known.median.count < _MIN_SAMPLES:
+        return None
+    return known.median.value
+
+
+def hints(
+    now_s: float,
+    service: state.ServiceView,
+    route: str,
+    is_last_resort: bool,
+) -> types.RequestHints:
+    """Return what the owner should know of the whole service."""
+    known = service.references.get(route)
+    slots = sum(view.slots for view in service.owners.values())
+    healthy = sum(
+        view.slots
+        for view in service.owners.values()
+        if not view.is_avoided(now_s)
+    )
+    return types.RequestHints(
+        reference_error_ratio=known.errors.value if known else 0.0,
+        healthy_share=healthy / slots if slots else 1.0,
+        last_resort=is_last_resort,
+    )
+
+
+def hedge_due_s(
+    now_s: float, service: state.ServiceView, request: types.IngressRequest
+) -> float | None:
+    """Return when a lookup without an answer is sent a second time."""
+    tuning = service.policy.routing
+    if not tuning.hedges or request.kind is not types.RequestKind.LOOKUP:
+        return None
+    known_ms = reference_ms(service, request.route)
+    if known_ms is None:
+        return now_s + _UNKNOWN_HEDGE_S
+    delay_s = tuning.hedge_factor * known_ms / 1000.0
+    return now_s + max(tuning.min_hedge_s, delay_s)
+
+
+def note_answer(
+    service: state.ServiceView,
+    route: str,
+    load: types.OwnerLoad | None,
+    failed: bool,
+) -> None:
+    """Take in an answer of any owner for the route's reference."""
+    known = service.references.get(route)
+    if known is None:
+        if len(service.references) >= _MAX_ROUTES:
+            return
+        known = service.references[route] = state.RouteReference()
+    known.errors.add(failed)
+    if load is not None and load.latency_ms is not None and not failed:
+        known.median.add(load.latency_ms)
+
+
+def note_refusal(
+    now_s: float,
+    service: state.ServiceView,
+    owner: str,
+    outcome: types.AttemptOutcome,
+) -> None:
+    """Leave an owner alone for a moment after it refused."""
+    view = service.owners.get(owner)
+    if view is None:
+        return
+    match outcome.code:
+        case _Code.OVERLOADED:
+            pause_s = _OVERLOADED_PAUSE_S
+        case _Code.LEAVING | _Code.NO_UPSTREAM:
+            pause_s = _LEAVING_PAUSE_S
+        case _Code.UPSTREAM_FAILED | _Code.STEERED_AWAY:
+            pause_s = _OVERLOADED_PAUSE_S
+        case _:
+            return
+    view.avoid_until_s = max(view.avoid_until_s, now_s + pause_s)
+
+
+def find_silent(now_s: float, service: state.ServiceView) -> None:
+    """Avoid owners that send nothing while work is outstanding."""
+    tuning = service.policy.routing
+    medians = [
+        known.median.value
+        for known in service.references.values()
+        if known.median.value is not None
+    ]
+    slowest_s = max(medians, default=0.0) / 1000.0
+    limit_s = max(tuning.silence_s, tuning.silence_factor * slowest_s)
+    for view in service.owners.values():
+        if not view.outstanding or view.is_silent:
+            continue
+        oldest_s = min(view.outstanding.values())
+        since_s = max(oldest_s, view.heard_s)
+        view.is_silent = now_s - since_s > limit_s
+
+
+def _home_rank(owner: str, fingerprint: int) -> int:
+    rank = fingerprint & 0xFFFFFFFFFFFFFFFF
+    for byte in owner.encode():
+        rank = ((rank ^ byte) * 0x100000001B3) & 0xFFFFFFFFFFFFFFFF
+    return rank
--- /dev/null
+++ b/src/papayastall/_upstream_registry.py
@@ -0,0 +1,173 @@
+"""The upstreams that announced themselves to one owner."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+
+from papayastall import _decision_types as types
+from papayastall import _health
+from papayastall import _leaving
+from papayastall import _owner_state as state
+from papayastall import _service_policy
+from papayastall import exceptions
+
+__all__ = ["UpstreamRegistry"]
+
+_MAX_COLD_S = 60.0
+
+
+class UpstreamRegistry:
+    """Upstreams by name and by service, kept by their announcements."""
+
+    __slots__ = ("_by_name", "_by_service")
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, state.Upstream] = {}
+        self._by_service: dict[str, list[state.Upstream]] = {}
+
+    def find(self, name: str) -> state.Upstream | None:
+        """Return an upstream if it is known."""
+        return self._by_name.get(name)
+
+    def get(self, name: str) -> state.Upstream:
+        """Return an upstream.
+
+        :raises papayastall.exceptions.BadInputError: it is not known.
+        """
+        known = self._by_name.get(name)
+        if known is None:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.NO_UPSTREAM,
+                f"upstream {name} is not announced to this node; "
+                "ask the node that lists it",
+                step="find-upstream",
+            )
+        return known
+
+    def all(self) -> cabc.Iterable[state.Upstream]:
+        """Return every upstream."""
+        return self._by_name.values()
+
+    def of_service(self, service: str) -> list[state.Upstream]:
+        """Return the upstreams of one service."""
+        return self._by_service.get(service, [])
+
+    def announce(
+        self,
+        now_s: float,
+        announcement: types.UpstreamAnnouncement,
+        tuning: _service_policy.HealthTuning,
+    ) -> None:
+        """Add or renew an upstream.
+
+        :raises papayastall.exceptions.BadInputError: it has no slots, or
+            serves another service already.
+        """
+        self._check(announcement)
+        known = self._by_name.get(announcement.upstream)
+        if known is None:
+            known = self._add(now_s, announcement, tuning)
+        elif self._has_restarted(now_s, known, announcement):
+            self._restart(now_s, known)
+        known.slots = announcement.slots
+        known.connections = announcement.connections
+        known.state = announcement.state
+        known.lease_s = announcement.lease_s
+        known.expires_s = now_s + announcement.lease_s
+        self._note_state(now_s, known, tuning)
+
+    def remove_gone(self, now_s: float) -> list[state.Upstream]:
+        """Remove upstreams without lease, answers or work in flight."""
+        gone = [
+            upstream
+            for upstream in self._by_name.values()
+            if not upstream.is_present(now_s) and not upstream.running
+        ]
+        for upstream in gone:
+            del self._by_name[upstream.name]
+            self._by_service[upstream.service].remove(upstream)
+        return gone
+
+    def _check(self, announcement: types.UpstreamAnnouncement) -> None:
+        known = self._by_name.get(announcement.upstream)
+        if announcement.slots < 1 or announcement.lease_s <= 0.0:
+            message = "slots must be 1 or more and the lease above 0 s"
+        elif known is not None and known.service != announcement.service:
+            message = (
+                f"{announcement.upstream} already serves {known.service}; "
+                "let it leave first"
+            )
+        else:
+            return
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_ANNOUNCEMENT,
+            message,
+            step="announce",
+            peer=announcement.upstream,
+        )
+
+    def _add(
+        self,
+        now_s: float,
+        announcement: types.UpstreamAnnouncement,
+        tuning: _service_policy.HealthTuning,
+    ) -> state.Upstream:
+        upstream = state.Upstream(
+            name=announcement.upstream,
+            service=announcement.service,
+            slots=announcement.slots,
+            connections=announcement.connections,
+            state=announcement.state,
+            lease_s=announcement.lease_s,
+            expires_s=now_s + announcement.lease_s,
+            warm_s=now_s + tuning.cold_grace_s,
+            evidence=_health.Evidence(tuning.per_route_evidence),
+            standing=state.Standing.RETURNING,
+            standing_since_s=now_s,
+        )
+        self._by_name[upstream.name] = upstream
+        self._by_service.setdefault(upstream.service, []).append(upstream)
+        return upstream
+
+    def _has_restarted(
+        self,
+        now_s: float,
+        known: state.Upstream,
+        announcement: types.UpstreamAnnouncement,
+    ) -> bool:
+        if not known.is_present(now_s):
+            return True
+        cold = types.UpstreamState.COLD
+        return announcement.state is cold and known.state is not cold
+
+    def _restart(self, now_s: float, upstream: state.Upstream) -> None:
+        upstream.cold_since_s = None
+        upstream.evidence.reset()
+        upstream.held_until_s.clear()
+        for run in upstream.running.values():
+            run.ignored = True
+        if upstream.standing is state.Standing.HEALTHY:
+            upstream.standing = state.Standing.RETURNING
+        if upstream.standing is state.Standing.RETURNING:
+            upstream.standing_since_s = now_s
+
+    def _note_state(
+        self,
+        now_s: float,
+        upstream: state.Upstream,
+        tuning: _service_policy.HealthTuning,
+    ) -> None:
+        match upstream.state:
+            case types.UpstreamState.LEAVING:
+                _leaving.start_leaving(upstream, now_s)
+                return
+            case types.UpstreamState.COLD:
+                if upstream.cold_since_s is None:
+                    upstream.cold_since_s = now_s
+                warm_s = now_s + tuning.cold_grace_s
+                latest_s = upstream.cold_since_s + _MAX_COLD_S
+                upstream.warm_s = min(warm_s, latest_s)
+            case types.UpstreamState.READY:
+                upstream.cold_since_s = None
+        if not upstream.left_by_operator:
+            _leaving.stop_leaving(upstream, now_s)
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -52,6 +52,7 @@
     STORAGE_DAMAGED = "storage-damaged"
     STORAGE_FAILED = "storage-failed"
     INTERNAL = "internal"
+    STEERED_AWAY = "steered-away"
 
 
 class RanState(enum.Enum):
--- /dev/null
+++ b/tests/test_owner_controller.py
@@ -0,0 +1,66 @@
+"""The owner's decisions: admission, fairness, steering, leaving, suspects."""
+
+from __future__ import annotations
+
+import decision_helpers as helpers
+from papayastall import _decision_types as types
+from papayastall import _owner_state
+from papayastall import exceptions
+
+
+def test_a_free_slot_dispatches_and_a_full_upstream_queues() -> None:
+    owner = helpers.owner(slots=1)
+    assert owner.submit(0.0, helpers.owner_request(1)) == [
+        types.Dispatch(1, helpers.UPSTREAM)
+    ]
+    assert owner.submit(0.0, helpers.owner_request(2)) == []
+    assert owner.finished(0.1, 1, types.Outcome.ANSWERED) == [
+        types.Dispatch(2, helpers.UPSTREAM)
+    ]
+
+
+def test_a_request_that_can_not_make_its_deadline_is_refused_at_once() -> None:
+    owner = helpers.owner(slots=1)
+    owner.submit(0.0, helpers.owner_request(1))
+    [refusal] = owner.submit(0.0, helpers.owner_request(2, deadline_s=0.05))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.OVERLOADED
+    assert refusal.ran is exceptions.RanState.NO
+    assert refusal.retry_after_s is not None
+
+
+def test_a_stall_steers_away_while_it_lasts() -> None:
+    owner = helpers.owner(slots=7)
+    for number in range(4):
+        owner.submit(0.0, helpers.owner_request(number))
+    owner.tick(1.0)
+    assert owner.load(1.0, helpers.SERVICE).weight == 0.0
+    [refusal] = owner.submit(1.0, helpers.owner_request(9))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.STEERED_AWAY
+
+
+def test_an_ejection_waits_for_its_permit() -> None:
+    owner = helpers.owner(slots=7)
+    for number in range(4):
+        owner.submit(0.0, helpers.owner_request(number))
+    owner.tick(1.0)
+    asked = [action for at in range(2, 9) for action in owner.tick(at)]
+    assert asked[0] == types.AskPermit(helpers.UPSTREAM, helpers.SERVICE, 7)
+    [view] = owner.upstreams(9.0)
+    assert view.standing is _owner_state.Standing.STEERED
+    owner.permit_answered(9.0, helpers.UPSTREAM, True)
+    [view] = owner.upstreams(9.0)
+    assert view.standing is _owner_state.Standing.EJECTED
+
+
+def test_a_leaving_upstream_gets_nothing_new_and_drains() -> None:
+    owner = helpers.owner()
+    owner.submit(0.0, helpers.owner_request(1))
+    owner.leave(0.0, helpers.UPSTREAM)
+    [refusal] = owner.submit(0.0, helpers.owner_request(2))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.LEAVING
+    assert not owner.drained(0.0, helpers.UPSTREAM)
+    owner.finished(0.1, 1, types.Outcome.ANSWERED)
+    assert owner.drained(0.1, helpers.UPSTREAM)
