Fill the service policy from service documents

Cause: the policy had its own health priority and queue limit beside those of the documents. Change: from_document() maps a document to the policy; leaving cuts no work, so that drained() waits for what runs.

--- a/src/papayastall/_leaving.py
+++ b/src/papayastall/_leaving.py
@@ -28,15 +28,6 @@
     return upstream.leaving_since_s is not None
 
 
-def is_drained(
-    upstream: state.Upstream, now_s: float, timeout_ms: int
-) -> bool:
-    """Return whether a leaving upstream may stop now.
-
-    :param timeout_ms: time that work in flight is given at most.
-    """
-    if upstream.leaving_since_s is None:
-        return False
-    if not upstream.running:
-        return True
-    return now_s - upstream.leaving_since_s >= timeout_ms / 1000.0
+def is_drained(upstream: state.Upstream) -> bool:
+    """Return whether a leaving upstream may stop: no work is cut."""
+    return upstream.leaving_since_s is not None and not upstream.running
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -172,13 +172,10 @@
         if known.state is not types.UpstreamState.LEAVING:
             _leaving.stop_leaving(known, now_s)
 
-    def drained(self, now_s: float, upstream: str) -> bool:
-        """Return whether a leaving upstream has no work left to wait for."""
+    def drained(self, upstream: str) -> bool:
+        """Return whether a leaving upstream has no work left."""
         known = self._registry.find(upstream)
-        if known is None:
-            return True
-        policy = self._service(known.service).policy
-        return _leaving.is_drained(known, now_s, policy.leave_timeout_ms)
+        return known is None or _leaving.is_drained(known)
 
     def suspect(
         self, now_s: float, news: types.SuspectNews
@@ -307,7 +304,7 @@
         if now_s + wait_s + run_s > request.deadline_s:
             return [self._refuse_overloaded(service, request, slots)]
         actions: list[types.OwnerAction] = []
-        if len(service.queue) >= slots * service.policy.queue_per_slot:
+        if len(service.queue) >= service.policy.max_queued:
             displaced = service.queue.displace_for(request.team)
             if displaced is None:
                 return [self._refuse_overloaded(service, request, slots)]
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -3,26 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
+
+from papayastall import documents
 
 __all__ = [
-    "HealthPriority",
     "HealthTuning",
     "RoutingTuning",
     "ServicePolicy",
+    "from_document",
     "health_tuning",
 ]
 
 
-class HealthPriority(enum.Enum):
-    """Which error of judgement costs a service's users more."""
-
-    DETECTION = "detection"
-    """Work given to a failing upstream: react to little evidence."""
-    CAPACITY = "capacity"
-    """A healthy upstream left unused: wait for more evidence."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class HealthTuning:
     """Thresholds of steering away, ejection and return.
@@ -59,12 +51,12 @@
 _CAPACITY = HealthTuning(steer_score=12.0, eject_score=22.0, stall_age_s=1.0)
 
 
-def health_tuning(priority: HealthPriority) -> HealthTuning:
+def health_tuning(priority: documents.HealthPriority) -> HealthTuning:
     """Return the thresholds that belong to a priority."""
     match priority:
-        case HealthPriority.DETECTION:
+        case documents.HealthPriority.DETECTION:
             return _DETECTION
-        case HealthPriority.CAPACITY:
+        case documents.HealthPriority.CAPACITY:
             return _CAPACITY
 
 
@@ -95,17 +87,17 @@
     """What operators set for one service.
 
     :param floor_slots: healthy slots that must always remain.
-    :param queue_per_slot: requests that may wait, per slot of the owner.
+    :param max_queued: requests that may wait at one owner.
     :param retry_ratio: retries and hedges per request of callers.
-    :param leave_timeout_ms: time for work in flight of a leaving upstream.
     :param failure_domain: of this node; breaks ties in routing.
     """
 
     floor_slots: int = 0
-    health_priority: HealthPriority = HealthPriority.CAPACITY
-    queue_per_slot: int = 4
+    health_priority: documents.HealthPriority = (
+        documents.HealthPriority.CAPACITY
+    )
+    max_queued: int = 64
     retry_ratio: float = 0.1
-    leave_timeout_ms: int = 30_000
     failure_domain: str = ""
     health: HealthTuning | None = None
     routing: RoutingTuning = RoutingTuning()
@@ -113,3 +105,19 @@
     def thresholds(self) -> HealthTuning:
         """Return the health thresholds in force."""
         return self.health or health_tuning(self.health_priority)
+
+
+def from_document(
+    document: documents.Document, failure_domain: str
+) -> ServicePolicy:
+    """Return the policy that a service document declares.
+
+    :param failure_domain: of this node.
+    """
+    return ServicePolicy(
+        floor_slots=document.floor_slots,
+        health_priority=document.health_priority,
+        max_queued=document.limits.max_queued,
+        retry_ratio=document.limits.retry_budget_ratio,
+        failure_domain=failure_domain,
+    )
--- a/tests/decision_helpers.py
+++ b/tests/decision_helpers.py
@@ -8,6 +8,7 @@
 from papayastall import _ingress_controller
 from papayastall import _owner_controller
 from papayastall import _service_policy
+from papayastall import documents
 
 SERVICE = "visits"
 OWNER = "10.0.0.1:7000"
@@ -16,7 +17,7 @@
 BOOKING = types.RequestKind.NON_IDEMPOTENT
 DETECTION = _service_policy.ServicePolicy(
     floor_slots=4,
-    health_priority=_service_policy.HealthPriority.DETECTION,
+    health_priority=documents.HealthPriority.DETECTION,
 )
 
 
--- a/tests/test_ingress_controller.py
+++ b/tests/test_ingress_controller.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import decision_helpers as helpers
 from papayastall import _decision_types as types
 from papayastall import exceptions
+from tests import decision_helpers as helpers
 
 
 def _ended(
--- a/tests/test_owner_controller.py
+++ b/tests/test_owner_controller.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import decision_helpers as helpers
 from papayastall import _decision_types as types
 from papayastall import _owner_state
 from papayastall import exceptions
+from tests import decision_helpers as helpers
 
 
 def test_a_free_slot_dispatches_and_a_full_upstream_queues() -> None:
@@ -61,6 +61,6 @@
     [refusal] = owner.submit(0.0, helpers.owner_request(2))
     assert isinstance(refusal, types.RefuseRequest)
     assert refusal.code is exceptions.ErrorCode.LEAVING
-    assert not owner.drained(0.0, helpers.UPSTREAM)
+    assert not owner.drained(helpers.UPSTREAM)
     owner.finished(0.1, 1, types.Outcome.ANSWERED)
-    assert owner.drained(0.1, helpers.UPSTREAM)
+    assert owner.drained(helpers.UPSTREAM)
