--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -70,7 +70,9 @@
         not pending.tried
     ):
         doubted = [
-            view for view in untried if view.is_silent or view.is_steered()
+            view
+            for view in untried
+            if view.is_silent or view.is_steered(now_s)
         ]
         if doubted and rng.random() < tuning.trial_ratio:
             return OwnerChoice(rng.choice(doubted), False)
