--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -7,11 +7,13 @@
 import sys
 import time
 import typing as t
+import urllib.parse
 
 import httpcore
 import orjson
 
 from papayastall import _control_client
+from papayastall import _histogram_report
 from papayastall import _tables
 from papayastall import exceptions
 
@@ -21,6 +23,7 @@
     "apply",
     "demo",
     "drain",
+    "histograms",
     "print_data",
     "show",
     "status",
@@ -150,6 +153,19 @@
     print_data(arguments, answer, f"{upstream} may serve again")
 
 
+def histograms(arguments: Arguments) -> None:
+    """Draw the histograms of one node."""
+    wanted = {
+        name: arguments[f"--{name}"]
+        for name in ("service", "team")
+        if arguments[f"--{name}"] is not None
+    }
+    query = f"?{urllib.parse.urlencode(wanted)}" if wanted else ""
+    answer = connect(arguments).get(f"/v1/histograms{query}")
+    text = _histogram_report.draw(answer["histograms"])
+    print_data(arguments, answer, text)
+
+
 def demo(arguments: Arguments) -> None:
     """Send a lookup and a booking through a node and print the answers."""
     address = arguments["<caller-address>"]
--- a/src/papayastall/cli.py
+++ b/src/papayastall/cli.py
@@ -116,6 +116,7 @@
     "upstreams": _cli_commands.upstreams,
     "drain": _cli_commands.drain,
     "undrain": _cli_commands.undrain,
+    "histograms": _cli_commands.histograms,
     "demo": _cli_commands.demo,
     "version": _print_version,
 }
--- /dev/null
+++ b/src/papayastall/metrics.py
@@ -0,0 +1,219 @@
+"""Counters and gauges, sent to statsd in batches.
+
+Counting adds to a dictionary in memory; once a second the sums since the
+last time leave in as few datagrams as they fit. ``docs/metrics.md`` lists
+the names; it is compared with this module by a test.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import anyio
+import statsd
+
+from papayastall import _checking
+
+__all__ = ["Counter", "Description", "Gauge", "Metrics"]
+
+FLUSH_INTERVAL_S = 1.0
+MAX_DATAGRAM_BYTES = 1_400
+MAX_SERIES = 20_000
+
+NAME_PREFIX = "papayastall"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Description:
+    """A metric's name, unit and meaning.
+
+    :param by_service: whether the service's name is appended.
+    """
+
+    name: str
+    unit: str
+    meaning: str
+    by_service: bool = False
+
+
+class Counter(enum.Enum):
+    """What is counted; statsd sums it over the nodes."""
+
+    REQUESTS = Description(
+        "requests", "requests", "taken from callers at this ingress", True
+    )
+    ANSWERS = Description(
+        "answers", "requests", "whole answers relayed to callers", True
+    )
+    REFUSALS = Description(
+        "refusals", "requests", "refused to callers as not run", True
+    )
+    UNKNOWN_OUTCOMES = Description(
+        "unknown_outcomes",
+        "requests",
+        "callers told that nobody knows whether it ran",
+        True,
+    )
+    CANCELLED = Description(
+        "cancelled", "requests", "given up by their callers", True
+    )
+    ATTEMPTS = Description(
+        "attempts", "attempts", "sent to owners, first ones included", True
+    )
+    RETRIES = Description(
+        "retries", "attempts", "second and later attempts", True
+    )
+    HEDGES = Description(
+        "hedges", "attempts", "sent beside one still running", True
+    )
+    DISPATCHES = Description(
+        "dispatches", "requests", "handed to an upstream by this owner", True
+    )
+    SHEDS = Description(
+        "sheds", "requests", "refused by an upstream as not run", True
+    )
+    QUEUE_DROPS = Description(
+        "queue_drops", "requests", "dropped from this owner's queue", True
+    )
+    UPSTREAM_FAILURES = Description(
+        "upstream_failures", "requests", "failed at an upstream", True
+    )
+    EJECTIONS = Description(
+        "ejections", "upstreams", "ejected with a permit", True
+    )
+    RETURNS = Description(
+        "returns", "upstreams", "returned from an ejection", True
+    )
+    STEERINGS = Description(
+        "steerings", "upstreams", "steered away from", True
+    )
+    PERMITS_DENIED = Description(
+        "permits_denied", "permits", "denied to keep the floor", True
+    )
+    CLAIMS = Description("claims", "keys", "idempotency keys claimed")
+    CLAIM_REPEATS = Description(
+        "claim_repeats", "requests", "resent with a key already claimed"
+    )
+    CRASHING_REFUSALS = Description(
+        "crashing_refusals", "requests", "refused since they crash upstreams"
+    )
+    CALLER_PROTOCOL_ERRORS = Description(
+        "caller_protocol_errors", "connections", "bad input from callers"
+    )
+    LINK_OPENS = Description("link_opens", "links", "opened to other nodes")
+    LINK_FAILURES = Description(
+        "link_failures", "links", "lost or found silent"
+    )
+    LINK_SENT_BYTES = Description(
+        "link_sent_bytes", "bytes", "sent to other nodes over links"
+    )
+    GOSSIP_SENT_BYTES = Description(
+        "gossip_sent_bytes", "bytes", "sent to other nodes as datagrams"
+    )
+    GOSSIP_REFUSED = Description(
+        "gossip_refused", "datagrams", "with a wrong digest or form"
+    )
+    CONFIG_CHANGES = Description(
+        "config_changes", "documents", "that came into force here"
+    )
+    ELECTIONS = Description("elections", "elections", "started by this node")
+    FSYNCS = Description("fsyncs", "calls", "of fsync on the data folder")
+    METRICS_DROPPED = Description(
+        "metrics_dropped", "series", "not counted: too many at once"
+    )
+
+
+class Gauge(enum.Enum):
+    """Values of this node; the node's address is part of the name."""
+
+    IN_FLIGHT = Description("in_flight", "requests", "in flight at this node")
+    QUEUED = Description("queued", "requests", "waiting at this owner")
+    LINKS = Description("links", "links", "open to other nodes")
+    UPSTREAMS = Description("upstreams", "upstreams", "owned by this node")
+    MEMBERS_ALIVE = Description("members_alive", "nodes", "alive as seen here")
+    CONFIG_INDEX = Description("config_index", "index", "in force here")
+    LOOP_DELAY = Description(
+        "loop_delay_ms", "ms", "by which the event loop is late"
+    )
+
+
+class Metrics:
+    """Sums counters in memory and sends them to statsd.
+
+    :param address: of statsd; ``None`` counts without sending.
+    :param node: the node's link address, part of the names of gauges.
+    """
+
+    def __init__(self, address: str | None, node: str) -> None:
+        self._node = _clean(node)
+        self._address = address
+        self._client: statsd.StatsClient | None = None
+        self._sums: dict[tuple[Counter, str | None], int] = {}
+        self._gauges: dict[Gauge, float] = {}
+
+    def start(self) -> None:
+        """Open the socket to statsd."""
+        if self._address is None:
+            return
+        host, port = _checking.parse_address(self._address)
+        self._client = statsd.StatsClient(
+            host,
+            port,
+            prefix=NAME_PREFIX,
+            maxudpsize=MAX_DATAGRAM_BYTES,
+            ipv6=":" in host,
+        )
+
+    def close(self) -> None:
+        """Send what is left and close the socket."""
+        if self._client is not None:
+            self.flush()
+            self._client.close()
+            self._client = None
+
+    def count(
+        self, counter: Counter, amount: int = 1, service: str | None = None
+    ) -> None:
+        """Add to a counter."""
+        key = (counter, service)
+        previous = self._sums.get(key)
+        if previous is None and len(self._sums) >= MAX_SERIES:
+            key, amount = (Counter.METRICS_DROPPED, None), 1
+            previous = self._sums.get(key)
+        self._sums[key] = (previous or 0) + amount
+
+    def set(self, gauge: Gauge, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[gauge] = value
+
+    def flush(self) -> None:
+        """Send all sums since the last flush and the gauges."""
+        sums, self._sums = self._sums, {}
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipeline:
+            for (counter, service), amount in sums.items():
+                pipeline.incr(_make_name(counter.value, service), amount)
+            for gauge, value in self._gauges.items():
+                pipeline.gauge(f"{gauge.value.name}.{self._node}", value)
+
+    async def run(self) -> None:
+        """Flush once a second until cancelled."""
+        while True:
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            self.flush()
+
+
+def _make_name(description: Description, service: str | None) -> str:
+    if service is None:
+        return description.name
+    return f"{description.name}.{_clean(service)}"
+
+
+def _clean(text: str) -> str:
+    """Replace what has a meaning in statsd's names."""
+    return "".join(
+        letter if letter.isalnum() or letter in "-_" else "_"
+        for letter in text
+    )
