--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -191,6 +191,8 @@
             attempt.received_bytes += len(frame.data)
             attempt.chunks.append(frame.data)
         if frame.last:
+            attempt.waiting_ms = frame.waiting_ms
+            attempt.upstream_ms = frame.upstream_ms
             self._complete(attempt)
         attempt.exchange.notify()
 
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -36,6 +36,8 @@
     received_bytes: int = 0
     complete: bool = False
     broken: bool = False
+    waiting_ms: float = 0.0
+    upstream_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -134,12 +134,18 @@
 
 @dataclasses.dataclass(slots=True)
 class AnswerChunk:
-    """A part of an answer's body at its offset."""
+    """A part of an answer's body at its offset.
+
+    :param waiting_ms: time in the owner's queue, on the last part.
+    :param upstream_ms: time at the upstream, on the last part.
+    """
 
     request_id: int
     offset_bytes: int
     data: bytes
     last: bool
+    waiting_ms: float = 0.0
+    upstream_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -24,6 +24,8 @@
 
     :param local_id: number of the request in the owner's controller.
     :param deadline_s: on this process's monotonic clock.
+    :param arrived_s: when the request came in, on the same clock.
+    :param waiting_ms: time until it was handed to an upstream.
     :param unacknowledged: answer parts that the ingress may still lack.
     """
 
@@ -31,6 +33,8 @@
     local_id: int
     open: _frames.Open
     deadline_s: float
+    arrived_s: float = 0.0
+    waiting_ms: float = 0.0
     body: bytearray = dataclasses.field(default_factory=bytearray)
     submitted: bool = False
     dispatched: bool = False
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -24,8 +24,9 @@
 from papayastall import blackboard as blackboards
 from papayastall import documents
 from papayastall import exceptions
+from papayastall import histograms
 
-__all__ = ["ClaimGate", "Ingress", "KeptAnswer", "Timing"]
+__all__ = ["ClaimGate", "Ingress", "KeptAnswer"]
 
 BODY_TIMEOUT_S = 10.0
 MAX_TEAM_LENGTH = 64
@@ -68,22 +69,11 @@
         """Free the key of a request that did not run."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Timing:
-    """How long a request took at its ingress, for the histograms."""
-
-    service: str
-    route: str
-    team: str
-    status: int
-    total_ms: float
-
-
 class Ingress:
     """Answers callers; one instance per node.
 
     :param claims: gate for idempotency keys; ``None`` refuses them.
-    :param note_timing: told of each request that got an answer.
+    :param note_sample: told the times of each answered request.
     """
 
     def __init__(
@@ -91,12 +81,14 @@
         blackboard: blackboards.Blackboard,
         attempts: _attempts.AttemptSender,
         claims: ClaimGate | None = None,
-        note_timing: cabc.Callable[[Timing], None] = lambda timing: None,
+        note_sample: cabc.Callable[
+            [histograms.Sample], None
+        ] = lambda sample: None,
     ) -> None:
         self._blackboard = blackboard
         self._attempts = attempts
         self._claims = claims
-        self._note_timing = note_timing
+        self._note_sample = note_sample
         self._request_ids = itertools.count(1)
         self.open_requests = 0
 
@@ -125,14 +117,9 @@
         except exceptions.PapayastallError as error:
             await reply.send_problem(_problem.problem_of(error))
             return
-        timing = Timing(
-            exchange.request.service,
-            exchange.request.route,
-            exchange.request.team,
-            reply.status,
-            (time.monotonic() - started_s) * 1000,
-        )
-        self._note_timing(timing)
+        if exchange.chosen is not None:
+            total_ms = (time.monotonic() - started_s) * 1000
+            self._note_sample(_make_sample(exchange, total_ms))
 
     async def _read(
         self, scope: Scope, receive: Receive, started_s: float
@@ -291,6 +278,22 @@
         await reply.finish(b"")
 
 
+def _make_sample(
+    exchange: _exchange.Exchange, total_ms: float
+) -> histograms.Sample:
+    attempt = exchange.chosen
+    assert attempt is not None
+    request = exchange.request
+    return histograms.Sample(
+        service=request.service,
+        kind=request.kind,
+        team=request.team,
+        added_ms=max(0.0, total_ms - attempt.upstream_ms),
+        waiting_ms=attempt.waiting_ms,
+        upstream_ms=attempt.upstream_ms,
+    )
+
+
 class _Aborted(Exception):
     """Makes the HTTP server cut the connection of a broken answer."""
 
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -144,6 +144,7 @@
         run = self._runs.add(key, frame, deadline_s)
         if run is None:
             return
+        run.arrived_s = time.monotonic()
         run.body += frame.body
         if not frame.body_follows:
             self._submit(run)
@@ -293,7 +294,9 @@
             idempotent=run.open.idempotent,
         )
         outcome = Outcome.CANCELLED
-        timeout_s = run.deadline_s - time.monotonic()
+        started_s = time.monotonic()
+        run.waiting_ms = (started_s - run.arrived_s) * 1000
+        timeout_s = run.deadline_s - started_s
         assert run.scope is not None
         with run.scope:
             outcome = await self._client.run(request, timeout_s, sink)
@@ -304,8 +307,9 @@
             time.monotonic(), run.local_id, outcome
         )
         if whole:
-            self.send_chunk(run, b"", last=True)
             run.ended_s = time.monotonic()
+            upstream_ms = (run.ended_s - started_s) * 1000
+            self.send_chunk(run, b"", last=True, upstream_ms=upstream_ms)
         elif outcome is Outcome.CANCELLED:
             self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=True)
         self.perform(actions)
@@ -350,11 +354,21 @@
         self._links.send(run.ingress, run.head)
 
     def send_chunk(
-        self, run: _owner_runs.Run, data: bytes, *, last: bool
+        self,
+        run: _owner_runs.Run,
+        data: bytes,
+        *,
+        last: bool,
+        upstream_ms: float = 0.0,
     ) -> None:
         """Send a part of an answer and keep it until acknowledged."""
         chunk = _frames.AnswerChunk(
-            run.open.request_id, run.sent_bytes, data, last
+            run.open.request_id,
+            run.sent_bytes,
+            data,
+            last,
+            run.waiting_ms,
+            upstream_ms,
         )
         run.sent_bytes += len(data)
         run.unacknowledged.append(chunk)
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -78,6 +78,8 @@
   2: i64 offset_bytes,
   3: binary data,
   4: bool last,
+  5: double waiting_ms,
+  6: double upstream_ms,
 }
 
 struct Refuse {
