--- /dev/null
+++ b/src/papayastall/_member_table.py
@@ -0,0 +1,376 @@
+"""The members and adverts that one node knows, with their digests.
+
+Records lie in leaves by the hash of their owner's address, and leaves in
+branches. The digest of a leaf is the exclusive or of its records' hashes,
+so that a change costs the same at any size. Dead and departed members do
+not count, so that forgetting them changes no digest.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import sys
+
+import xxhash
+
+from papayastall import _decision_types
+from papayastall import _membership_types as types
+
+__all__ = ["BRANCH_COUNT", "LEAF_COUNT", "MemberTable"]
+
+BRANCH_COUNT = 64
+LEAVES_PER_BRANCH = 64
+LEAF_COUNT = BRANCH_COUNT * LEAVES_PER_BRANCH
+MAX_SUSPECTERS = 2
+CURSOR_SHIFT = 16
+DIGEST_MASK = 0xFFFFFFFF
+
+Records = tuple[tuple[types.MemberRecord, ...], tuple[types.AdvertRecord, ...]]
+
+
+def _is_gone(state: types.MemberState) -> bool:
+    return state >= types.MemberState.DEAD
+
+
+def _hash(*parts: str | int) -> int:
+    text = "\0".join(str(part) for part in parts)
+    return xxhash.xxh32_intdigest(text.encode())
+
+
+def _advert_hash(advert: types.AdvertRecord) -> int:
+    return _hash(advert.owner, advert.service, advert.version, advert.slots)
+
+
+class MemberTable:
+    """Merges records; the newest statement about each thing wins."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, types.Member] = {}
+        self.digest = 0
+        self._adverts: dict[str, dict[str, types.AdvertRecord]] = {}
+        self._offers: dict[str, dict[str, _decision_types.OwnerAdvert]] = {}
+        self._live: list[str] = []
+        self._live_index: dict[str, int] = {}
+        self._gone_since_s: dict[str, float] = {}
+        self._leaf_addresses: dict[int, set[str]] = {}
+        self._branches = [0] * BRANCH_COUNT
+        self._leaves = [0] * LEAF_COUNT
+
+    @property
+    def live(self) -> cabc.Sequence[str]:
+        """Addresses of the members that are neither dead nor departed."""
+        return self._live
+
+    @property
+    def dead(self) -> list[str]:
+        """Addresses of the members thought dead."""
+        dead = types.MemberState.DEAD
+        return [
+            address
+            for address in self._gone_since_s
+            if self.members[address].state is dead
+        ]
+
+    def offers(self, service: str) -> list[_decision_types.OwnerAdvert]:
+        """Return the offers of a service by live members."""
+        return list(self._offers.get(service, {}).values())
+
+    def own_adverts(self, owner: str) -> dict[str, types.AdvertRecord]:
+        """Return the records of one owner's adverts by service."""
+        return self._adverts.get(owner, {})
+
+    def member_record(self, address: str) -> types.MemberRecord | None:
+        """Return the present statement about a member."""
+        member = self.members.get(address)
+        if member is None:
+            return None
+        return types.MemberRecord(
+            member.address,
+            member.datagram_address,
+            member.incarnation,
+            member.failure_domain,
+            member.state,
+            member.suspecters,
+        )
+
+    def advert_record(
+        self, owner: str, service: str
+    ) -> types.AdvertRecord | None:
+        """Return the present record of one advert."""
+        return self._adverts.get(owner, {}).get(service)
+
+    def merge_member(
+        self, record: types.MemberRecord, now_s: float
+    ) -> list[types.MembershipEvent] | None:
+        """Take a statement; return its events, or ``None`` if not news."""
+        member = self.members.get(record.address)
+        if member is None:
+            return self._add(record, now_s)
+        if record.incarnation > member.incarnation:
+            return self._renew(member, record, now_s)
+        if record.incarnation < member.incarnation:
+            return None
+        return self._advance(member, record, now_s)
+
+    def merge_advert(
+        self, record: types.AdvertRecord
+    ) -> list[types.MembershipEvent] | None:
+        """Take an advert; return its events, or ``None`` if not news."""
+        member = self.members.get(record.owner)
+        if member is None:
+            return None
+        boot = types.boot_of(member.incarnation)
+        known = self._adverts.get(record.owner, {}).get(record.service)
+        if types.boot_of(record.version) < boot:
+            return None
+        if known is not None and known.version >= record.version:
+            return None
+        service = sys.intern(record.service)
+        adverts = self._adverts.setdefault(member.address, {})
+        adverts[service] = record
+        if _is_gone(member.state):
+            return []
+        if known is not None:
+            self._flip(member.address, _advert_hash(known))
+        self._flip(member.address, _advert_hash(record))
+        return self._offer(member, record)
+
+    def expire(self, now_s: float, keep_s: float) -> None:
+        """Forget the members that have been gone for this long."""
+        old = [
+            address
+            for address, since_s in self._gone_since_s.items()
+            if now_s - since_s > keep_s
+        ]
+        for address in old:
+            del self._gone_since_s[address]
+            del self.members[address]
+            self._adverts.pop(address, None)
+            self._leaf_addresses[_leaf_of(address)].discard(address)
+
+    def branch_digests(self) -> tuple[int, ...]:
+        """Return the digest of each branch."""
+        return tuple(self._branches)
+
+    def leaf_digests(self, branch: int) -> tuple[int, ...]:
+        """Return the digest of each leaf of a branch."""
+        start = branch * LEAVES_PER_BRANCH
+        return tuple(self._leaves[start : start + LEAVES_PER_BRANCH])
+
+    def leaf_records(self, leaf: int) -> tuple[types.Record, ...]:
+        """Return all records of a leaf, each member before its adverts."""
+        records: list[types.Record] = []
+        for address in sorted(self._leaf_addresses.get(leaf, ())):
+            member = self.member_record(address)
+            assert member is not None
+            records.append(member)
+            records.extend(self._adverts.get(address, {}).values())
+        return tuple(records)
+
+    def page(
+        self, cursor: int, size_bytes: int
+    ) -> tuple[tuple[types.Record, ...], int]:
+        """Return records from a cursor on, and the next cursor or -1."""
+        page: list[types.Record] = []
+        first_leaf = cursor >> CURSOR_SHIFT
+        skip = cursor & ((1 << CURSOR_SHIFT) - 1)
+        for leaf in range(first_leaf, LEAF_COUNT):
+            records = self.leaf_records(leaf)
+            start = skip if leaf == first_leaf else 0
+            for offset in range(start, len(records)):
+                size_bytes -= records[offset].size_bytes
+                if size_bytes < 0:
+                    return tuple(page), leaf << CURSOR_SHIFT | offset
+                page.append(records[offset])
+        return tuple(page), -1
+
+    def _add(
+        self, record: types.MemberRecord, now_s: float
+    ) -> list[types.MembershipEvent] | None:
+        address = sys.intern(record.address)
+        member = types.Member(
+            address,
+            record.datagram_address,
+            record.incarnation,
+            sys.intern(record.failure_domain),
+            record.state,
+            record.suspecters,
+        )
+        self.members[address] = member
+        leaf_addresses = self._leaf_addresses.setdefault(
+            _leaf_of(address), set()
+        )
+        leaf_addresses.add(address)
+        if _is_gone(record.state):
+            self._gone_since_s[address] = now_s
+            return None
+        events: list[types.MembershipEvent] = [
+            types.MemberJoined(address, member.failure_domain, False)
+        ]
+        self._enter(member)
+        events.extend(_state_events(member))
+        return events
+
+    def _renew(
+        self, member: types.Member, record: types.MemberRecord, now_s: float
+    ) -> list[types.MembershipEvent]:
+        was = member.state
+        restarted = types.boot_of(record.incarnation) > types.boot_of(
+            member.incarnation
+        )
+        events: list[types.MembershipEvent] = []
+        if not _is_gone(was):
+            self._flip(member.address, _hash(*_identity(member)))
+        member.incarnation = record.incarnation
+        member.datagram_address = record.datagram_address
+        member.failure_domain = sys.intern(record.failure_domain)
+        if not _is_gone(was):
+            self._flip(member.address, _hash(*_identity(member)))
+        if restarted:
+            events.extend(self._drop_former_adverts(member))
+            member.answers = True
+        if was is types.MemberState.SUSPECT and not _is_gone(record.state):
+            events.append(types.MemberRefuted(member.address))
+        if restarted and not _is_gone(was) and not _is_gone(record.state):
+            events.append(
+                types.MemberJoined(member.address, member.failure_domain, True)
+            )
+        events.extend(self._set_state(member, record, now_s, restarted))
+        return events
+
+    def _advance(
+        self, member: types.Member, record: types.MemberRecord, now_s: float
+    ) -> list[types.MembershipEvent] | None:
+        if record.state > member.state:
+            return self._set_state(member, record, now_s, False)
+        suspect = types.MemberState.SUSPECT
+        if record.state is not suspect or member.state is not suspect:
+            return None
+        missing = [
+            peer for peer in record.suspecters if peer not in member.suspecters
+        ]
+        both = (*member.suspecters, *missing)[:MAX_SUSPECTERS]
+        if both == member.suspecters:
+            return None
+        member.suspecters = both
+        return []
+
+    def _set_state(
+        self,
+        member: types.Member,
+        record: types.MemberRecord,
+        now_s: float,
+        restarted: bool,
+    ) -> list[types.MembershipEvent]:
+        was = member.state
+        member.state = record.state
+        member.suspecters = record.suspecters[:MAX_SUSPECTERS]
+        events: list[types.MembershipEvent] = []
+        if _is_gone(was) and not _is_gone(record.state):
+            events.append(
+                types.MemberJoined(
+                    member.address, member.failure_domain, restarted
+                )
+            )
+            events.extend(self._enter(member))
+        elif not _is_gone(was) and _is_gone(record.state):
+            events.extend(self._exit(member, now_s))
+        if was is not record.state:
+            events.extend(_state_events(member))
+        return events
+
+    def _enter(self, member: types.Member) -> list[types.MembershipEvent]:
+        self._gone_since_s.pop(member.address, None)
+        self._live_index[member.address] = len(self._live)
+        self._live.append(member.address)
+        self._flip(member.address, _hash(*_identity(member)))
+        events: list[types.MembershipEvent] = []
+        for advert in self._adverts.get(member.address, {}).values():
+            self._flip(member.address, _advert_hash(advert))
+            events.extend(self._offer(member, advert))
+        return events
+
+    def _exit(
+        self, member: types.Member, now_s: float
+    ) -> list[types.MembershipEvent]:
+        self._gone_since_s[member.address] = now_s
+        index = self._live_index.pop(member.address)
+        last = self._live.pop()
+        if last != member.address:
+            self._live[index] = last
+            self._live_index[last] = index
+        self._flip(member.address, _hash(*_identity(member)))
+        events: list[types.MembershipEvent] = []
+        for advert in self._adverts.get(member.address, {}).values():
+            self._flip(member.address, _advert_hash(advert))
+            events.extend(self._withdraw(member, advert.service))
+        return events
+
+    def _drop_former_adverts(
+        self, member: types.Member
+    ) -> list[types.MembershipEvent]:
+        boot = types.boot_of(member.incarnation)
+        adverts = self._adverts.get(member.address, {})
+        events: list[types.MembershipEvent] = []
+        for advert in list(adverts.values()):
+            if types.boot_of(advert.version) >= boot:
+                continue
+            del adverts[advert.service]
+            if not _is_gone(member.state):
+                self._flip(member.address, _advert_hash(advert))
+                events.extend(self._withdraw(member, advert.service))
+        return events
+
+    def _offer(
+        self, member: types.Member, record: types.AdvertRecord
+    ) -> list[types.MembershipEvent]:
+        if record.slots == 0:
+            return self._withdraw(member, record.service)
+        offer = _decision_types.OwnerAdvert(
+            member.address,
+            sys.intern(record.service),
+            member.failure_domain,
+            record.slots,
+        )
+        offers = self._offers.setdefault(offer.service, {})
+        if offers.get(member.address) == offer:
+            return []
+        offers[member.address] = offer
+        return [types.AdvertChanged(offer)]
+
+    def _withdraw(
+        self, member: types.Member, service: str
+    ) -> list[types.MembershipEvent]:
+        offers = self._offers.get(service, {})
+        if offers.pop(member.address, None) is None:
+            return []
+        if not offers:
+            del self._offers[service]
+        offer = _decision_types.OwnerAdvert(
+            member.address, service, member.failure_domain, 0
+        )
+        return [types.AdvertChanged(offer)]
+
+    def _flip(self, address: str, value: int) -> None:
+        leaf = _leaf_of(address)
+        self._leaves[leaf] ^= value
+        self._branches[leaf // LEAVES_PER_BRANCH] ^= value
+        self.digest ^= value
+
+
+def _leaf_of(address: str) -> int:
+    return xxhash.xxh32_intdigest(address.encode()) % LEAF_COUNT
+
+
+def _identity(member: types.Member) -> tuple[str, int]:
+    return member.address, member.incarnation
+
+
+def _state_events(member: types.Member) -> list[types.MembershipEvent]:
+    match member.state:
+        case types.MemberState.ALIVE:
+            return []
+        case types.MemberState.SUSPECT:
+            return [types.MemberSuspect(member.address)]
+        case _:
+            return [types.MemberLeft(member.address, member.state)]
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -1,4 +1,11 @@
-"""Membership of the fleet by gossip, without I/O."""
+"""Membership of the fleet by gossip, without I/O.
+
+Each node probes one member a second, spreads news on its datagrams and
+repairs what was lost by comparing digests, all at a cost that does not
+grow with the fleet. A member is called dead only when two nodes with
+working links of their own had no answer from it and it did not refute
+that in time.
+"""
 
 from __future__ import annotations
 
@@ -7,9 +14,22 @@
 import random
 
 from papayastall import _decision_types
+from papayastall import _gossip_queue
+from papayastall import _member_table
 from papayastall import _membership_types as types
+from papayastall import _prober
+from papayastall import _reconciler
+from papayastall import _suspicions
+
+__all__ = ["TICK_INTERVAL_S", "Membership", "MembershipSettings"]
 
-__all__ = ["Membership", "MembershipSettings"]
+TICK_INTERVAL_S = 0.1
+GOSSIP_INTERVAL_S = 0.25
+GOSSIP_RECORDS_BYTES = 400
+FREEZE_GAP_S = 1.0
+RECONTACT_INTERVAL_S = 10.0
+KEEP_GONE_S = 7200.0
+GOODBYE_COUNT = 5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -38,40 +58,380 @@
     def __init__(
         self, settings: MembershipSettings, rng: random.Random, now_s: float
     ) -> None:
-        raise NotImplementedError
+        self._address = settings.address
+        self._rng = rng
+        self._seeds = tuple(
+            seed
+            for seed in settings.seeds
+            if seed != settings.datagram_address
+        )
+        self._table = _member_table.MemberTable()
+        self._queue = _gossip_queue.GossipQueue(self._table)
+        self._prober = _prober.Prober(
+            settings.address, self._table, rng, now_s
+        )
+        self._reconciler = _reconciler.Reconciler(
+            settings.address, self._table, self._seeds, rng, now_s
+        )
+        self._state = types.MemberState.ALIVE
+        self._config_index = 0
+        self._last_run_s = now_s
+        self._suspicions = _suspicions.Suspicions(
+            settings.address, self._table, rng, now_s
+        )
+        self._next_gossip_s = now_s
+        self._next_recontact_s = now_s + RECONTACT_INTERVAL_S
+        incarnation = settings.boot_ms << types.BOOT_SHIFT
+        self._version = incarnation
+        self._own = types.MemberRecord(
+            settings.address,
+            settings.datagram_address,
+            incarnation,
+            settings.failure_domain,
+            types.MemberState.ALIVE,
+        )
+        self._table.merge_member(self._own, now_s)
+        self._queue.add_member(self._address)
+
+    @property
+    def address(self) -> str:
+        """Own link address."""
+        return self._address
+
+    @property
+    def is_joining(self) -> bool:
+        """Whether this node still reads the fleet's table from others."""
+        return self._reconciler.is_reading
 
     def tick(self, now_s: float) -> list[types.MembershipAction]:
         """Run what is due; call it every :data:`TICK_INTERVAL_S`."""
-        raise NotImplementedError
+        self._notice_freeze(now_s)
+        actions: list[types.MembershipAction] = []
+        for action in self._prober.tick(now_s):
+            match action:
+                case _prober.ProbeFailed(address, confirmed):
+                    actions.extend(self._suspect(now_s, address, confirmed))
+                case _prober.ProbeMessage():
+                    actions.append(self._probe_datagram(action))
+        actions.extend(self._end_suspicions(now_s))
+        actions.extend(self._repair(self._reconciler.tick(now_s)))
+        actions.extend(self._spread(now_s))
+        actions.extend(self._recontact(now_s))
+        return actions
 
     def receive(
         self, now_s: float, datagram: types.Datagram, source: str
     ) -> list[types.MembershipAction]:
         """Take a datagram that came from this datagram address."""
-        raise NotImplementedError
+        self._notice_freeze(now_s)
+        if datagram.sender == self._address:
+            return []
+        self._suspicions.hear(now_s, datagram.sender)
+        actions = self._merge(now_s, datagram)
+        actions.extend(self._note_sender(datagram))
+        actions.extend(self._answer(now_s, datagram, source))
+        compared = self._reconciler.compare(now_s, source, datagram.digest)
+        actions.extend(self._repair(compared))
+        return actions
 
     def set_adverts(
         self, now_s: float, adverts: cabc.Sequence[_decision_types.OwnerAdvert]
     ) -> list[types.MembershipAction]:
         """Replace all that this node offers."""
-        raise NotImplementedError
+        wanted = {advert.service: advert.slots for advert in adverts}
+        known = self._table.own_adverts(self._address)
+        for service, record in known.items():
+            if record.slots:
+                wanted.setdefault(service, 0)
+        actions: list[types.MembershipAction] = []
+        for service, slots in wanted.items():
+            former = known.get(service)
+            if (former.slots if former else 0) != slots:
+                actions.extend(self._advertise(service, slots))
+        return actions
 
     def set_config_index(self, config_index: int) -> None:
         """Tell peers from now on that this config index was seen."""
-        raise NotImplementedError
+        self._config_index = max(self._config_index, config_index)
 
     def leave(self, now_s: float) -> list[types.MembershipAction]:
         """Say that this node is leaving and withdraw its adverts."""
-        raise NotImplementedError
+        actions = self.set_adverts(now_s, [])
+        self._state = types.MemberState.LEAVING
+        actions.extend(self._restate(now_s, self._own.incarnation + 1))
+        return actions
 
     def depart(self, now_s: float) -> list[types.MembershipAction]:
         """Say goodbye; the node sends nothing more after this."""
-        raise NotImplementedError
+        self._state = types.MemberState.LEFT
+        actions = self._restate(now_s, self._own.incarnation + 1)
+        others = self._others()
+        for address in self._rng.sample(
+            others, min(len(others), GOODBYE_COUNT)
+        ):
+            member = self._table.members[address]
+            actions.append(
+                self._datagram(
+                    member.datagram_address, types.Gossip(), (self._own,)
+                )
+            )
+        return actions
 
     def members(self) -> list[types.Member]:
         """Return the live members, this node among them."""
-        raise NotImplementedError
+        return [self._table.members[address] for address in self._table.live]
+
+    def member(self, address: str) -> types.Member | None:
+        """Return what is known of a member, dead and departed as well."""
+        return self._table.members.get(address)
 
     def adverts(self, service: str) -> list[_decision_types.OwnerAdvert]:
         """Return the offers of a service by live members."""
-        raise NotImplementedError
+        return self._table.offers(service)
+
+    def _notice_freeze(self, now_s: float) -> None:
+        """Doubt own evidence after this process did not run for long."""
+        gap_s = now_s - self._last_run_s
+        self._last_run_s = now_s
+        if gap_s <= FREEZE_GAP_S:
+            return
+        self._prober.forget_all()
+        self._suspicions.freeze(now_s, gap_s)
+        self._queue.add_member(self._address)
+
+    def _suspect(
+        self, now_s: float, address: str, confirmed: bool
+    ) -> list[types.MembershipAction]:
+        record = self._table.member_record(address)
+        if record is None or not confirmed:
+            return []
+        if not self._suspicions.trusts_itself(now_s):
+            return []
+        suspicion = dataclasses.replace(
+            record,
+            state=types.MemberState.SUSPECT,
+            suspecters=(self._address,),
+        )
+        return self._take_member(now_s, suspicion)
+
+    def _end_suspicions(self, now_s: float) -> list[types.MembershipAction]:
+        actions: list[types.MembershipAction] = []
+        for address in self._suspicions.ended(now_s):
+            record = self._table.member_record(address)
+            assert record is not None
+            dead = dataclasses.replace(record, state=types.MemberState.DEAD)
+            actions.extend(self._take_member(now_s, dead))
+        return actions
+
+    def _merge(
+        self, now_s: float, datagram: types.Datagram
+    ) -> list[types.MembershipAction]:
+        spread = not isinstance(datagram.body, types.Page)
+        actions: list[types.MembershipAction] = []
+        for record in datagram.records:
+            match record:
+                case types.MemberRecord(address) if address == self._address:
+                    actions.extend(self._refute(now_s, record))
+                case types.MemberRecord():
+                    actions.extend(self._take_member(now_s, record, spread))
+                case types.AdvertRecord(owner) if owner != self._address:
+                    actions.extend(self._take_advert(record, spread))
+        return actions
+
+    def _take_advert(
+        self, record: types.AdvertRecord, spread: bool
+    ) -> list[types.MembershipAction]:
+        events = self._table.merge_advert(record)
+        if events is None:
+            return []
+        if spread:
+            self._queue.add_advert(record.owner, record.service)
+        return list(events)
+
+    def _take_member(
+        self, now_s: float, record: types.MemberRecord, spread: bool = True
+    ) -> list[types.MembershipAction]:
+        events = self._table.merge_member(record, now_s)
+        if events is None:
+            return []
+        if spread:
+            self._queue.add_member(record.address)
+        member = self._table.members[record.address]
+        if member.state is types.MemberState.SUSPECT:
+            self._suspicions.open(now_s, record.address)
+        else:
+            self._suspicions.close(record.address)
+        return list(events)
+
+    def _refute(
+        self, now_s: float, record: types.MemberRecord
+    ) -> list[types.MembershipAction]:
+        """Answer a statement about this node that is not its own."""
+        own = self._own
+        if record.incarnation < own.incarnation:
+            return []
+        if types.boot_of(record.incarnation) > types.boot_of(own.incarnation):
+            boot_ms = types.boot_of(record.incarnation) + 1
+            incarnation = boot_ms << types.BOOT_SHIFT
+            actions = self._restate(now_s, incarnation)
+            known = self._table.own_adverts(self._address)
+            slots_by_service = {
+                advert.service: advert.slots for advert in known.values()
+            }
+            for service, slots in slots_by_service.items():
+                actions.extend(self._advertise(service, slots))
+            return actions
+        if record.state <= own.state and record.incarnation == own.incarnation:
+            return []
+        return self._restate(now_s, record.incarnation + 1)
+
+    def _restate(
+        self, now_s: float, incarnation: int
+    ) -> list[types.MembershipAction]:
+        self._own = dataclasses.replace(
+            self._own, incarnation=incarnation, state=self._state
+        )
+        self._version = max(self._version, incarnation)
+        return self._take_member(now_s, self._own)
+
+    def _advertise(
+        self, service: str, slots: int
+    ) -> list[types.MembershipAction]:
+        self._version += 1
+        record = types.AdvertRecord(
+            self._address, service, slots, self._version
+        )
+        events = self._table.merge_advert(record)
+        self._queue.add_advert(self._address, service)
+        return list(events or [])
+
+    def _note_sender(
+        self, datagram: types.Datagram
+    ) -> list[types.MembershipAction]:
+        member = self._table.members.get(datagram.sender)
+        if member is not None:
+            member.config_index = datagram.config_index
+        if datagram.config_index <= self._config_index:
+            return []
+        return [types.PeerConfigIndex(datagram.sender, datagram.config_index)]
+
+    def _answer(
+        self, now_s: float, datagram: types.Datagram, source: str
+    ) -> list[types.MembershipAction]:
+        sender = datagram.sender
+        match datagram.body:
+            case types.Ping(sequence):
+                ack = _prober.ProbeMessage(source, sender, types.Ack(sequence))
+                return [self._probe_datagram(ack)]
+            case types.Ack(sequence):
+                passed_on = self._prober.ack(sender, sequence)
+                return [self._probe_datagram(passed_on)] if passed_on else []
+            case types.PingRequest() as request:
+                ping = self._prober.help(now_s, source, request)
+                return [self._probe_datagram(ping)] if ping else []
+            case types.Nack(sequence):
+                self._prober.nack(sequence)
+                return []
+            case types.BranchDigests() as body:
+                return self._repair(
+                    self._reconciler.take_branches(now_s, source, body)
+                )
+            case types.LeafDigests() as body:
+                return self._repair(
+                    self._reconciler.take_leaf_digests(source, body)
+                )
+            case types.Leaves() as body:
+                return self._repair(self._reconciler.take_leaves(source, body))
+            case types.PageRequest() as body:
+                return self._repair([self._reconciler.give_page(source, body)])
+            case types.Page() as body:
+                return self._repair(self._reconciler.take_page(now_s, body))
+            case types.Gossip():
+                return []
+
+    def _spread(self, now_s: float) -> list[types.MembershipAction]:
+        others = len(self._table.live) > 1
+        if now_s < self._next_gossip_s or not len(self._queue) or not others:
+            return []
+        self._next_gossip_s = now_s + GOSSIP_INTERVAL_S
+        address = self._address
+        while address == self._address:
+            address = self._rng.choice(self._table.live)
+        member = self._table.members[address]
+        message = _prober.ProbeMessage(
+            member.datagram_address, address, types.Gossip()
+        )
+        return [self._probe_datagram(message)]
+
+    def _recontact(self, now_s: float) -> list[types.MembershipAction]:
+        """Try a member thought dead, or a seed that is no member."""
+        if now_s < self._next_recontact_s:
+            return []
+        self._next_recontact_s = now_s + RECONTACT_INTERVAL_S
+        self._table.expire(now_s, KEEP_GONE_S)
+        dead = self._table.dead
+        live = {member.datagram_address for member in self.members()}
+        strangers = [seed for seed in self._seeds if seed not in live]
+        candidates = [
+            *(
+                self._table.members[address].datagram_address
+                for address in dead
+            ),
+            *strangers,
+        ]
+        if not candidates:
+            return []
+        target = self._rng.choice(candidates)
+        ping = self._prober.contact(target)
+        records = [self._own]
+        for address in dead:
+            record = self._table.member_record(address)
+            if record is not None and record.datagram_address == target:
+                records.append(record)
+        return [self._datagram(target, ping.body, tuple(records))]
+
+    def _probe_datagram(
+        self, message: _prober.ProbeMessage
+    ) -> types.SendDatagram:
+        """Add news, and what the receiver may have to refute."""
+        accusation: tuple[types.MemberRecord, ...] = ()
+        if message.address is not None:
+            record = self._table.member_record(message.address)
+            if record and record.state >= types.MemberState.SUSPECT:
+                accusation = (record,)
+        records = (*accusation, *self._queue.take(GOSSIP_RECORDS_BYTES))
+        return self._datagram(message.datagram_address, message.body, records)
+
+    def _repair(
+        self, messages: cabc.Iterable[_reconciler.RepairMessage]
+    ) -> list[types.MembershipAction]:
+        actions: list[types.MembershipAction] = []
+        for message in messages:
+            records = message.records
+            if isinstance(message.body, types.PageRequest):
+                records = (self._own,)
+            actions.append(
+                self._datagram(message.datagram_address, message.body, records)
+            )
+        return actions
+
+    def _datagram(
+        self,
+        datagram_address: str,
+        body: types.Body,
+        records: tuple[types.Record, ...],
+    ) -> types.SendDatagram:
+        datagram = types.Datagram(
+            self._address,
+            self._own.incarnation,
+            self._config_index,
+            self._table.digest,
+            records,
+            body,
+        )
+        return types.SendDatagram(datagram_address, datagram)
+
+    def _others(self) -> list[str]:
+        return [
+            address for address in self._table.live if address != self._address
+        ]
--- a/src/papayastall/_membership_types.py
+++ b/src/papayastall/_membership_types.py
@@ -33,6 +33,7 @@
     "PeerConfigIndex",
     "Ping",
     "PingRequest",
+    "Record",
     "SendDatagram",
     "boot_of",
 ]
@@ -102,6 +103,9 @@
         return 36 + len(self.owner) + len(self.service.encode())
 
 
+Record = MemberRecord | AdvertRecord
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ping:
     """Asks the receiver for an :class:`Ack` of the same sequence."""
@@ -204,8 +208,7 @@
     incarnation: int
     config_index: int
     digest: int
-    members: tuple[MemberRecord, ...]
-    adverts: tuple[AdvertRecord, ...]
+    records: tuple[Record, ...]
     body: Body
 
 
