--- a/src/papayastall/_gossip.py
+++ b/src/papayastall/_gossip.py
@@ -4,11 +4,20 @@
 
 import collections.abc as cabc
 import dataclasses
+import socket
+import time
 
+import anyio
+import anyio.abc
+
+from papayastall import _gossip_codec
 from papayastall import _membership
 from papayastall import _membership_types as types
+from papayastall import exceptions
+
+__all__ = ["GossipCounters", "Gossiper"]
 
-__all__ = ["Gossiper", "GossipCounters"]
+RECEIVE_SIZE_BYTES = 2048
 
 
 @dataclasses.dataclass(slots=True)
@@ -17,6 +26,7 @@
 
     sent: int = 0
     sent_bytes: int = 0
+    send_failed: int = 0
     received: int = 0
     received_bytes: int = 0
     bad_key: int = 0
@@ -26,6 +36,7 @@
 class Gossiper:
     """Runs a :class:`Membership` on a UDP socket.
 
+    :param datagram_address: where to bind, ``ip:port``.
     :param keys: secrets of the fleet; the first one signs, all verify.
     :param on_event: runs for each event of the membership, in order.
     """
@@ -37,19 +48,96 @@
         keys: cabc.Sequence[bytes],
         on_event: cabc.Callable[[types.MembershipEvent], None],
     ) -> None:
-        raise NotImplementedError
+        self.counters = GossipCounters()
+        self._membership = membership
+        self._datagram_address = datagram_address
+        self._keys = tuple(keys)
+        self._on_event = on_event
+        self._socket: socket.socket | None = None
 
-    async def start(self) -> None:
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Bind the socket and start the tasks that send and receive.
 
+        :param tasks: group of the node; :meth:`close` ends the tasks.
         :raises OSError: the address can't be bound.
         """
-        raise NotImplementedError
+        host, port = _host_and_port(self._datagram_address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        udp = socket.socket(family, socket.SOCK_DGRAM)
+        udp.setblocking(False)
+        try:
+            udp.bind((host, port))
+        except OSError:
+            udp.close()
+            raise
+        self._socket = udp
+        tasks.start_soon(self._receive, udp)
+        tasks.start_soon(self._tick, udp)
 
     async def close(self) -> None:
         """Say goodbye to some members and close the socket."""
-        raise NotImplementedError
+        if self._socket is None:
+            return
+        self.send(self._membership.depart(time.monotonic()))
+        udp = self._socket
+        self._socket = None
+        anyio.notify_closing(udp)
+        udp.close()
 
     def send(self, actions: cabc.Iterable[types.MembershipAction]) -> None:
         """Carry out actions of a direct call to the membership."""
-        raise NotImplementedError
+        for action in actions:
+            if isinstance(action, types.SendDatagram):
+                self._send(action)
+            else:
+                self._on_event(action)
+
+    def _send(self, action: types.SendDatagram) -> None:
+        if self._socket is None:
+            return
+        data = _gossip_codec.encode(action.datagram, self._keys[0])
+        try:
+            self._socket.sendto(data, _host_and_port(action.datagram_address))
+        except OSError:
+            # A lost datagram is no error of the protocol.
+            self.counters.send_failed += 1
+            return
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(data)
+
+    async def _tick(self, udp: socket.socket) -> None:
+        while self._socket is udp:
+            self.send(self._membership.tick(time.monotonic()))
+            await anyio.sleep(_membership.TICK_INTERVAL_S)
+
+    async def _receive(self, udp: socket.socket) -> None:
+        while self._socket is udp:
+            try:
+                await anyio.wait_readable(udp)
+            except (anyio.ClosedResourceError, OSError):
+                return
+            self._receive_one(udp)
+
+    def _receive_one(self, udp: socket.socket) -> None:
+        try:
+            data, peer = udp.recvfrom(RECEIVE_SIZE_BYTES)
+        except OSError:
+            return
+        self.counters.received += 1
+        self.counters.received_bytes += len(data)
+        try:
+            datagram = _gossip_codec.decode(data, self._keys)
+        except exceptions.RefusedError:
+            self.counters.bad_key += 1
+            return
+        except exceptions.ProtocolError:
+            self.counters.bad_format += 1
+            return
+        host = f"[{peer[0]}]" if ":" in peer[0] else peer[0]
+        source = f"{host}:{peer[1]}"
+        self.send(self._membership.receive(time.monotonic(), datagram, source))
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
