--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections.abc as cabc
-import contextlib
 import dataclasses
 import enum
 import itertools
@@ -272,8 +271,10 @@
         return peer
 
     async def _serve(self, listener: anyio.abc.Listener[t.Any]) -> None:
-        with contextlib.suppress(anyio.ClosedResourceError):
+        try:
             await listener.serve(self._accept)
+        except* anyio.ClosedResourceError:
+            pass
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(stream, self._receive)
--- /dev/null
+++ b/src/papayastall/_node_calls.py
@@ -0,0 +1,171 @@
+"""The operators' calls of a node, and small messages between nodes."""
+
+from __future__ import annotations
+
+import time
+import typing as t
+import urllib.parse
+
+from papayastall import _control_app
+from papayastall import _decision_types
+from papayastall import _histogram_report
+from papayastall import _thrift
+from papayastall import exceptions
+
+if t.TYPE_CHECKING:
+    from papayastall import node as nodes
+
+__all__ = ["decode_suspect", "encode_suspect", "make_calls"]
+
+wire = _thrift.load_module("wire")
+
+
+def make_calls(node: nodes.Node) -> dict[str, _control_app.Handler]:
+    """Return the handler of each operators' call."""
+    calls = _Calls(node)
+    return {
+        "POST /v1/documents": calls.apply_documents,
+        "GET /v1/documents": calls.list_documents,
+        "GET /v1/status": calls.show_status,
+        "GET /v1/upstreams": calls.list_upstreams,
+        "POST /v1/drain": calls.drain,
+        "POST /v1/undrain": calls.undrain,
+        "GET /v1/histograms": calls.list_histograms,
+    }
+
+
+class _Calls:
+    def __init__(self, node: nodes.Node) -> None:
+        self._node = node
+
+    async def apply_documents(self, body: t.Any) -> object:
+        """Check and apply documents, all or none."""
+        items = body.get("documents") if isinstance(body, dict) else None
+        if not isinstance(items, list) or not all(
+            isinstance(item, dict)
+            and isinstance(item.get("text"), str)
+            and isinstance(item.get("source"), str)
+            for item in items
+        ):
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                "send documents: a list of objects with source and text",
+                step="apply",
+            )
+        return await self._node.config.apply_documents(body)
+
+    async def list_documents(self, _query: str) -> object:
+        """Return the documents in force on this node."""
+        return {
+            "index": self._node.blackboard.config_index,
+            "documents": [
+                {"name": doc.name, "revision": doc.revision}
+                for doc in self._node.blackboard.services.values()
+            ],
+        }
+
+    async def show_status(self, _query: str) -> object:
+        """Return the members as this node sees them."""
+        node = self._node
+        own = node.settings.link_address
+        nodes_status = []
+        for member in node.membership.members():
+            index = member.config_index
+            if member.address == own:
+                index = node.blackboard.config_index
+            nodes_status.append(
+                {
+                    "node": member.address,
+                    "state": member.state.name.lower(),
+                    "failure_domain": member.failure_domain,
+                    "index": index,
+                }
+            )
+        return {
+            "node": own,
+            "index": node.blackboard.config_index,
+            "nodes": nodes_status,
+            "control": {},
+        }
+
+    async def list_upstreams(self, _query: str) -> object:
+        """Return the upstreams that this node owns."""
+        node = self._node
+        return {
+            "upstreams": [
+                {
+                    "upstream": view.upstream,
+                    "service": view.service,
+                    "owner": node.settings.link_address,
+                    "state": view.state.value,
+                    "standing": view.standing.value,
+                    "slots": view.slots,
+                    "in_flight": view.in_flight,
+                    "weight": round(view.weight, 3),
+                    "score": round(view.score, 1),
+                }
+                for view in node.owner_controller.upstreams(time.monotonic())
+            ]
+        }
+
+    async def drain(self, body: t.Any) -> object:
+        """Give an upstream of this node no new work."""
+        upstream = self._find_upstream(body)
+        node = self._node
+        actions = node.owner_controller.leave(time.monotonic(), upstream)
+        node.owner.perform(actions)
+        return {"upstream": upstream, "state": "leaving"}
+
+    async def undrain(self, body: t.Any) -> object:
+        """Let a drained upstream serve again."""
+        upstream = self._find_upstream(body)
+        self._node.owner_controller.undrain(time.monotonic(), upstream)
+        return {"upstream": upstream, "state": "ready"}
+
+    async def list_histograms(self, query: str) -> object:
+        """Return encoded histograms; ``service=`` and ``team=`` choose."""
+        wanted = dict(urllib.parse.parse_qsl(query))
+        rows = await _histogram_report.collect(
+            self._node.histograms,
+            time.monotonic(),
+            wanted.get("service"),
+            wanted.get("team"),
+        )
+        return {"histograms": rows}
+
+    def _find_upstream(self, body: t.Any) -> str:
+        upstream = body.get("upstream") if isinstance(body, dict) else None
+        known = [
+            view.upstream
+            for view in self._node.owner_controller.upstreams(time.monotonic())
+        ]
+        if not isinstance(upstream, str) or upstream not in known:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                f"this node does not own {upstream!r}; it owns "
+                f"{', '.join(known) or 'none'}",
+                step="drain",
+            )
+        return upstream
+
+
+def encode_suspect(news: _decision_types.SuspectNews) -> bytes:
+    """Return the message that tells other nodes."""
+    return _thrift.encode(
+        wire.Suspect(
+            fingerprint=news.fingerprint,
+            upstream=news.upstream,
+            cleared=news.cleared,
+        )
+    )
+
+
+def decode_suspect(body: bytes) -> _decision_types.SuspectNews:
+    """Return what another node tells.
+
+    :raises papayastall.exceptions.ProtocolError: malformed.
+    """
+    value = _thrift.decode(wire.Suspect, body)
+    return _decision_types.SuspectNews(
+        value.fingerprint or 0, value.upstream or "", bool(value.cleared)
+    )
--- /dev/null
+++ b/src/papayastall/emulator.py
@@ -0,0 +1,327 @@
+"""A stand-in upstream for trials: answers, misbehaves and keeps a record.
+
+Usage:
+  emulator --address=ADDR --service=NAME --announce=ADDRS [options]
+
+Options:
+  --address=ADDR      Where to listen, ip:port.
+  --service=NAME      The service that it serves.
+  --announce=ADDRS    Control addresses of nodes, comma-separated; the first
+                      that answers owns this upstream.
+  --slots=N           Requests at a time [default: 7].
+  --connections=N     Connections at a time [default: 360].
+  --service-ms=N      Time that a request takes [default: 5].
+  --lease-ms=N        Lease of its announcements [default: 3000].
+  --cold-ms=N         How long it is cold after its start [default: 0].
+  --token-file=FILE   File with the secret that upstreams show.
+  --record=FILE       File that gets a JSON line per request run.
+
+POST /emulator/behaviour with {"mode": "answer" | "stall" | "slow" | "fail" |
+"shed" | "break" | "die", "share": 0..1, "path": "..."} changes what it does
+to that share of the requests, under that path.
+GET /emulator/runs lists what it ran.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import os
+import random
+import signal
+import sys
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+import docopt
+import httpcore
+import orjson
+
+from papayastall import _http_server
+from papayastall import _upstream_client
+
+__all__ = ["Behaviour", "Emulator", "EmulatorSettings", "Mode", "main"]
+
+CLOSE_TIMEOUT_S = 10.0
+ANNOUNCE_TIMEOUT_S = 1.0
+SLOW_FACTOR = 20.0
+ANSWER_BYTES = 64
+
+
+class Mode(enum.Enum):
+    """How requests are treated."""
+
+    ANSWER = "answer"
+    STALL = "stall"
+    SLOW = "slow"
+    FAIL = "fail"
+    SHED = "shed"
+    BREAK = "break"
+    DIE = "die"
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """What happens to which requests.
+
+    :param share: of the requests, 0 to 1.
+    :param path: only requests whose path starts with this.
+    """
+
+    mode: Mode = Mode.ANSWER
+    share: float = 1.0
+    path: str = "/"
+
+
+@dataclasses.dataclass(slots=True)
+class EmulatorSettings:
+    """Who the stand-in is and how it announces itself."""
+
+    address: str
+    service: str
+    announce: list[str]
+    slots: int = 7
+    connections: int = 360
+    service_ms: float = 5.0
+    lease_ms: int = 3000
+    cold_ms: int = 0
+    token: str = ""
+    record: str = ""
+
+
+class Emulator:
+    """One stand-in upstream; an ASGI application that announces itself."""
+
+    def __init__(self, settings: EmulatorSettings) -> None:
+        self.settings = settings
+        self.behaviour = Behaviour()
+        self.runs: list[dict[str, t.Any]] = []
+        self.leaving = False
+        self._started_s = time.monotonic()
+        self._rng = random.Random(settings.address)
+        self._in_flight = 0
+        self._server = _http_server.HttpServer(
+            self, settings.address, CLOSE_TIMEOUT_S
+        )
+        self._announce_to = 0
+        self._drained = anyio.Event()
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Listen and announce."""
+        await self._server.start(tasks)
+        tasks.start_soon(self._announce)
+
+    async def close(self) -> None:
+        """Leave: wait until the owner sends nothing more, then stop."""
+        self.leaving = True
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            await self._drained.wait()
+        await self._server.close()
+
+    async def __call__(
+        self, scope: dict[str, t.Any], receive: t.Any, send: t.Any
+    ) -> None:
+        """Answer one request (the ASGI entry point)."""
+        if scope["type"] != "http":
+            return
+        body = await _read_body(receive)
+        path = scope["path"]
+        if path == "/emulator/behaviour":
+            value = orjson.loads(body)
+            self.behaviour = Behaviour(
+                Mode(value.get("mode", "answer")),
+                value.get("share", 1.0),
+                value.get("path", "/"),
+            )
+            await _reply(send, 200, b"{}")
+        elif path == "/emulator/runs":
+            await _reply(send, 200, orjson.dumps(self.runs))
+        else:
+            await self._run(scope, body, send)
+
+    async def _run(
+        self, scope: dict[str, t.Any], body: bytes, send: t.Any
+    ) -> None:
+        mode = self._choose_mode(scope["path"])
+        if mode is Mode.SHED:
+            not_run = (_upstream_client.NOT_RUN_HEADER, b"no")
+            await _reply(send, 503, b"busy", [not_run])
+            return
+        self._record(scope, body)
+        self._in_flight += 1
+        try:
+            await self._work(mode)
+            answer = orjson.dumps(
+                {
+                    "upstream": self.settings.address,
+                    "method": scope["method"],
+                    "path": scope["path"],
+                    "body": body.decode("latin-1"),
+                    "run": len(self.runs),
+                }
+            )
+            status = 500 if mode is Mode.FAIL else 200
+            if mode is Mode.BREAK:
+                await _break(send, answer)
+            else:
+                await _reply(send, status, answer)
+        finally:
+            self._in_flight -= 1
+
+    def _choose_mode(self, path: str) -> Mode:
+        behaviour = self.behaviour
+        if not path.startswith(behaviour.path):
+            return Mode.ANSWER
+        if self._rng.random() >= behaviour.share:
+            return Mode.ANSWER
+        return behaviour.mode
+
+    async def _work(self, mode: Mode) -> None:
+        if mode is Mode.STALL:
+            await anyio.sleep(3600)
+        if mode is Mode.DIE:
+            os.kill(os.getpid(), signal.SIGKILL)
+        factor = SLOW_FACTOR if mode is Mode.SLOW else 1.0
+        await anyio.sleep(self.settings.service_ms * factor / 1000)
+
+    def _record(self, scope: dict[str, t.Any], body: bytes) -> None:
+        headers = dict(scope["headers"])
+        run = {
+            "method": scope["method"],
+            "path": scope["path"],
+            "body": body.decode("latin-1"),
+            "at_s": time.time(),
+            "caller_id": headers.get(b"x-request-id", b"").decode("latin-1"),
+        }
+        self.runs.append(run)
+        if self.settings.record:
+            with open(self.settings.record, "ab", buffering=0) as file:
+                file.write(orjson.dumps(run) + b"\n")
+
+    async def _announce(self) -> None:
+        while True:
+            wait_s = self.settings.lease_ms / 3000
+            try:
+                wait_s = min(wait_s, await self._announce_once())
+            except (httpcore.NetworkError, httpcore.TimeoutException):
+                self._announce_next()
+                wait_s = 0.1
+            except httpcore.ProtocolError:
+                self._announce_next()
+            await anyio.sleep(wait_s)
+
+    async def _announce_once(self) -> float:
+        settings = self.settings
+        body = orjson.dumps(
+            {
+                "service": settings.service,
+                "address": settings.address,
+                "slots": settings.slots,
+                "connections": settings.connections,
+                "lease_ms": settings.lease_ms,
+                "state": self._state(),
+                "load": min(1.0, self._in_flight / settings.slots),
+            }
+        )
+        headers = [("content-type", "application/json")]
+        if settings.token:
+            headers.append(("authorization", f"Bearer {settings.token}"))
+        node = settings.announce[self._announce_to]
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                "POST",
+                f"http://{node}/v1/announce",
+                headers=headers,
+                content=body,
+                extensions={"timeout": {"connect": ANNOUNCE_TIMEOUT_S}},
+            )
+        if response.status != 200:
+            self._announce_next()
+            return 1.0
+        answer = orjson.loads(response.content)
+        if answer["drained"]:
+            self._drained.set()
+        if answer["move"] and not self.leaving:
+            self._announce_next()
+            return 0.1
+        return 0.2 if self.leaving else answer["renew_ms"] / 1000
+
+    def _announce_next(self) -> None:
+        count = len(self.settings.announce)
+        self._announce_to = (self._announce_to + 1) % count
+
+    def _state(self) -> str:
+        if self.leaving:
+            return "leaving"
+        age_ms = (time.monotonic() - self._started_s) * 1000
+        return "cold" if age_ms < self.settings.cold_ms else "ready"
+
+
+async def _read_body(receive: t.Any) -> bytes:
+    body = bytearray()
+    while True:
+        message = await receive()
+        body += message.get("body", b"")
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+async def _reply(
+    send: t.Any,
+    status: int,
+    body: bytes,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    start = {"type": "http.response.start", "status": status}
+    await send({**start, "headers": [length, *(headers or [])]})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _break(send: t.Any, body: bytes) -> None:
+    length = (b"content-length", str(len(body) + 1).encode())
+    start = {"type": "http.response.start", "status": 200}
+    await send({**start, "headers": [length]})
+    part = {"type": "http.response.body", "body": body}
+    await send({**part, "more_body": True})
+    raise ConnectionAbortedError
+
+
+async def _main(settings: EmulatorSettings) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            emulator = Emulator(settings)
+            await emulator.start(tasks)
+            async for _ in signals:
+                break
+            await emulator.close()
+            tasks.cancel_scope.cancel()
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run a stand-in upstream until SIGTERM."""
+    assert __doc__ is not None
+    options = docopt.docopt(__doc__, argv)
+    token = ""
+    if options["--token-file"]:
+        with open(options["--token-file"], encoding="utf-8") as file:
+            token = file.read().strip()
+    settings = EmulatorSettings(
+        address=options["--address"],
+        service=options["--service"],
+        announce=options["--announce"].split(","),
+        slots=int(options["--slots"]),
+        connections=int(options["--connections"]),
+        service_ms=float(options["--service-ms"]),
+        lease_ms=int(options["--lease-ms"]),
+        cold_ms=int(options["--cold-ms"]),
+        token=token,
+        record=options["--record"] or "",
+    )
+    anyio.run(_main, settings)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -121,3 +121,9 @@
   3: string error_code,
   4: string error_message,
 }
+
+struct Suspect {
+  1: i64 fingerprint,
+  2: string upstream,
+  3: bool cleared,
+}
