--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -25,6 +25,7 @@
     "drain",
     "histograms",
     "print_data",
+    "read_document",
     "show",
     "status",
     "undrain",
@@ -78,7 +79,7 @@
     """Apply documents; with ``--wait`` until every live node has them."""
     client = connect(arguments)
     documents = [
-        {"source": path, "text": _read_document(path)}
+        {"source": path, "text": read_document(path)}
         for path in arguments["<document>"]
     ]
     answer = client.post("/v1/documents", {"documents": documents})
@@ -209,7 +210,11 @@
     return _tables.format_table(columns, values)
 
 
-def _read_document(path: str) -> str:
+def read_document(path: str) -> str:
+    """Return the text of a document.
+
+    :raises papayastall.exceptions.BadInputError: it can't be read.
+    """
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
--- a/src/papayastall/cli.py
+++ b/src/papayastall/cli.py
@@ -12,6 +12,7 @@
 import papayastall
 from papayastall import _cli_commands
 from papayastall import _cli_usage
+from papayastall import documents
 from papayastall import exceptions
 from papayastall import settings
 
@@ -30,6 +31,8 @@
     NOT_FINISHED = 6
 
 
+CONFIG_GROUP_COUNT = 1
+
 Command = cabc.Callable[[_cli_commands.Arguments], None]
 
 
@@ -96,10 +99,56 @@
     importlib.import_module("papayastall.node").run(node_settings)
 
 
+def _init(arguments: _cli_commands.Arguments) -> None:
+    node_settings = settings.load_node_settings(arguments["--settings"])
+    if node_settings.data_folder is None:
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_SETTINGS,
+            "data_folder is not set: this node is no control replica",
+            step="init",
+        )
+    importlib.import_module("papayastall._data_folder").create_data_folder(
+        str(node_settings.data_folder),
+        CONFIG_GROUP_COUNT + node_settings.claim_groups,
+    )
+    print(f"made the data folder {node_settings.data_folder}")
+
+
 def _check(arguments: _cli_commands.Arguments) -> None:
-    for path in arguments["--settings"]:
-        settings.load_node_settings(path)
-    print("no problems found")
+    problems = [
+        *_find_problems(arguments["--settings"], settings.load_node_settings),
+        *_find_problems(arguments["<document>"], _check_document),
+    ]
+    paths = arguments["--settings"] + arguments["<document>"]
+    if not paths:
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            "name a document or --settings FILE",
+            step="check",
+        )
+    data = {"files": paths, "problems": problems}
+    text = f"{len(paths)} files checked, no problems found"
+    _cli_commands.print_data(arguments, data, "" if problems else text)
+    if problems:
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            "\n".join(problems),
+            step="check",
+        )
+
+
+def _find_problems(
+    paths: list[str], check: cabc.Callable[[str], object]
+) -> cabc.Iterator[str]:
+    for path in paths:
+        try:
+            check(path)
+        except exceptions.BadInputError as error:
+            yield error.message
+
+
+def _check_document(path: str) -> None:
+    documents.parse_document(_cli_commands.read_document(path), path)
 
 
 def _print_version(arguments: _cli_commands.Arguments) -> None:
@@ -109,6 +158,7 @@
 
 COMMANDS: dict[str, Command] = {
     "node": _run_node,
+    "init": _init,
     "check": _check,
     "apply": _cli_commands.apply,
     "show": _cli_commands.show,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -102,6 +102,10 @@
     assert "seeds: " in text and "link_address: is missing" in text
 
 
+def test_check_needs_a_file() -> None:
+    assert cli.main(["check"]) == cli.ExitCode.BAD_INPUT
+
+
 def test_apply_waits_until_all_live_nodes_have_it(
     node: FakeNode,
     tmp_path: pathlib.Path,
