--- a/Makefile
+++ b/Makefile
@@ -12,21 +12,25 @@
 demo: .venv/.installed
 	$(BIN)/python demo/run.py
 
-test: .venv/.installed
+test: .venv/.installed dist
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/flake8 src tests bench demo
 	$(BIN)/mypy
 	CI=true $(BIN)/python tests/run.py
+	$(BIN)/python -m pytest tests/smoke_dist.py
 
 format: .venv/.installed
 	$(BIN)/ruff check --fix-only .
 	$(BIN)/ruff format .
 
-dist: .venv/.installed
+dist: dist/papayastall
+
+dist/papayastall: .venv/.installed $(wildcard src/papayastall/*)
 	mkdir -p dist
+	rm -rf build
 	$(BIN)/shiv -q --no-build-isolation -r requirements.txt . \
-		-e papayastall.cli:main -o dist/papayastall -p '/usr/bin/env python3'
+		-e papayastall.cli:main -o $@ -p '/usr/bin/env python3'
 
 clean:
 	rm -rf .venv build dist
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -62,7 +62,7 @@
 @pytest.fixture
 def node() -> cabc.Iterator[FakeNode]:
     fake = FakeNode()
-    thread = threading.Thread(target=fake.server.serve_forever)
+    thread = threading.Thread(target=fake.server.serve_forever, args=(0.01,))
     thread.start()
     yield fake
     fake.server.shutdown()
