--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -59,9 +59,7 @@
             collections.defaultdict(list)
         )
         self._count = 0
-        self._ticks: list[
-            tuple[float, int, str, _membership.Membership]
-        ] = []
+        self._ticks: list[tuple[float, int, str, _membership.Membership]] = []
 
     def start(
         self, number: int, seeds: cabc.Iterable[int] = (0, 1, 2)
