Count what happens on the request path

Cause: counters were declared but nothing counted. Change: ingress, owner, attempts and links count; the node starts the statsd client.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -16,6 +16,7 @@
 from papayastall import _ingress_controller
 from papayastall import _links
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["AttemptSender"]
 
@@ -38,7 +39,9 @@
         links: _links.Links,
         controller: _ingress_controller.IngressController,
         rng: random.Random,
+        counters: metrics.Metrics,
     ) -> None:
+        self._counters = counters
         self.controller = controller
         self._links = links
         self._wire_ids = itertools.count(rng.getrandbits(48) + 1)
@@ -109,12 +112,25 @@
         attempt = _exchange.Attempt(
             next(self._wire_ids), exchange, action.attempt, action.owner
         )
+        self._count_attempt(exchange, action)
         exchange.attempts[action.attempt] = attempt
         self._attempts[attempt.wire_id] = attempt
         self._links.watch(attempt.owner)
         assert self._tasks is not None
         self._tasks.start_soon(self._send_open, attempt, action)
 
+    def _count_attempt(
+        self,
+        exchange: _exchange.Exchange,
+        action: _decision_types.ForwardAttempt,
+    ) -> None:
+        service = exchange.request.service
+        self._counters.count(metrics.Counter.ATTEMPTS, service=service)
+        if exchange.attempts:
+            self._counters.count(metrics.Counter.HEDGES, service=service)
+        elif action.attempt > 1:
+            self._counters.count(metrics.Counter.RETRIES, service=service)
+
     async def _send_open(
         self,
         attempt: _exchange.Attempt,
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -24,6 +24,7 @@
 from papayastall import _frames
 from papayastall import _peering
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["LinkEvent", "LinkSettings", "Links"]
 
@@ -91,10 +92,12 @@
     def __init__(
         self,
         settings: LinkSettings,
+        counters: metrics.Metrics,
         get_config_index: cabc.Callable[[], int] = lambda: 0,
         see_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
     ) -> None:
         self.settings = settings
+        self._counters = counters
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
         self._peers: dict[str, _Peer] = {}
@@ -320,11 +323,13 @@
         finally:
             peer.is_dialling = False
         if stream is None:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             peer.lost_connection = True
             self._tell(peer.address, LinkEvent.DOWN)
             return
         connection = _connection.Connection(stream, self._receive)
         connection.address = peer.address
+        self._counters.count(metrics.Counter.LINK_OPENS)
         self._greet(connection)
         self._start_expiry(connection)
         await self._run(connection)
@@ -468,6 +473,7 @@
             connection.last_received_s, peer.watched_since_s
         )
         if silent_s > SILENT_AFTER_S:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             connection.close()
             peer.lost_connection = True
             peer.connection = None
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -25,6 +25,7 @@
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import histograms
+from papayastall import metrics
 
 __all__ = ["ClaimGate", "Ingress", "KeptAnswer"]
 
@@ -80,6 +81,7 @@
         self,
         blackboard: blackboards.Blackboard,
         attempts: _attempts.AttemptSender,
+        counters: metrics.Metrics,
         claims: ClaimGate | None = None,
         note_sample: cabc.Callable[
             [histograms.Sample], None
@@ -87,6 +89,7 @@
     ) -> None:
         self._blackboard = blackboard
         self._attempts = attempts
+        self._counters = counters
         self._claims = claims
         self._note_sample = note_sample
         self._request_ids = itertools.count(1)
@@ -111,16 +114,23 @@
         reply = _Reply(send, self._blackboard)
         try:
             exchange = await self._read(scope, receive, started_s)
+            self._count(metrics.Counter.REQUESTS, exchange)
             if await self._claim(scope, exchange, reply):
                 return
             await self._run(exchange, receive, reply)
         except exceptions.PapayastallError as error:
             await reply.send_problem(_problem.problem_of(error))
             return
-        if exchange.chosen is not None:
+        if exchange.chosen is not None and exchange.chosen.complete:
+            self._count(metrics.Counter.ANSWERS, exchange)
             total_ms = (time.monotonic() - started_s) * 1000
             self._note_sample(_make_sample(exchange, total_ms))
 
+    def _count(
+        self, counter: metrics.Counter, exchange: _exchange.Exchange
+    ) -> None:
+        self._counters.count(counter, service=exchange.request.service)
+
     async def _read(
         self, scope: Scope, receive: Receive, started_s: float
     ) -> _exchange.Exchange:
@@ -218,7 +228,9 @@
         self._attempts.open(exchange)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_watch_caller, receive, tasks.cancel_scope)
+                tasks.start_soon(
+                    self._watch_caller, exchange, receive, tasks.cancel_scope
+                )
                 await exchange.wait_for_outcome()
                 if exchange.refusal is not None:
                     await self._refuse(exchange, exchange.refusal, reply)
@@ -230,6 +242,17 @@
         finally:
             self._attempts.close(exchange)
 
+    async def _watch_caller(
+        self,
+        exchange: _exchange.Exchange,
+        receive: Receive,
+        scope: anyio.CancelScope,
+    ) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self._count(metrics.Counter.CANCELLED, exchange)
+        scope.cancel()
+
     async def _refuse(
         self,
         exchange: _exchange.Exchange,
@@ -242,8 +265,11 @@
                 exchange.claim_key, exchange.claim_token
             )
         detail = "the request did not run"
+        counter = metrics.Counter.REFUSALS
         if not not_run:
+            counter = metrics.Counter.UNKNOWN_OUTCOMES
             detail = "the request may have run; ask before sending it again"
+        self._count(counter, exchange)
         await reply.send_problem(
             _problem.Problem(
                 refusal.code,
@@ -339,12 +365,6 @@
         await self.finish(body)
 
 
-async def _watch_caller(receive: Receive, scope: anyio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
-
-
 async def _read_body(
     scope: Scope, receive: Receive, limit_bytes: int
 ) -> bytes:
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -34,6 +34,7 @@
 from papayastall import histograms
 from papayastall import ingress
 from papayastall import logs
+from papayastall import metrics
 from papayastall import owner
 from papayastall import settings
 
@@ -83,6 +84,9 @@
         self.blackboard = blackboards.Blackboard(
             node_settings.link_address, node_settings.failure_domain
         )
+        self.counters = metrics.Metrics(
+            node_settings.statsd_address, node_settings.link_address
+        )
         self.histograms = histograms.HistogramTable()
         self._build_links()
         self._build_membership()
@@ -99,7 +103,9 @@
             client_tls=_tls.client_context(node_settings),
         )
         self.links = _links.Links(
-            link_settings, lambda: self.blackboard.config_index
+            link_settings,
+            self.counters,
+            lambda: self.blackboard.config_index,
         )
 
     def _build_membership(self) -> None:
@@ -130,17 +136,21 @@
             address, self.settings.failure_domain, self._rng
         )
         self.owner = owner.Owner(
-            self.links, self.owner_controller, _DenyingPermits(self)
+            self.links,
+            self.owner_controller,
+            _DenyingPermits(self),
+            self.counters,
         )
         self.ingress_controller = _ingress_controller.IngressController(
             address, self._rng
         )
         self.attempts = _attempts.AttemptSender(
-            self.links, self.ingress_controller, self._rng
+            self.links, self.ingress_controller, self._rng, self.counters
         )
         self.ingress = ingress.Ingress(
             self.blackboard,
             self.attempts,
+            self.counters,
             note_sample=lambda sample: self.histograms.record(
                 time.monotonic(), sample
             ),
@@ -174,6 +184,8 @@
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start all parts; returns once requests are taken."""
+        self.counters.start()
+        tasks.start_soon(self.counters.run)
         await self.links.start(tasks)
         await self.owner.start(tasks)
         await self.attempts.start(tasks)
@@ -202,6 +214,7 @@
         await self.gossiper.close()
         await self.owner.close()
         await self.links.close()
+        self.counters.close()
         self._log_state("leaving", "stopped", "nothing is in flight")
 
     def announce(
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -17,6 +17,7 @@
 from papayastall import _owner_runs
 from papayastall import _upstream_client
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
 
@@ -74,6 +75,7 @@
         links: _links.Links,
         controller: _owner_controller.OwnerController,
         permits: PermitAsker,
+        counters: metrics.Metrics,
         claims: ClaimRecorder | None = None,
         spread_suspect: cabc.Callable[
             [_decision_types.SuspectNews], None
@@ -82,6 +84,7 @@
         self.controller = controller
         self._links = links
         self._permits = permits
+        self._counters = counters
         self._claims = claims
         self._spread_suspect = spread_suspect
         self._runs = _owner_runs.RunTable()
@@ -243,6 +246,7 @@
         assert run is not None, "dispatch of an unknown request"
         assert not run.dispatched, "a request is dispatched once"
         run.dispatched = True
+        self._count(metrics.Counter.DISPATCHES, run)
         run.scope = anyio.CancelScope()
         assert self._tasks is not None
         self._tasks.start_soon(self._execute, run, action.upstream)
@@ -251,6 +255,8 @@
         run = self._runs.find_local(action.request_id)
         if run is None or run.ended_s is not None:
             return
+        if not run.dispatched:
+            self._count(metrics.Counter.QUEUE_DROPS, run)
         retry_after_ms = -1
         if action.retry_after_s is not None:
             retry_after_ms = int(action.retry_after_s * 1000)
@@ -300,6 +306,10 @@
         assert run.scope is not None
         with run.scope:
             outcome = await self._client.run(request, timeout_s, sink)
+        if outcome is Outcome.SHED:
+            self._count(metrics.Counter.SHEDS, run)
+        elif outcome not in (Outcome.ANSWERED, Outcome.CANCELLED):
+            self._count(metrics.Counter.UPSTREAM_FAILURES, run)
         whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
         if run.open.claim_token and self._claims is not None:
             await self._record(sink, run, outcome, self._claims)
@@ -314,6 +324,9 @@
             self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=True)
         self.perform(actions)
 
+    def _count(self, counter: metrics.Counter, run: _owner_runs.Run) -> None:
+        self._counters.count(counter, service=run.open.service_name)
+
     async def _record(
         self,
         sink: _RunSink,
