--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -7,11 +7,13 @@
 import sys
 import time
 import typing as t
+import urllib.parse
 
 import httpcore
 import orjson
 
 from papayastall import _control_client
+from papayastall import _histogram_report
 from papayastall import _tables
 from papayastall import exceptions
 
@@ -21,7 +23,9 @@
     "apply",
     "demo",
     "drain",
+    "histograms",
     "print_data",
+    "read_document",
     "show",
     "status",
     "undrain",
@@ -75,7 +79,7 @@
     """Apply documents; with ``--wait`` until every live node has them."""
     client = connect(arguments)
     documents = [
-        {"source": path, "text": _read_document(path)}
+        {"source": path, "text": read_document(path)}
         for path in arguments["<document>"]
     ]
     answer = client.post("/v1/documents", {"documents": documents})
@@ -150,6 +154,19 @@
     print_data(arguments, answer, f"{upstream} may serve again")
 
 
+def histograms(arguments: Arguments) -> None:
+    """Draw the histograms of one node."""
+    wanted = {
+        name: arguments[f"--{name}"]
+        for name in ("service", "team")
+        if arguments[f"--{name}"] is not None
+    }
+    query = f"?{urllib.parse.urlencode(wanted)}" if wanted else ""
+    answer = connect(arguments).get(f"/v1/histograms{query}")
+    text = _histogram_report.draw(answer["histograms"])
+    print_data(arguments, answer, text)
+
+
 def demo(arguments: Arguments) -> None:
     """Send a lookup and a booking through a node and print the answers."""
     address = arguments["<caller-address>"]
@@ -193,7 +210,11 @@
     return _tables.format_table(columns, values)
 
 
-def _read_document(path: str) -> str:
+def read_document(path: str) -> str:
+    """Return the text of a document.
+
+    :raises papayastall.exceptions.BadInputError: it can't be read.
+    """
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections.abc as cabc
-import contextlib
 import dataclasses
 import enum
 import itertools
@@ -25,6 +24,7 @@
 from papayastall import _frames
 from papayastall import _peering
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["LinkEvent", "LinkSettings", "Links"]
 
@@ -92,10 +92,12 @@
     def __init__(
         self,
         settings: LinkSettings,
+        counters: metrics.Metrics,
         get_config_index: cabc.Callable[[], int] = lambda: 0,
         see_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
     ) -> None:
         self.settings = settings
+        self._counters = counters
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
         self._peers: dict[str, _Peer] = {}
@@ -272,8 +274,10 @@
         return peer
 
     async def _serve(self, listener: anyio.abc.Listener[t.Any]) -> None:
-        with contextlib.suppress(anyio.ClosedResourceError):
+        try:
             await listener.serve(self._accept)
+        except* anyio.ClosedResourceError:
+            pass
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(stream, self._receive)
@@ -319,11 +323,13 @@
         finally:
             peer.is_dialling = False
         if stream is None:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             peer.lost_connection = True
             self._tell(peer.address, LinkEvent.DOWN)
             return
         connection = _connection.Connection(stream, self._receive)
         connection.address = peer.address
+        self._counters.count(metrics.Counter.LINK_OPENS)
         self._greet(connection)
         self._start_expiry(connection)
         await self._run(connection)
@@ -467,6 +473,7 @@
             connection.last_received_s, peer.watched_since_s
         )
         if silent_s > SILENT_AFTER_S:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             connection.close()
             peer.lost_connection = True
             peer.connection = None
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -78,6 +78,8 @@
   2: i64 offset_bytes,
   3: binary data,
   4: bool last,
+  5: double waiting_ms,
+  6: double upstream_ms,
 }
 
 struct Refuse {
@@ -119,3 +121,9 @@
   3: string error_code,
   4: string error_message,
 }
+
+struct Suspect {
+  1: i64 fingerprint,
+  2: string upstream,
+  3: bool cleared,
+}
