--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -283,7 +283,7 @@
         leadership = self._leadership
         if leadership is None or not leadership.may_change_members():
             return
-        if not body.fresh:
+        if message.cluster_id not in (0, self._state.cluster_id):
             return
         members = _raft_join.with_joined(
             self._state.log.members, message.sender
--- a/src/papayastall/_raft_join.py
+++ b/src/papayastall/_raft_join.py
@@ -35,9 +35,9 @@
 def with_joined(
     members: types.Members, sender: types.Sender
 ) -> types.Members | None:
-    """Return the members with a fresh folder in place of the lost one.
+    """Return the members with a new folder in place of the lost one.
 
-    The fresh folder gets no vote yet. ``None`` where nothing changes.
+    The new folder gets no vote yet. ``None`` where nothing changes.
     """
     old = members.find(sender.address)
     if old is None or old.folder_id == sender.folder_id:
@@ -87,9 +87,14 @@
         self._digest = _raft_state.list_digest(state.addresses)
 
     def tick(self, now_s: float) -> None:
-        """Say that this folder has no group yet."""
+        """Say that no leader sends anything to this folder.
+
+        A folder that takes itself for a member says so as well: the entry
+        that made it one may have been replaced by that of a later leader.
+        """
         state = self._state
-        if state.is_member or now_s < self._next_s:
+        unheard_s = now_s - state.heard_s
+        if unheard_s < state.timings.election_max_s or now_s < self._next_s:
             return
         self._next_s = now_s + state.timings.join_s
         body = types.Join(state.is_fresh, self._digest)
--- a/src/papayastall/_raft_state.py
+++ b/src/papayastall/_raft_state.py
@@ -97,11 +97,6 @@
             and self.log.last_index == 0
         )
 
-    @property
-    def is_member(self) -> bool:
-        """Whether the latest members include this data folder."""
-        return self.member_of(self.identity.folder_id) is not None
-
     @property
     def is_voter(self) -> bool:
         """Whether this replica may vote and lead."""
--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -70,6 +70,13 @@
         return self.replicas.groups[0]
 
 
+def create_folder(node: Node, folder_id: int) -> None:
+    """Make a data folder on a node's empty disk."""
+    _data_folder.create_data_folder(
+        FOLDER, 1, files=node.files, folder_id=folder_id
+    )
+
+
 class Cluster:
     """A group of nodes under test.
 
@@ -85,6 +92,7 @@
         self.addresses = tuple(f"10.0.0.{i + 1}:1" for i in range(size))
         self.nodes: dict[str, Node] = {}
         self.cuts: set[tuple[str, str]] = set()
+        self.held: dict[str, list[tuple[str, bytes]]] = {}
         self.loss = 0.0
         self.repeat = 0.0
         self.max_delay_s = 0.05
@@ -93,6 +101,7 @@
         self._committed: dict[int, int] = {}
         self._leaders: dict[int, int] = {}
         self.acknowledged: list[str] = []
+        self.expects_stale = False
         self.acknowledged_index = 0
         for address in self.addresses:
             self.add_node(address)
@@ -111,12 +120,7 @@
         return node
 
     def init_folder(self, node: Node) -> None:
-        _data_folder.create_data_folder(
-            FOLDER,
-            1,
-            files=node.files,
-            folder_id=self.rng.getrandbits(60) + 1,
-        )
+        create_folder(node, self.rng.getrandbits(60) + 1)
 
     def start(self, node: Node) -> None:
         """Start a node's process on what its disk holds."""
@@ -233,6 +237,7 @@
             turn = replicas.prepare(storage.wal_bytes)
             self._send(node, turn.early)
             if replicas.stale is not None:
+                assert self.expects_stale, replicas.stale
                 node.failure = exceptions.StorageError(
                     exceptions.ErrorCode.STORAGE_DAMAGED,
                     replicas.stale,
@@ -265,6 +270,9 @@
             if (node.address, to) in self.cuts:
                 continue
             body = codec.encode_batch(node.replicas.identity, [pair])
+            if to in self.held:
+                self.held[to].append((node.address, body))
+                continue
             copies = 2 if self.rng.random() < self.repeat else 1
             for _ in range(copies):
                 if self.rng.random() < self.loss:
@@ -276,6 +284,13 @@
                     (at_s, self._count, node.address, to, body),
                 )
 
+    def release(self, address: str) -> None:
+        """Deliver at once what was held back for a node."""
+        node = self.nodes[address]
+        for sender, body in self.held.pop(address):
+            node.senders.append(sender)
+            node.inbox.append(body)
+
     def _deliver(self) -> None:
         while self._in_flight and self._in_flight[0][0] <= self.now_s:
             _, _, sender, to, body = heapq.heappop(self._in_flight)
@@ -324,12 +339,7 @@
             node.frozen_until_s = 0.0
             node.files.fail_at = None
             if node.replicas is None:
-                if "older copy" in str(node.failure) or "replaced" in str(
-                    node.failure
-                ):
-                    self.lose_disk(node)
-                else:
-                    self.start(node)
+                self.start(node)
         self.run_until(self._is_settled, 60.0)
         self.check_kept()
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
+from papayastall import _raft
+from papayastall import _raft_codec as codec
+from papayastall import _raft_state
 from papayastall import _raft_types as types
 from papayastall import exceptions
 from tests import raft_cluster
@@ -124,6 +129,7 @@
 
 def test_folder_that_was_replaced_is_kept_out() -> None:
     cluster = make_cluster()
+    cluster.expects_stale = True
     lost = get_followers(cluster)[0]
     cluster.crash(lost)
     old_files = lost.files.copy()
@@ -138,6 +144,7 @@
 
 def test_older_copy_is_caught_by_its_start_number() -> None:
     cluster = make_cluster()
+    cluster.expects_stale = True
     node = get_followers(cluster)[0]
     cluster.crash(node)
     copy = node.files.copy()
@@ -148,11 +155,12 @@
     node.files = copy
     cluster.start(node)
     cluster.run_until(lambda: node.failure is not None)
-    assert "older copy" in str(node.failure)
+    assert "older copy of" in str(node.failure)
 
 
 def test_disk_that_loses_synced_data_is_caught_by_the_leader() -> None:
     cluster = make_cluster()
+    cluster.expects_stale = True
     node = get_followers(cluster)[0]
     node.files.ignores_sync = True
     commit(cluster, *(f"c{i}" for i in range(5)))
@@ -189,6 +197,7 @@
 
 def test_members_change_one_at_a_time() -> None:
     cluster = make_cluster()
+    cluster.expects_stale = True
     leader = get_leader(cluster)
     added = "10.0.0.4:1"
     replica = leader.group.replica
@@ -242,3 +251,121 @@
     with pytest.raises(exceptions.PapayastallError):
         old.group.replica.read_index(cluster.clock_s(old))
     cluster.settle()
+
+
+def make_replica(boot: int, writes: list[types.Write]) -> _raft.Replica:
+    """Return the first of three replicas with what it had written."""
+    stored = _raft_state.StoredState()
+    for write in writes:
+        match write:
+            case types.HardState():
+                stored.hard_state = write
+            case types.Entry():
+                stored.entries.append(write)
+    return _raft.Replica(
+        types.Sender("a:1", 1, boot, boot),
+        ("a:1", "b:1", "c:1"),
+        stored,
+        types.Timings(),
+        random.Random(1),
+        100.0 * boot,
+    )
+
+
+def make_log() -> list[types.Write]:
+    """Return a log of term 1 with the members and one command."""
+    members = types.Members(
+        tuple(
+            types.Member(f"{name}:1", number, True, 1, number)
+            for number, name in enumerate("abc", start=1)
+        )
+    )
+    payload = codec.encode_members(members)
+    kinds = types.EntryKind
+    first = types.make_entry(1, 1, kinds.MEMBERS, payload, 0)
+    second = types.make_entry(2, 1, kinds.COMMAND, b"old", first.chain)
+    return [types.HardState(1, 0, 1, 0), first, second]
+
+
+def from_peer(number: int, term: int, body: types.Body) -> types.Message:
+    name = "abc"[number - 1]
+    sender = types.Sender(f"{name}:1", number, 1, number)
+    return types.Message("a:1", 1, sender, 1, term, body)
+
+
+def test_vote_outlasts_a_restart() -> None:
+    request = types.VoteRequest(False, False, 2, 1)
+    writes = make_log()
+    replica = make_replica(1, writes)
+    output = replica.step(150.0, from_peer(2, 5, request))
+    assert output.messages[-1].body == types.VoteReply(False, True)
+    again = make_replica(2, writes + output.writes)
+    output = again.step(250.0, from_peer(3, 5, request))
+    assert output.messages[-1].body == types.VoteReply(False, False)
+
+
+def test_entry_of_an_earlier_term_commits_with_one_of_its_own() -> None:
+    replica = make_replica(1, make_log())
+    replica.tick(150.0)
+    replica.step(150.0, from_peer(2, 2, types.VoteReply(True, True)))
+    replica.persisted(150.0)
+    replica.step(150.0, from_peer(2, 2, types.VoteReply(False, True)))
+    replica.persisted(150.0)
+    assert replica.role is types.Role.LEADER
+    reply = types.AppendReply(True, 2, 2, 150.0)
+    replica.step(150.0, from_peer(2, 2, reply))
+    assert replica.commit_index == 0
+    reply = types.AppendReply(True, 3, 3, 150.0)
+    replica.step(150.0, from_peer(2, 2, reply))
+    assert replica.commit_index == 3
+
+
+def test_late_answers_do_not_extend_the_lease() -> None:
+    for seed in range(12):
+        cluster = make_cluster(seed)
+        old = get_leader(cluster)
+        cluster.held[old.address] = []
+        cluster.run(0.35)
+        cut_off(cluster, old)
+        cluster.run(0.75)
+        cluster.release(old.address)
+        cluster.run_until(lambda: cluster.leader() not in (None, old))
+        commit(cluster, "by the new leader")
+        cluster.settle()
+
+
+def test_promise_outlasts_a_restart() -> None:
+    for seed in range(12):
+        cluster = make_cluster(seed)
+        leader = get_leader(cluster)
+        voter, cut = get_followers(cluster)
+        pair = (cut.address, leader.address)
+        cluster.cuts |= {pair, pair[::-1]}
+        cluster.run_until(
+            lambda: cut.group.replica.role is types.Role.PRE_CANDIDATE
+        )
+        cut_off(cluster, leader)
+        cluster.restart(voter)
+        cluster.run(0.5)
+        if cluster.leader() is cut:
+            cluster.propose(cut, "soon")
+        cluster.run(1.0)
+        cluster.settle()
+
+
+def test_folder_joins_again_when_its_leader_was_deposed() -> None:
+    cluster = make_cluster(size=5)
+    old = get_leader(cluster)
+    lost, *others = get_followers(cluster)
+    for node in others:
+        for end in (old, lost):
+            pair = (node.address, end.address)
+            cluster.cuts |= {pair, pair[::-1]}
+    cluster.lose_disk(lost)
+    cluster.run(1.0)
+    assert lost.group.replica.log.members.find(lost.address) is not None
+    cluster.run_until(lambda: cluster.leader() in others)
+    commit(cluster, "by the new leader")
+    cluster.cuts.clear()
+    cluster.run_until(lambda: lost.folder_id in voter_ids(cluster))
+    cluster.settle()
--- a/tests/test_raft_random.py
+++ b/tests/test_raft_random.py
@@ -57,7 +57,7 @@
             case "restart" if node.replicas is not None:
                 cluster.restart(node)
             case "start" if node.replicas is None:
-                self.start(node)
+                cluster.start(node)
             case "lose-disk" if self.may_lose_disk():
                 cluster.lose_disk(node)
             case "cut":
@@ -98,10 +98,6 @@
                 self.proposals += 1
                 self.cluster.propose(node, f"c{self.proposals}")
 
-    def start(self, node: raft_cluster.Node) -> None:
-        if node.failure is None or "copy" not in str(node.failure):
-            self.cluster.start(node)
-
     def may_lose_disk(self) -> bool:
         leader = self.cluster.leader()
         if leader is None:
