--- a/src/papayastall/_gossip_codec.py
+++ b/src/papayastall/_gossip_codec.py
@@ -19,7 +19,7 @@
 from papayastall import _thrift
 from papayastall import exceptions
 
-__all__ = ["MAX_DATAGRAM_SIZE_BYTES", "decode", "encode"]
+__all__ = ["MAX_DATAGRAM_SIZE_BYTES", "decode", "encode", "sign"]
 
 VERSION = 1
 MAC_SIZE_BYTES = 16
@@ -67,7 +67,7 @@
         **_encode_body(datagram.body),
     )
     encoded = _thrift.encode(content)
-    data = bytes([VERSION]) + _mac(encoded, key) + encoded
+    data = bytes([VERSION]) + sign(encoded, key) + encoded
     assert len(data) <= MAX_DATAGRAM_SIZE_BYTES, len(data)
     return data
 
@@ -83,7 +83,7 @@
         raise _bad("it is cut short or of another version")
     mac = data[1:HEADER_SIZE_BYTES]
     encoded = data[HEADER_SIZE_BYTES:]
-    if not any(hmac.compare_digest(mac, _mac(encoded, key)) for key in keys):
+    if not any(hmac.compare_digest(mac, sign(encoded, key)) for key in keys):
         raise exceptions.RefusedError(
             exceptions.ErrorCode.UNAUTHORIZED,
             "datagram is not signed with a key of this fleet; give all "
@@ -254,7 +254,8 @@
     )
 
 
-def _mac(encoded: bytes, key: bytes) -> bytes:
+def sign(encoded: bytes, key: bytes) -> bytes:
+    """Return the keyed digest of a datagram's struct."""
     digest = hashlib.blake2b(
         encoded, key=key[:MAX_KEY_SIZE_BYTES], digest_size=MAC_SIZE_BYTES
     )
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -271,23 +271,30 @@
         if record.incarnation < own.incarnation:
             return []
         if types.boot_of(record.incarnation) > types.boot_of(own.incarnation):
-            boot_ms = types.boot_of(record.incarnation) + 1
-            incarnation = boot_ms << types.BOOT_SHIFT
-            actions = self._restate(now_s, incarnation)
-            known = self._table.own_adverts(self._address)
-            slots_by_service = {
-                advert.service: advert.slots for advert in known.values()
-            }
-            for service, slots in slots_by_service.items():
-                actions.extend(self._advertise(service, slots))
-            return actions
+            return self._outlive(now_s, types.boot_of(record.incarnation))
         if record.state <= own.state and record.incarnation == own.incarnation:
             return []
+        if record.state >= types.MemberState.DEAD:
+            # Whoever thought this node dead may lack its latest adverts.
+            for service in self._table.own_adverts(self._address):
+                self._queue.add_advert(self._address, service)
         return self._restate(now_s, record.incarnation + 1)
 
+    def _outlive(
+        self, now_s: float, boot_ms: int
+    ) -> list[types.MembershipAction]:
+        """Take a later boot time than a former process claimed."""
+        offered = list(self._table.own_adverts(self._address).values())
+        incarnation = (boot_ms + 1) << types.BOOT_SHIFT
+        actions = self._restate(now_s, incarnation)
+        for advert in offered:
+            actions.extend(self._advertise(advert.service, advert.slots))
+        return actions
+
     def _restate(
         self, now_s: float, incarnation: int
     ) -> list[types.MembershipAction]:
+        assert incarnation > self._own.incarnation, incarnation
         self._own = dataclasses.replace(
             self._own, incarnation=incarnation, state=self._state
         )
@@ -345,10 +352,20 @@
             case types.PageRequest() as body:
                 return self._repair([self._reconciler.give_page(source, body)])
             case types.Page() as body:
-                return self._repair(self._reconciler.take_page(now_s, body))
+                return self._take_page(now_s, body)
             case types.Gossip():
                 return []
 
+    def _take_page(
+        self, now_s: float, body: types.Page
+    ) -> list[types.MembershipAction]:
+        was_joining = self.is_joining
+        actions = self._repair(self._reconciler.take_page(now_s, body))
+        if was_joining and not self.is_joining:
+            # The queue knows only now how many members have to hear it.
+            self._queue.add_member(self._address)
+        return actions
+
     def _spread(self, now_s: float) -> list[types.MembershipAction]:
         others = len(self._table.live) > 1
         if now_s < self._next_gossip_s or not len(self._queue) or not others:
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -16,9 +16,10 @@
 
 __all__ = ["Reconciler", "RepairMessage"]
 
-EXCHANGE_INTERVAL_S = 5.0
+EXCHANGE_INTERVAL_S = 3.0
 PAGE_TIMEOUT_S = 0.5
-READ_INTERVAL_S = 30.0
+READ_INTERVAL_S = 10.0
+BRANCHES_PER_EXCHANGE = 3
 MAX_BRANCHES_BY_EXCHANGE = 16
 RECORDS_SIZE_BYTES = 1100
 LEAF_NUMBER_BYTES = 4
@@ -85,7 +86,7 @@
     def take_branches(
         self, now_s: float, source: str, body: types.BranchDigests
     ) -> list[RepairMessage]:
-        """Answer with the leaves of a branch that differs."""
+        """Answer with the leaves of some branches that differ."""
         own = self._table.branch_digests()
         differing = [
             branch
@@ -94,9 +95,14 @@
         ]
         if not differing:
             return []
-        branch = self._rng.choice(differing)
-        digests = self._table.leaf_digests(branch)
-        messages = [RepairMessage(source, types.LeafDigests(branch, digests))]
+        some = min(len(differing), BRANCHES_PER_EXCHANGE)
+        messages = [
+            RepairMessage(
+                source,
+                types.LeafDigests(branch, self._table.leaf_digests(branch)),
+            )
+            for branch in self._rng.sample(differing, some)
+        ]
         many = len(differing) > MAX_BRANCHES_BY_EXCHANGE
         if many and not self.is_reading and now_s >= self._next_read_s:
             self._cursor = 0
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -59,12 +59,13 @@
             collections.defaultdict(list)
         )
         self._count = 0
-        self._ticks: list[
-            tuple[float, int, str, _membership.Membership]
-        ] = []
+        self._ticks: list[tuple[float, int, str, _membership.Membership]] = []
 
     def start(
-        self, number: int, seeds: cabc.Iterable[int] = (0, 1, 2)
+        self,
+        number: int,
+        seeds: cabc.Iterable[int] = (0, 1, 2),
+        boot_shift_ms: int = 0,
     ) -> _membership.Membership:
         """Start a node, or restart it as a new process."""
         address = address_of(number)
@@ -72,7 +73,7 @@
             address,
             address,
             DOMAINS[number % len(DOMAINS)],
-            START_BOOT_MS + int(self.now_s * 1000),
+            START_BOOT_MS + int(self.now_s * 1000) + boot_shift_ms,
             tuple(address_of(seed) for seed in seeds),
         )
         rng = random.Random(self.rng.random())
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,350 @@
+"""Membership under loss, delay, cuts, freezes and restarts."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from papayastall import _decision_types
+from papayastall import _member_table
+from papayastall import _membership_types as types
+from tests import gossip_fleet
+
+CONVERGENCE_S = 30.0
+CONTROL_BYTES_PER_S = 7_000
+
+
+def start_fleet(size: int, seed: int = 1) -> gossip_fleet.GossipFleet:
+    fleet = gossip_fleet.GossipFleet(seed)
+    for number in range(size):
+        fleet.start(number)
+    fleet.run_until(lambda: agrees(fleet), CONVERGENCE_S)
+    fleet.run(5.0)
+    fleet.events.clear()
+    return fleet
+
+
+def agrees(fleet: gossip_fleet.GossipFleet) -> bool:
+    """Tell whether every node sees exactly the running nodes alive."""
+    wanted = dict.fromkeys(fleet.nodes, types.MemberState.ALIVE)
+    return all(fleet.view(address) == wanted for address in fleet.nodes)
+
+
+def offer(fleet: gossip_fleet.GossipFleet, number: int, **slots: int) -> None:
+    address = gossip_fleet.address_of(number)
+    adverts = [
+        _decision_types.OwnerAdvert(address, service, "a", count)
+        for service, count in slots.items()
+    ]
+    node = fleet.nodes[address]
+    fleet.act(number, node.set_adverts(fleet.now_s, adverts))
+
+
+def offered(
+    fleet: gossip_fleet.GossipFleet, address: str, service: str
+) -> dict[str, int]:
+    return {
+        advert.owner: advert.slots
+        for advert in fleet.nodes[address].adverts(service)
+    }
+
+
+def departures(fleet: gossip_fleet.GossipFleet) -> set[tuple[str, str]]:
+    """Return pairs of a node and the member that it saw leave."""
+    return {
+        (address, event.address)
+        for address, events in fleet.events.items()
+        for event in events
+        if isinstance(event, types.MemberLeft)
+    }
+
+
+def test_an_advert_reaches_every_node_and_is_withdrawn() -> None:
+    fleet = start_fleet(20)
+    offer(fleet, 3, visits=7, supplies=2)
+    owner = gossip_fleet.address_of(3)
+
+    def heard(slots: dict[str, int]) -> bool:
+        return all(
+            offered(fleet, address, "visits") == slots
+            for address in fleet.nodes
+        )
+
+    fleet.run_until(lambda: heard({owner: 7}), 10.0)
+    offer(fleet, 3, supplies=2)
+    fleet.run_until(lambda: heard({}), 10.0)
+
+
+def test_a_killed_node_is_called_dead_and_its_adverts_go() -> None:
+    fleet = start_fleet(10)
+    offer(fleet, 4, visits=7)
+    fleet.run(5.0)
+    fleet.kill(4)
+    fleet.run_until(lambda: agrees(fleet), CONVERGENCE_S)
+    for address in fleet.nodes:
+        assert offered(fleet, address, "visits") == {}
+
+
+def test_a_restarted_node_is_told_from_its_former_self() -> None:
+    fleet = start_fleet(10)
+    offer(fleet, 4, visits=7)
+    fleet.run(5.0)
+    fleet.kill(4)
+    fleet.run(1.0)
+    fleet.start(4)
+    offer(fleet, 4, supplies=3)
+    fleet.run(10.0)
+    address = gossip_fleet.address_of(4)
+    assert agrees(fleet)
+    for peer in fleet.nodes:
+        assert offered(fleet, peer, "visits") == {}
+        assert offered(fleet, peer, "supplies") == {address: 3}
+        if peer != address:
+            joined = types.MemberJoined(address, "b", True)
+            assert joined in fleet.events[peer]
+
+
+def test_a_restart_with_a_clock_set_back_wins_over_its_former_self() -> None:
+    fleet = start_fleet(6)
+    offer(fleet, 4, visits=7)
+    fleet.run(5.0)
+    fleet.kill(4)
+    fleet.start(4, boot_shift_ms=-3_600_000)
+    offer(fleet, 4, supplies=3)
+    fleet.run(20.0)
+    address = gossip_fleet.address_of(4)
+    assert agrees(fleet)
+    for peer in fleet.nodes:
+        assert offered(fleet, peer, "visits") == {}
+        assert offered(fleet, peer, "supplies") == {address: 3}
+
+
+@pytest.mark.parametrize("both_ways", [False, True])
+def test_a_cut_pair_does_not_change_the_fleets_view(both_ways: bool) -> None:
+    fleet = start_fleet(8)
+    one, other = map(gossip_fleet.address_of, (1, 2))
+    fleet.faults.cuts.add((one, other))
+    if both_ways:
+        fleet.faults.cuts.add((other, one))
+    fleet.run(120.0)
+    assert departures(fleet) == set()
+    assert agrees(fleet)
+
+
+@pytest.mark.parametrize("deaf", [False, True])
+def test_a_deaf_or_mute_node_takes_nobody_with_it(deaf: bool) -> None:
+    fleet = start_fleet(8)
+    victim = gossip_fleet.address_of(1)
+    for address in fleet.nodes:
+        pair = (address, victim) if deaf else (victim, address)
+        fleet.faults.cuts.add(pair)
+    fleet.run(120.0)
+    assert {left for _, left in departures(fleet)} <= {victim}
+    assert len(fleet.view(victim)) == 8
+    fleet.faults.cuts.clear()
+    fleet.run_until(lambda: agrees(fleet), CONVERGENCE_S)
+
+
+def test_a_short_freeze_changes_nothing() -> None:
+    fleet = start_fleet(8)
+    for _ in range(10):
+        fleet.freeze(1)
+        fleet.run(2.0)
+        fleet.wake(1)
+        fleet.run(5.0)
+    assert departures(fleet) == set()
+    assert agrees(fleet)
+
+
+def test_a_long_frozen_node_doubts_itself() -> None:
+    fleet = start_fleet(8)
+    frozen = gossip_fleet.address_of(1)
+    offer(fleet, 1, visits=7)
+    fleet.freeze(1)
+    fleet.run(40.0)
+    others = {address for address in fleet.nodes if address != frozen}
+    assert departures(fleet) == {(address, frozen) for address in others}
+    fleet.wake(1)
+    fleet.run_until(lambda: agrees(fleet), CONVERGENCE_S)
+    assert not fleet.events[frozen][1:]
+    for address in fleet.nodes:
+        assert offered(fleet, address, "visits") == {frozen: 7}
+
+
+def test_of_two_nodes_neither_calls_the_other_dead() -> None:
+    fleet = start_fleet(2)
+    fleet.kill(1)
+    fleet.run(120.0)
+    assert departures(fleet) == set()
+    member = fleet.nodes[gossip_fleet.address_of(0)].member(
+        gossip_fleet.address_of(1)
+    )
+    assert member is not None and not member.answers
+
+
+def test_two_halves_find_each_other_again() -> None:
+    fleet = start_fleet(12)
+    addresses = list(fleet.nodes)
+    for one in addresses[:6]:
+        for other in addresses[6:]:
+            fleet.faults.cuts |= {(one, other), (other, one)}
+    fleet.run(60.0)
+    assert len(fleet.view(addresses[0])) == 6
+    offer(fleet, 0, visits=7)
+    offer(fleet, 11, visits=3)
+    fleet.faults.cuts.clear()
+    wanted = {addresses[0]: 7, addresses[11]: 3}
+
+    def converged() -> bool:
+        return agrees(fleet) and all(
+            offered(fleet, address, "visits") == wanted
+            for address in addresses
+        )
+
+    fleet.run_until(converged, CONVERGENCE_S)
+
+
+def test_a_leaving_node_is_gone_without_suspicion() -> None:
+    fleet = start_fleet(8)
+    offer(fleet, 5, visits=7)
+    fleet.run(5.0)
+    node = fleet.nodes[gossip_fleet.address_of(5)]
+    fleet.act(5, node.leave(fleet.now_s))
+    fleet.run(5.0)
+    leaving = types.MemberState.LEAVING
+    for address in fleet.nodes:
+        assert offered(fleet, address, "visits") == {}
+        assert fleet.view(address)[node.address] is leaving
+    fleet.act(5, node.depart(fleet.now_s))
+    fleet.kill(5)
+    fleet.run(5.0)
+    assert agrees(fleet)
+    for events in fleet.events.values():
+        assert types.MemberSuspect(node.address) not in events
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_views_converge_after_random_faults(seed: int) -> None:
+    size = 14
+    fleet = start_fleet(size, seed)
+    chance = random.Random(seed)
+    fleet.faults.loss = 0.15
+    fleet.faults.repeat = 0.1
+    fleet.faults.max_delay_s = 0.25
+    addresses = list(fleet.nodes)
+    for _ in range(60):
+        number = chance.randrange(size)
+        address = gossip_fleet.address_of(number)
+        match chance.randrange(6):
+            case 0:
+                fleet.kill(number)
+                fleet.start(number)
+            case 1 if address in fleet.nodes and address not in fleet.frozen:
+                offer(fleet, number, visits=chance.randrange(5))
+            case 2:
+                pair = (address, chance.choice(addresses))
+                fleet.faults.cuts.add(pair)
+            case 3:
+                fleet.faults.cuts.clear()
+            case 4 if address in fleet.nodes:
+                fleet.freeze(number)
+            case 5 if address in fleet.nodes:
+                fleet.wake(number)
+        fleet.run(chance.uniform(0.1, 3.0))
+    fleet.faults = type(fleet.faults)()
+    for number in range(size):
+        if gossip_fleet.address_of(number) in fleet.nodes:
+            fleet.wake(number)
+            offer(fleet, number, visits=number + 1)
+    fleet.run_until(lambda: agrees(fleet), 2 * CONVERGENCE_S)
+    fleet.run(10.0)
+    wanted = {
+        address: number + 1
+        for number, address in enumerate(addresses)
+        if address in fleet.nodes
+    }
+    for address in fleet.nodes:
+        assert offered(fleet, address, "visits") == wanted
+
+
+def test_the_cost_of_a_node_stays_in_its_bound_under_changes() -> None:
+    fleet = start_fleet(40)
+    fleet.sent_bytes.clear()
+    fleet.received_bytes.clear()
+    for step in range(30):
+        offer(fleet, step, visits=step + 1)
+        fleet.run(1.0)
+    for address in fleet.nodes:
+        total = fleet.sent_bytes[address] + fleet.received_bytes[address]
+        assert total / 30.0 < CONTROL_BYTES_PER_S
+
+
+ADDRESSES = [gossip_fleet.address_of(number) for number in range(4)]
+INCARNATIONS = [
+    (boot << types.BOOT_SHIFT) + count for boot in (1, 2) for count in (0, 1)
+]
+MEMBERS = strategies.builds(
+    types.MemberRecord,
+    address=strategies.sampled_from(ADDRESSES),
+    datagram_address=strategies.just("127.0.0.1:1"),
+    incarnation=strategies.sampled_from(INCARNATIONS),
+    failure_domain=strategies.just("a"),
+    state=strategies.sampled_from(types.MemberState),
+)
+ADVERTS = strategies.builds(
+    types.AdvertRecord,
+    owner=strategies.sampled_from(ADDRESSES),
+    service=strategies.sampled_from(["visits", "supplies"]),
+    slots=strategies.just(3),
+    version=strategies.sampled_from(INCARNATIONS),
+)
+
+
+def table_of(records: list[types.Record]) -> _member_table.MemberTable:
+    table = _member_table.MemberTable()
+    for address in ADDRESSES:
+        first = types.MemberRecord(
+            address, "127.0.0.1:1", 1, "a", types.MemberState.ALIVE
+        )
+        table.merge_member(first, 0.0)
+    for record in records:
+        if isinstance(record, types.MemberRecord):
+            table.merge_member(record, 0.0)
+        else:
+            table.merge_advert(record)
+    return table
+
+
+@hypothesis.given(
+    strategies.lists(MEMBERS | ADVERTS, max_size=12),
+    strategies.randoms(use_true_random=False),
+)
+def test_tables_agree_whatever_the_order_of_records(
+    records: list[types.Record], shuffler: random.Random
+) -> None:
+    table = table_of(records)
+    shuffled = list(records)
+    shuffler.shuffle(shuffled)
+    other = table_of([*shuffled, *records])
+    assert table.digest == other.digest
+    assert table.branch_digests() == other.branch_digests()
+    assert sorted(table.live) == sorted(other.live)
+    for service in ("visits", "supplies"):
+        one = sorted(table.offers(service), key=lambda each: each.owner)
+        two = sorted(other.offers(service), key=lambda each: each.owner)
+        assert one == two
+
+
+@hypothesis.given(strategies.lists(MEMBERS | ADVERTS, max_size=12))
+def test_pages_hold_the_whole_table(records: list[types.Record]) -> None:
+    table = table_of(records)
+    copied: list[types.Record] = []
+    cursor = 0
+    while cursor >= 0:
+        page, cursor = table.page(cursor, 150)
+        copied.extend(page)
+    assert len(copied) == len(set(copied))
+    assert table_of(copied).digest == table.digest
