--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -14,6 +14,7 @@
 
 _STEERED_SHARE = 0.05
 """An owner with less weight per slot than this is steered away."""
+_STEERED_WORD_S = 5.0
 _MIN_WEIGHT = 0.01
 
 
@@ -46,13 +47,19 @@
         self.others_in_flight = max(0.0, total - self.in_flight)
         self.load_s = now_s
 
-    def is_steered(self) -> bool:
-        """Return whether the owner steers all its upstreams away."""
+    def is_steered(self, now_s: float) -> bool:
+        """Return whether the owner steers all its upstreams away.
+
+        Word of it lasts a few seconds; then a request may go and ask again,
+        which the owner refuses unrun where nothing has changed.
+        """
+        if now_s > self.load_s + _STEERED_WORD_S:
+            return False
         return self.weight <= _STEERED_SHARE * self.slots
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether ordinary work goes elsewhere."""
-        if self.is_link_down or self.is_silent or self.is_steered():
+        if self.is_link_down or self.is_silent or self.is_steered(now_s):
             return True
         return now_s < self.avoid_until_s
 
