Send an attempt at once where the link stands; tick less when idle

Cause: a task per attempt was spawned only to find a standing link, and the 20 ms ticks ran with nothing to decide. Ruled out by a profile: frame encoding (0.2 s of 5 s for 4,000 lookups). Change: direct send on a standing link, 100 ms ticks without requests.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -21,6 +21,7 @@
 __all__ = ["AttemptSender"]
 
 TICK_INTERVAL_S = 0.02
+IDLE_TICK_INTERVAL_S = 0.1
 REDIAL_INTERVAL_S = 1.0
 LATE_GRACE_S = 1.0
 BODY_PART_BYTES = 256 << 10
@@ -116,8 +117,11 @@
         exchange.attempts[action.attempt] = attempt
         self._attempts[attempt.wire_id] = attempt
         self._links.watch(attempt.owner)
-        assert self._tasks is not None
-        self._tasks.start_soon(self._send_open, attempt, action)
+        if self._links.is_connected(attempt.owner):
+            self._send_open(attempt, action)
+        else:
+            assert self._tasks is not None
+            self._tasks.start_soon(self._connect_and_send, attempt, action)
 
     def _count_attempt(
         self,
@@ -131,25 +135,31 @@
         elif action.attempt > 1:
             self._counters.count(metrics.Counter.RETRIES, service=service)
 
-    async def _send_open(
+    async def _connect_and_send(
         self,
         attempt: _exchange.Attempt,
         action: _decision_types.ForwardAttempt,
     ) -> None:
         try:
-            boot_id = await self._links.connect(attempt.owner)
+            await self._links.connect(attempt.owner)
         except exceptions.UnreachableError:
             self._note_down(attempt.owner)
             self._end(attempt, _Result.NOT_RUN, _Code.LINK_FAILED)
             return
-        if attempt.wire_id not in self._attempts:
-            return
+        if attempt.wire_id in self._attempts:
+            self._send_open(attempt, action)
+
+    def _send_open(
+        self,
+        attempt: _exchange.Attempt,
+        action: _decision_types.ForwardAttempt,
+    ) -> None:
         request = attempt.exchange.request
         remaining_s = request.deadline_s - time.monotonic()
         if remaining_s <= 0:
             self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
             return
-        attempt.owner_boot_id = boot_id
+        attempt.owner_boot_id = self._links.boot_id(attempt.owner)
         for frame in _make_frames(attempt, action, remaining_s):
             self._links.send(attempt.owner, frame)
 
@@ -338,7 +348,10 @@
 
     async def _tick(self) -> None:
         while True:
-            await anyio.sleep(TICK_INTERVAL_S)
+            idle = not self._exchanges
+            await anyio.sleep(
+                IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
+            )
             now_s = time.monotonic()
             self.perform(self.controller.tick(now_s))
             self._end_late(now_s)
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -159,28 +159,34 @@
         """Register what answers each call of a channel."""
         self._call_handlers[int(channel)] = handler
 
-    async def connect(self, address: str) -> int:
-        """Wait for a link and return the peer's boot id.
+    async def connect(self, address: str) -> None:
+        """Wait for a link.
 
         :raises papayastall.exceptions.UnreachableError: no link in time;
             nothing was sent.
         """
-        if address == self.settings.address:
-            return self.settings.boot_id
         peer = self._peer(address)
-        if peer.connection is None or peer.connection.is_closed:
+        if not self.is_connected(address):
             peer.ready = anyio.Event()
             self._dial(peer)
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
                 await peer.ready.wait()
-            if peer.connection is None or peer.connection.is_closed:
+            if not self.is_connected(address):
                 raise exceptions.UnreachableError(
                     exceptions.ErrorCode.LINK_FAILED,
                     "no link can be made; check the node and the network",
                     step="connect",
                     peer=address,
                 )
-        return peer.boot_id
+
+    def is_connected(self, address: str) -> bool:
+        """Return whether a frame to the peer would be sent now."""
+        if address == self.settings.address:
+            return True
+        peer = self._peers.get(address)
+        if peer is None or peer.connection is None:
+            return False
+        return not peer.connection.is_closed
 
     def boot_id(self, address: str) -> int:
         """Return the boot id in the peer's last hello, 0 before one."""
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -22,6 +22,7 @@
 __all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
 
 TICK_INTERVAL_S = 0.02
+IDLE_TICK_INTERVAL_S = 0.1
 WINDOW_BYTES = 256 << 10
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
@@ -390,7 +391,10 @@
     async def _tick(self) -> None:
         expire_s = 0.0
         while True:
-            await anyio.sleep(TICK_INTERVAL_S)
+            idle = not len(self._runs)
+            await anyio.sleep(
+                IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
+            )
             now_s = time.monotonic()
             self.perform(self.controller.tick(now_s))
             if now_s > expire_s:
