--- /dev/null
+++ b/bench/replica_fleet.py
@@ -0,0 +1,111 @@
+"""Starts control replicas as processes for the benchmarks of the log."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import typing as t
+
+from papayastall import _data_folder
+
+POLL_S = 0.05
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class ReplicaProcess:
+    """One replica process and its pipes."""
+
+    def __init__(self, options: dict[str, t.Any]) -> None:
+        self.address: str = options["own_address"]
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "bench.replica_process"]
+            + [json.dumps(options)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.opened_s: float = self.read()["opened_s"]
+
+    def send(self, **order: t.Any) -> None:
+        """Give an order."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(json.dumps(order) + "\n")
+        self.process.stdin.flush()
+
+    def read(self) -> t.Any:
+        """Wait for an answer."""
+        assert self.process.stdout is not None
+        return json.loads(self.process.stdout.readline())
+
+    def ask(self, **order: t.Any) -> t.Any:
+        """Give an order and wait for its answer."""
+        self.send(**order)
+        return self.read()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def close(self) -> None:
+        """Let the process stop as planned."""
+        assert self.process.stdin is not None
+        self.process.stdin.close()
+        self.process.wait()
+
+
+class Fleet:
+    """Replicas of the same groups.
+
+    :param folder: where the data folders are made.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, groups: int, size: int = 3
+    ) -> None:
+        self._folder = folder
+        self._groups = groups
+        self.addresses = [free_address() for _ in range(size)]
+        self.replicas: dict[str, ReplicaProcess] = {}
+        for address in self.addresses:
+            path = str(folder / address)
+            _data_folder.create_data_folder(path, groups)
+            self.start(address)
+
+    def start(self, address: str) -> ReplicaProcess:
+        """Start a replica on its data folder."""
+        self.replicas[address] = ReplicaProcess(
+            {
+                "addresses": self.addresses,
+                "own_address": address,
+                "data_folder": str(self._folder / address),
+                "groups": self._groups,
+            }
+        )
+        return self.replicas[address]
+
+    def leader(self, group: int) -> ReplicaProcess:
+        """Wait until all replicas name the same leader."""
+        while True:
+            named = {
+                each.ask(op="leader", group=group)
+                for each in self.replicas.values()
+            }
+            if len(named) == 1 and named <= set(self.replicas):
+                return self.replicas[named.pop()]
+            time.sleep(POLL_S)
+
+    def close(self) -> None:
+        """Stop all replicas as planned."""
+        for replica in self.replicas.values():
+            replica.close()
