Wake the replicas only when something is due

Cause: the task woke ten times a second for nothing, and groups sent their heartbeats at different times. Change: the next due time is known; heartbeats are sent on multiples of their period, so that all groups of a node share a message.

--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -88,6 +88,13 @@
         leader = self._state.leader
         return None if leader is None else leader.address
 
+    @property
+    def due_s(self) -> float:
+        """When :meth:`tick` has something to do, if nothing arrives."""
+        if self._leadership is not None:
+            return self._leadership.due_s
+        return min(self._joining.due_s, self._state.election_deadline_s)
+
     def start(self) -> types.Output:
         """Hand out what is known to be committed in the stored log."""
         state = self._state
@@ -104,7 +111,7 @@
         return self._take()
 
     def tick(self, now_s: float) -> types.Output:
-        """Do what is due; to be called a few times per heartbeat."""
+        """Do what is due, see :attr:`due_s`."""
         leadership = self._leadership
         if leadership is None:
             self._joining.tick(now_s)
--- a/src/papayastall/_raft_join.py
+++ b/src/papayastall/_raft_join.py
@@ -86,6 +86,13 @@
         self._heard: dict[str, _Heard] = {}
         self._digest = _raft_state.list_digest(state.addresses)
 
+    @property
+    def due_s(self) -> float:
+        """When :meth:`tick` has something to do, if nothing is heard."""
+        state = self._state
+        unheard_s = state.heard_s + state.timings.election_max_s
+        return max(self._next_s, unheard_s)
+
     def tick(self, now_s: float) -> None:
         """Say that no leader sends anything to this folder.
 
@@ -93,8 +100,7 @@
         that made it one may have been replaced by that of a later leader.
         """
         state = self._state
-        unheard_s = now_s - state.heard_s
-        if unheard_s < state.timings.election_max_s or now_s < self._next_s:
+        if now_s < self.due_s:
             return
         self._next_s = now_s + state.timings.join_s
         body = types.Join(state.is_fresh, self._digest)
--- a/src/papayastall/_raft_leader.py
+++ b/src/papayastall/_raft_leader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from papayastall import _raft_codec as codec
 from papayastall import _raft_replication as replication
@@ -136,11 +137,18 @@
             return None
         return state.commit_index
 
+    @property
+    def due_s(self) -> float:
+        """When the next heartbeat is due."""
+        return self._heartbeat_s
+
     def tick(self, now_s: float) -> None:
         """Send heartbeats when they are due."""
         if now_s < self._heartbeat_s:
             return
-        self._heartbeat_s = now_s + self._state.timings.heartbeat_s
+        # On multiples of the period, so that all groups share a message.
+        period_s = self._state.timings.heartbeat_s
+        self._heartbeat_s = (math.floor(now_s / period_s) + 1) * period_s
         for progress in self._progress.values():
             self._replication.heartbeat(now_s, progress)
         self._promote(now_s)
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -31,7 +31,7 @@
 
 _T = t.TypeVar("_T")
 
-TICK_S = 0.1
+MIN_IDLE_S = 0.001
 MAX_COMMAND_BYTES = 256 * 1024
 
 
@@ -309,14 +309,15 @@
             self._closed.set()
 
     async def _wait(self) -> None:
-        if self._set is not None and self._set.has_work():
+        if self._set is None or self._set.has_work():
             return
         if self._inbox or self._proposals:
             return
+        idle_s = self._set.due_s - _replica_links.clock_s()
         self._wake = anyio.Event()
         if self._is_closing:
             return
-        with anyio.move_on_after(TICK_S):
+        with anyio.move_on_after(max(idle_s, MIN_IDLE_S)):
             await self._wake.wait()
 
     async def _turn(self) -> None:
--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -296,6 +296,11 @@
                 return group.output.stale
         return None
 
+    @property
+    def due_s(self) -> float:
+        """When :meth:`tick` has something to do, if nothing arrives."""
+        return min(group.replica.due_s for group in self.groups)
+
     def step(self, now_s: float, number: int, message: types.Message) -> None:
         """Take a message of one group."""
         if 0 <= number < len(self.groups):
