--- /dev/null
+++ b/src/papayastall/_thrift_codec.py
@@ -0,0 +1,135 @@
+"""Turns slotted data classes into thrift bytes and back.
+
+A data class and its thrift struct have the same name and the same field
+names. Unknown fields of a newer sender are skipped; fields that an older
+sender left out take the defaults of the data class.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import enum
+import types
+import typing as t
+
+from papayastall import _thrift
+from papayastall import exceptions
+
+__all__ = ["ThriftCodec"]
+
+T = t.TypeVar("T")
+
+Convert = cabc.Callable[[t.Any], t.Any]
+
+
+@dataclasses.dataclass(slots=True)
+class _Field:
+    name: str
+    to_thrift: Convert | None
+    from_thrift: Convert | None
+
+
+class ThriftCodec:
+    """Encodes the data classes whose structs one IDL module defines."""
+
+    def __init__(self, idl: t.Any) -> None:
+        self._idl = idl
+        self._fields: dict[type, list[_Field]] = {}
+
+    def encode(self, value: t.Any) -> bytes:
+        """Return the bytes of a data class."""
+        return _thrift.encode(self._to_thrift(value))
+
+    def decode(self, target: type[T], data: bytes) -> T:
+        """Return the data class that the bytes hold.
+
+        :raises papayastall.exceptions.ProtocolError: they hold none.
+        """
+        struct = _thrift.decode(getattr(self._idl, target.__name__), data)
+        try:
+            return t.cast(T, self._from_thrift(target, struct))
+        except (TypeError, ValueError) as error:
+            raise exceptions.ProtocolError(
+                exceptions.ErrorCode.BAD_FRAME,
+                f"bytes hold no {target.__name__}",
+                step="decode",
+            ) from error
+
+    def list_fields(self, target: type) -> set[str]:
+        """Return the field names of a data class's struct."""
+        specs = getattr(self._idl, target.__name__).thrift_spec
+        return {spec[1] for spec in specs.values()}
+
+    def _to_thrift(self, value: t.Any) -> t.Any:
+        target = type(value)
+        struct = getattr(self._idl, target.__name__)()
+        for field in self._find_fields(target):
+            part = getattr(value, field.name)
+            if part is not None and field.to_thrift is not None:
+                part = field.to_thrift(part)
+            setattr(struct, field.name, part)
+        return struct
+
+    def _from_thrift(self, target: type, struct: t.Any) -> t.Any:
+        values = {}
+        for field in self._find_fields(target):
+            part = getattr(struct, field.name)
+            if part is None:
+                continue
+            if field.from_thrift is not None:
+                part = field.from_thrift(part)
+            values[field.name] = part
+        return target(**values)
+
+    def _find_fields(self, target: type) -> list[_Field]:
+        fields = self._fields.get(target)
+        if fields is None:
+            hints = t.get_type_hints(target)
+            fields = [
+                _Field(field.name, *self._choose(hints[field.name]))
+                for field in dataclasses.fields(target)
+            ]
+            self._fields[target] = fields
+        return fields
+
+    def _choose(self, hint: t.Any) -> tuple[Convert | None, Convert | None]:
+        """Return the conversions of one field, if it needs any."""
+        options = t.get_args(hint)
+        if isinstance(hint, types.UnionType):
+            return self._choose(next(o for o in options if o is not _NONE))
+        if t.get_origin(hint) in (list, tuple):
+            return self._choose_list(t.get_origin(hint), options[0])
+        if not isinstance(hint, type):
+            return None, None
+        if issubclass(hint, enum.IntEnum):
+            return int, hint
+        if dataclasses.is_dataclass(hint):
+            return self._to_thrift, lambda s: self._from_thrift(hint, s)
+        if hint is bytes:
+            return None, _to_bytes
+        return None, None
+
+    def _choose_list(
+        self, origin: t.Any, item: t.Any
+    ) -> tuple[Convert, Convert]:
+        to_thrift, from_thrift = self._choose(item)
+
+        def write(parts: t.Any) -> list[t.Any]:
+            if to_thrift is None:
+                return list(parts)
+            return [to_thrift(part) for part in parts]
+
+        def read(parts: t.Any) -> t.Any:
+            if from_thrift is None:
+                return origin(parts)
+            return origin(from_thrift(part) for part in parts)
+
+        return write, read
+
+
+_NONE = type(None)
+
+
+def _to_bytes(value: str | bytes) -> bytes:
+    return value.encode() if isinstance(value, str) else value
