--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,214 @@
+"""Starts three nodes and six stand-in upstreams, and sends two requests.
+
+Usage:
+  run [--program=FILE]
+
+Options:
+  --program=FILE  one-file program to run the nodes and commands with,
+                  instead of this checkout's package
+
+A lookup and a booking go in at a node that owns no upstream of the service;
+the answers say where they ran. Everything is stopped cleanly at the end.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import docopt
+import httpcore
+
+HOST = "127.0.0.1"
+DOMAINS = ("atlanta-1", "atlanta-2", "atlanta-3")
+UPSTREAM_COUNT = 6
+PORTS_PER_NODE = 4
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 40.0
+POLL_INTERVAL_S = 0.2
+
+LOOKUP_PATH = "/visits/status/17"
+BOOKING_PATH = "/visits/bookings"
+
+SETTINGS = """\
+version = 1
+caller_address = "{node.caller}"
+control_address = "{node.control}"
+link_address = "{node.link}"
+gossip_address = "{node.gossip}"
+failure_domain = "{node.domain}"
+region = "georgia"
+seeds = ["{seed}"]
+control_replicas = [{replicas}]
+data_folder = "data-{node.domain}"
+insecure = true
+log_file = "{node.domain}.log"
+"""
+
+DOCUMENT = """\
+version = 1
+name = "visits"
+revision = 1
+floor_slots = 14
+timeout_ms = 2000
+health_priority = "detection"
+
+[[routes]]
+name = "status"
+methods = ["GET"]
+path = "/visits/status"
+kind = "lookup"
+
+[[routes]]
+name = "book"
+methods = ["POST"]
+path = "/visits/bookings"
+kind = "non-idempotent"
+"""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeAddresses:
+    """Where one node listens, and its failure domain."""
+
+    domain: str
+    caller: str
+    control: str
+    link: str
+    gossip: str
+
+
+class Demo:
+    """The processes of the demo; :meth:`close` ends them all.
+
+    :param program: command that runs papayastall.
+    """
+
+    def __init__(self, folder: pathlib.Path, program: list[str]) -> None:
+        self._folder = folder
+        self._program = program
+        self._processes: list[subprocess.Popen[bytes]] = []
+        addresses = iter(
+            find_free_addresses(len(DOMAINS) * PORTS_PER_NODE + UPSTREAM_COUNT)
+        )
+        self.nodes = [
+            NodeAddresses(domain, *[next(addresses) for _ in range(4)])
+            for domain in DOMAINS
+        ]
+        self._upstreams = list(addresses)
+
+    def start(self) -> None:
+        """Start the nodes, then the upstreams at the last two nodes."""
+        replicas = ", ".join(f'"{node.link}"' for node in self.nodes)
+        for node in self.nodes:
+            path = self._folder / f"{node.domain}.toml"
+            text = SETTINGS.format(
+                node=node, seed=self.nodes[0].gossip, replicas=replicas
+            )
+            path.write_text(text)
+            self.run_command("init", "--settings", str(path))
+            command = [*self._program, "node", "--settings", str(path)]
+            self._processes.append(subprocess.Popen(command))
+        for node in self.nodes:
+            wait_for_status(node.control, "/v1/status")
+        for number, address in enumerate(self._upstreams):
+            self._start_upstream(number, address)
+
+    def close(self) -> None:
+        """Stop upstreams first, then nodes, and wait for each."""
+        for process in reversed(self._processes):
+            process.send_signal(signal.SIGTERM)
+        for process in self._processes:
+            code = process.wait(STOP_TIMEOUT_S)
+            if code != 0:
+                print(f"process {process.args!r} ended with {code}")
+
+    def apply_document(self) -> None:
+        """Declare the service through the command line."""
+        path = self._folder / "visits.toml"
+        path.write_text(DOCUMENT)
+        control = self.nodes[0].control
+        self.run_command("apply", "--wait", f"--node={control}", str(path))
+
+    def run_command(self, *argv: str) -> None:
+        """Run a command of papayastall and show its output."""
+        print(f"$ papayastall {' '.join(argv)}", flush=True)
+        subprocess.run([*self._program, *argv], check=True)
+
+    def _start_upstream(self, number: int, address: str) -> None:
+        owners = self.nodes[1:]
+        first = owners[number % len(owners)]
+        others = [node for node in owners if node is not first]
+        controls = [node.control for node in (first, *others)]
+        command = [
+            *(sys.executable, "-m", "papayastall.emulator"),
+            f"--address={address}",
+            "--service=visits",
+            f"--announce={','.join(controls)}",
+        ]
+        self._processes.append(subprocess.Popen(command))
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Return addresses whose ports are free for TCP and UDP."""
+    addresses: list[str] = []
+    held: list[socket.socket] = []
+    while len(addresses) < count:
+        stream = socket.socket()
+        datagram = socket.socket(type=socket.SOCK_DGRAM)
+        held += [stream, datagram]
+        stream.bind((HOST, 0))
+        port = stream.getsockname()[1]
+        try:
+            datagram.bind((HOST, port))
+        except OSError:
+            continue
+        addresses.append(f"{HOST}:{port}")
+    for holder in held:
+        holder.close()
+    return addresses
+
+
+def wait_for_status(address: str, path: str) -> None:
+    """Wait until an address answers a read with status 200."""
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        try:
+            response = httpcore.request("GET", f"http://{address}{path}")
+        except httpcore.ConnectError:
+            response = None
+        if response is not None and response.status == 200:
+            return
+        time.sleep(POLL_INTERVAL_S)
+    raise TimeoutError(f"no answer from {address}{path}")
+
+
+def main() -> int:
+    """Run the demo; zero when both requests came back."""
+    assert __doc__ is not None
+    arguments = docopt.docopt(__doc__)
+    program = [sys.executable, "-m", "papayastall"]
+    if arguments["--program"]:
+        program = [sys.executable, arguments["--program"]]
+    with tempfile.TemporaryDirectory() as name:
+        demo = Demo(pathlib.Path(name), program)
+        try:
+            demo.start()
+            demo.apply_document()
+            caller = demo.nodes[0].caller
+            wait_for_status(caller, LOOKUP_PATH)
+            demo.run_command("demo", caller, LOOKUP_PATH, BOOKING_PATH)
+        finally:
+            demo.close()
+    print("stopped cleanly")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
