--- a/src/papayastall/_checking.py
+++ b/src/papayastall/_checking.py
@@ -9,6 +9,7 @@
 import collections.abc as cabc
 import dataclasses
 import enum
+import functools
 import ipaddress
 import pathlib
 import typing as t
@@ -41,6 +42,7 @@
 T = t.TypeVar("T")
 
 MAX_PORT = 65535
+MAX_CONVERTERS = 8
 
 TYPE_WORDS = {str: "text", int: "a whole number", bool: "true or false"}
 
@@ -87,9 +89,13 @@
     return host, port
 
 
+@functools.lru_cache(maxsize=MAX_CONVERTERS)
 def make_converter(base_path: pathlib.Path) -> cattrs.Converter:
     """Return a converter that refuses unknown keys and wrong types.
 
+    A converter compiles a function for each class on first use, so that
+    those already made are kept.
+
     :param base_path: folder that relative paths are resolved against.
     """
     converter = cattrs.Converter(
