Look only at services with requests in flight in the ingress's tick

Each tick, 50 a second, went through all owners of all services. With 30,708 owners and 10 requests in flight that took 17.9% of a core (bench.node_state; bound 1.6%). Work is outstanding only for pending requests, so only their services are looked at: 0.2%. Ticking only while anything is pending was ruled out: at 67 requests a second something is.

--- a/bench/node_state.py
+++ b/bench/node_state.py
@@ -35,6 +35,7 @@
 
 TICK_RATE_PER_S = 50
 BEGIN_COUNT = 2_000
+IN_FLIGHT_COUNT = 10
 MAX_TICK_CORE_SHARE = 0.016
 """Of one core: what control may take of a node."""
 
@@ -197,7 +198,7 @@
     for request in requests:
         controller.begin(1.0, request)
     begin_us = (time.process_time() - started_s) / BEGIN_COUNT * 1e6
-    for request in requests:
+    for request in requests[IN_FLIGHT_COUNT:]:
         controller.caller_gone(1.0, request.request_id)
     tick_ms = measure_tick(controller)
     share = tick_ms * TICK_RATE_PER_S / 1000
@@ -205,7 +206,8 @@
         f"ingress: {len(adverts)} owners of {size.services} services: "
         f"{held_bytes / 2**20:.1f} MiB with the adverts, "
         f"{held_bytes / len(adverts):.0f} B an owner, {begin_us:.0f} us CPU "
-        f"to choose, idle tick {tick_ms:.2f} ms = {share:.1%} of a core"
+        f"to choose, tick with {IN_FLIGHT_COUNT} requests in flight "
+        f"{tick_ms:.2f} ms = {share:.1%} of a core"
     )
     return share
 
@@ -226,10 +228,10 @@
 def measure_tick(
     controller: _ingress_controller.IngressController,
 ) -> float:
-    """Return the CPU time of one tick without requests, milliseconds."""
+    """Return the CPU time of one tick, in milliseconds."""
     started_s = time.process_time()
     for _ in range(TICK_RATE_PER_S):
-        controller.tick(2.0)
+        controller.tick(1.0)
     return (time.process_time() - started_s) / TICK_RATE_PER_S * 1e3
 
 
@@ -251,7 +253,7 @@
         share = run_alone(measure_ingress, size)
     met = "met" if share <= MAX_TICK_CORE_SHARE else "not met"
     print(
-        f"idle tick of the ingress at the two-year size: {share:.1%} of a "
+        f"tick of the ingress at the two-year size: {share:.1%} of a "
         f"core; bound {MAX_TICK_CORE_SHARE:.1%}: {met}"
     )
 
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -184,8 +184,9 @@
     def tick(self, now_s: float) -> _Actions:
         """Do what time alone brings about; call every 20 to 100 ms."""
         actions: _Actions = []
-        for service in self._services.values():
-            _service_view.find_silent(now_s, service)
+        busy = {pending.request.service for pending in self._pending.values()}
+        for name in sorted(busy):
+            _service_view.find_silent(now_s, self._service(name))
         for pending in list(self._pending.values()):
             if pending.chosen is not None:
                 continue
