--- /dev/null
+++ b/bench/_decision_driver.py
@@ -0,0 +1,538 @@
+"""Wires the controllers of one service by a heap of timed events.
+
+Not a simulator of a cluster: one service, stand-in service times, fixed
+distances, and no state but the controllers' own.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc as cabc
+import dataclasses
+import heapq
+import itertools
+import random
+
+from bench import _decision_model as model
+from papayastall import _decision_types as types
+from papayastall import _ingress_controller
+from papayastall import _owner_controller
+from papayastall import _owner_state
+from papayastall import _service_policy
+from papayastall import exceptions
+
+__all__ = ["Caller", "Driver", "Scenario", "Stats"]
+
+SERVICE = "service"
+TICK_S = 0.05
+SLOW_TICK_S = 1.0
+ANNOUNCE_S = 1.0
+LEASE_S = 5.0
+LOOKUP_DEADLINE_S = 2.5
+BOOKING_DEADLINE_S = 6.0
+PERMIT_S = 0.02
+DOMAINS = 3
+
+IngressFactory = cabc.Callable[
+    [str, random.Random], _ingress_controller.IngressController
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Scenario:
+    """One run: sizes, load over time, faults and policy.
+
+    :param load: share of the service's capacity that callers ask for at a
+        time, 1.0 being all of it.
+    :param teams: weights by which callers' teams are drawn.
+    :param resends: callers come back after a refusal, when they are told.
+    """
+
+    deployment: model.Deployment
+    upstreams: int
+    policy: _service_policy.ServicePolicy
+    seconds: float
+    load: cabc.Callable[[float], float]
+    peak_load: float
+    faults: list[model.Fault] = dataclasses.field(default_factory=list)
+    make_ingress: IngressFactory = _ingress_controller.IngressController
+    teams: cabc.Callable[[float, random.Random], str] = lambda now_s, rng: (
+        f"team-{rng.randrange(4)}"
+    )
+    resends: int = 0
+    restarts: dict[int, float] = dataclasses.field(default_factory=dict)
+    domain_of: cabc.Callable[[int], int] = lambda index: index % DOMAINS
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """A caller's request, over its resends."""
+
+    request: types.IngressRequest
+    begun_s: float
+    resends_left: int
+    team: str
+    runs: int = 0
+    answered_s: float | None = None
+    told: str = "nothing"
+
+
+@dataclasses.dataclass(slots=True)
+class Stats:
+    """What happened in one run."""
+
+    callers: list[Caller] = dataclasses.field(default_factory=list)
+    given: list[tuple[float, int, bool]] = dataclasses.field(
+        default_factory=list
+    )
+    standings: list[tuple[float, int, _owner_state.Standing]] = (
+        dataclasses.field(default_factory=list)
+    )
+    refusals: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    executions: dict[int, int] = dataclasses.field(default_factory=dict)
+    completed_in_time: int = 0
+    lost_connections: set[int] = dataclasses.field(default_factory=set)
+
+
+class Driver:
+    """Runs one scenario from a seed."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.stats = Stats()
+        self.now_s = 0.0
+        self._rng = random.Random(seed)
+        self._heap: list[tuple[float, int, cabc.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._ids = itertools.count(1)
+        self._callers: dict[int, Caller] = {}
+        self._at: dict[int, int] = {}
+        self._local: dict[tuple[int, int], int] = {}
+        self._remote: dict[int, tuple[int, int, int]] = {}
+        self._requests: dict[int, types.OwnerRequest] = {}
+        self._running: dict[int, int] = {}
+        self._answered: dict[int, types.Outcome] = {}
+        self._ejected: set[int] = set()
+        self._ticking: set[tuple[str, int]] = set()
+        self._standing: dict[int, _owner_state.Standing] = {}
+        self._leaving: set[int] = set()
+        count = scenario.upstreams
+        slots = scenario.deployment.slots
+        self.models = [
+            model.UpstreamModel(index, slots, -100.0) for index in range(count)
+        ]
+        self.capacity_per_s = count * slots / model.mean_service_s()
+        self._make_controllers()
+        for fault in scenario.faults:
+            self.models[fault.upstream].faults.append(fault)
+
+    def run(self) -> Stats:
+        """Run the scenario to its end."""
+        self._arrive()
+        self._slow_tick()
+        self._pause()
+        for index, at_s in self.scenario.restarts.items():
+            self._at_time(at_s, lambda index=index: self._leave(index))
+        while self._heap and self._heap[0][0] <= self.scenario.seconds:
+            at_s, _, step = heapq.heappop(self._heap)
+            self.now_s = at_s
+            step()
+        return self.stats
+
+    # Set-up
+
+    def _make_controllers(self) -> None:
+        scenario = self.scenario
+        self.owners: list[_owner_controller.OwnerController] = []
+        for index in range(scenario.upstreams):
+            owner = _owner_controller.OwnerController(
+                self._owner_name(index),
+                str(scenario.domain_of(index)),
+                random.Random(self._rng.random()),
+            )
+            owner.configure(SERVICE, scenario.policy)
+            self.owners.append(owner)
+            self._announce(index, types.UpstreamState.READY, at_s=-100.0)
+        self.ingresses = []
+        for index in range(scenario.deployment.nodes()):
+            domain = str(scenario.domain_of(index))
+            ingress = scenario.make_ingress(
+                f"ingress-{index}", random.Random(self._rng.random())
+            )
+            ingress.configure(
+                SERVICE,
+                dataclasses.replace(scenario.policy, failure_domain=domain),
+            )
+            for number in range(scenario.upstreams):
+                advert = types.OwnerAdvert(
+                    self._owner_name(number),
+                    SERVICE,
+                    str(scenario.domain_of(number)),
+                    scenario.deployment.slots,
+                )
+                ingress.set_owner(0.0, advert)
+            self.ingresses.append(ingress)
+
+    def _owner_name(self, index: int) -> str:
+        return f"owner-{index}"
+
+    def _announce(
+        self, index: int, state: types.UpstreamState, at_s: float
+    ) -> None:
+        announcement = types.UpstreamAnnouncement(
+            upstream=f"upstream-{index}",
+            service=SERVICE,
+            slots=self.scenario.deployment.slots,
+            connections=390,
+            load=0.0,
+            state=state,
+            lease_s=LEASE_S if at_s >= 0 else 200.0,
+        )
+        actions = self.owners[index].announce(at_s, announcement)
+        self._perform_owner(index, actions)
+
+    # Time
+
+    def _at_time(self, at_s: float, step: cabc.Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (at_s, next(self._order), step))
+
+    def _after(self, delay_s: float, step: cabc.Callable[[], None]) -> None:
+        self._at_time(self.now_s + delay_s, step)
+
+    def _slow_tick(self) -> None:
+        for index, owner in enumerate(self.owners):
+            frozen = self._has_fault(index, model.FaultKind.OWNER_FROZEN)
+            if frozen:
+                continue
+            if index not in self._leaving:
+                state = types.UpstreamState.READY
+                if self.now_s - self.models[index].started_s < model.COLD_S:
+                    state = types.UpstreamState.COLD
+                if not self._has_fault(index, model.FaultKind.CRASH):
+                    self._announce(index, state, self.now_s)
+            self._perform_owner(index, owner.tick(self.now_s))
+        for index, ingress in enumerate(self.ingresses):
+            self._perform_ingress(index, ingress.tick(self.now_s))
+        self._after(SLOW_TICK_S, self._slow_tick)
+
+    def _pause(self) -> None:
+        """Stop a healthy upstream for a moment, as a collector would."""
+        upstream = self._rng.choice(self.models)
+        duration_s = self._rng.expovariate(1.0 / model.PAUSE_MEAN_S)
+        duration_s = min(duration_s, model.MAX_PAUSE_S)
+        upstream.paused_until_s = self.now_s + duration_s
+        rate = len(self.models) / model.PAUSE_INTERVAL_S
+        self._after(self._rng.expovariate(rate), self._pause)
+
+    def _keep_ticking(self, side: str, index: int) -> None:
+        if (side, index) in self._ticking:
+            return
+        self._ticking.add((side, index))
+        self._after(TICK_S, lambda: self._tick(side, index))
+
+    def _tick(self, side: str, index: int) -> None:
+        self._ticking.discard((side, index))
+        if side == "owner":
+            if self._has_fault(index, model.FaultKind.OWNER_FROZEN):
+                self._keep_ticking(side, index)
+                return
+            self._perform_owner(index, self.owners[index].tick(self.now_s))
+            busy = self.owners[index].has_work()
+        else:
+            actions = self.ingresses[index].tick(self.now_s)
+            self._perform_ingress(index, actions)
+            busy = self.ingresses[index].has_work()
+        if busy:
+            self._keep_ticking(side, index)
+
+    def _has_fault(self, index: int, kind: model.FaultKind) -> bool:
+        return any(
+            fault.kind is kind and fault.is_on(self.now_s)
+            for fault in self.models[index].faults
+        )
+
+    # Callers
+
+    def _arrive(self) -> None:
+        rate = self.capacity_per_s * self.scenario.peak_load
+        self._after(self._rng.expovariate(rate), self._arrive)
+        share = self.scenario.load(self.now_s) / self.scenario.peak_load
+        if self.now_s <= 0.0 or self._rng.random() >= share:
+            return
+        route = model.draw_route(self._rng)
+        team = self.scenario.teams(self.now_s, self._rng)
+        self._begin(route, team, self.scenario.resends)
+
+    def _begin(self, route: str, team: str, resends: int) -> None:
+        request_id = next(self._ids)
+        is_booking = route == model.BOOKING_ROUTE
+        kind = types.RequestKind.LOOKUP
+        deadline_s = self.now_s + LOOKUP_DEADLINE_S
+        if is_booking:
+            kind = types.RequestKind.NON_IDEMPOTENT
+            deadline_s = self.now_s + BOOKING_DEADLINE_S
+        request = types.IngressRequest(
+            request_id, SERVICE, route, team, kind, deadline_s, request_id
+        )
+        caller = Caller(request, self.now_s, resends, team)
+        self.stats.callers.append(caller)
+        self._callers[request_id] = caller
+        index = self._rng.randrange(len(self.ingresses))
+        self._at[request_id] = index
+        ingress = self.ingresses[index]
+        self._perform_ingress(index, ingress.begin(self.now_s, request))
+        if ingress.has_work():
+            self._keep_ticking("ingress", index)
+
+    # Ingress
+
+    def _perform_ingress(
+        self, index: int, actions: cabc.Iterable[types.IngressAction]
+    ) -> None:
+        for action in actions:
+            match action:
+                case types.ForwardAttempt():
+                    self._send_open(index, action)
+                case types.CancelAttempt(request_id, attempt):
+                    self._send_cancel(index, request_id, attempt)
+                case types.AnswerChosen(request_id, _):
+                    caller = self._callers[request_id]
+                    caller.told = "answered"
+                    caller.answered_s = self.now_s
+                case types.RefuseRequest():
+                    self._tell_refused(action)
+
+    def _tell_refused(self, action: types.RefuseRequest) -> None:
+        caller = self._callers.pop(action.request_id)
+        caller.told = (
+            "not run" if action.ran is exceptions.RanState.NO else "unknown"
+        )
+        self.stats.refusals[action.code.value] += 1
+        if caller.told == "not run":
+            assert caller.runs == 0, "told 'not run' of one that ran"
+        if action.retry_after_s is None or caller.resends_left == 0:
+            return
+        route, team = caller.request.route, caller.team
+        resends = caller.resends_left - 1
+        self._after(
+            action.retry_after_s, lambda: self._begin(route, team, resends)
+        )
+
+    def _distance_s(self, ingress: int, owner: int) -> float:
+        domain_of = self.scenario.domain_of
+        if ingress == owner:
+            return 0.0
+        if domain_of(ingress) == domain_of(owner):
+            return 0.0001
+        return self.scenario.deployment.domain_s
+
+    def _send_open(self, index: int, action: types.ForwardAttempt) -> None:
+        owner = int(action.owner.split("-")[1])
+        caller = self._callers[action.request_id]
+        local_id = next(self._ids)
+        self._remote[local_id] = (index, action.request_id, action.attempt)
+        self._local[action.request_id, action.attempt] = local_id
+        self._requests[local_id] = types.OwnerRequest(
+            local_id,
+            SERVICE,
+            caller.request.route,
+            caller.request.team,
+            caller.request.kind,
+            caller.request.deadline_s,
+            action.reference_ms,
+            caller.request.fingerprint,
+            action.hints,
+        )
+        self._after(
+            self._distance_s(index, owner),
+            lambda: self._receive_open(owner, local_id),
+        )
+
+    def _send_cancel(self, index: int, request_id: int, number: int) -> None:
+        local_id = self._local.pop((request_id, number), None)
+        if local_id is None:
+            return
+        self._remote.pop(local_id, None)
+        owner = self._running.get(local_id)
+        if owner is None:
+            for index, controller in enumerate(self.owners):
+                self._perform_owner(
+                    index, controller.cancel(self.now_s, local_id)
+                )
+            return
+        if self._has_fault(owner, model.FaultKind.OWNER_FROZEN):
+            return
+        if self._requests[local_id].kind is types.RequestKind.LOOKUP:
+            self._finish(owner, local_id, types.Outcome.CANCELLED)
+
+    # Owner
+
+    def _receive_open(self, index: int, local_id: int) -> None:
+        if self._has_fault(index, model.FaultKind.OWNER_FROZEN):
+            self._after(0.2, lambda: self._receive_open(index, local_id))
+            return
+        if local_id not in self._remote:
+            return
+        request = self._requests[local_id]
+        actions = self.owners[index].submit(self.now_s, request)
+        self._perform_owner(index, actions)
+        self._keep_ticking("owner", index)
+
+    def _perform_owner(
+        self, index: int, actions: cabc.Iterable[types.OwnerAction]
+    ) -> None:
+        for action in actions:
+            match action:
+                case types.Dispatch(local_id, _):
+                    self._dispatch(index, local_id)
+                case types.RefuseRequest():
+                    self._answer(index, action.request_id, action)
+                case types.AskPermit(upstream, _, _):
+                    self._after(
+                        PERMIT_S, lambda up=upstream: self._grant(index, up)
+                    )
+                case types.ReleasePermit():
+                    self._ejected.discard(index)
+                case types.SuspectNews():
+                    self._spread(index, action)
+        self._note_standing(index)
+
+    def _note_standing(self, index: int) -> None:
+        standing = self.owners[index].standing(f"upstream-{index}")
+        if standing is None or self._standing.get(index) is standing:
+            return
+        self._standing[index] = standing
+        self.stats.standings.append((self.now_s, index, standing))
+
+    def _grant(self, index: int, upstream: str) -> None:
+        slots = self.scenario.deployment.slots
+        out = self._ejected | self._leaving | {index}
+        left = (self.scenario.upstreams - len(out)) * slots
+        granted = left >= self.scenario.policy.floor_slots
+        if granted:
+            self._ejected.add(index)
+        actions = self.owners[index].permit_answered(
+            self.now_s, upstream, granted
+        )
+        self._perform_owner(index, actions)
+
+    def _spread(self, index: int, news: types.SuspectNews) -> None:
+        def receive() -> None:
+            for number, owner in enumerate(self.owners):
+                if number != index:
+                    self._perform_owner(
+                        number, owner.suspect(self.now_s, news)
+                    )
+            for ingress in self.ingresses:
+                ingress.suspect(self.now_s, news)
+
+        self._after(self.scenario.deployment.domain_s, receive)
+
+    def _dispatch(self, index: int, local_id: int) -> None:
+        request = self._requests[local_id]
+        standing = self.owners[index].standing(f"upstream-{index}")
+        ordinary = standing in (
+            _owner_state.Standing.HEALTHY,
+            _owner_state.Standing.RETURNING,
+        )
+        self.stats.given.append((self.now_s, index, ordinary))
+        upstream = self.models[index]
+        run = upstream.run(self.now_s, request.route, self._rng)
+        upstream.busy += 1
+        self._running[local_id] = index
+        if run.outcome is not types.Outcome.CONNECT_FAILED:
+            caller = self._callers.get(request.fingerprint)
+            if caller is not None:
+                caller.runs += 1
+                if request.kind is types.RequestKind.NON_IDEMPOTENT:
+                    assert caller.runs == 1, "a booking ran twice"
+        end_s = request.deadline_s
+        outcome = types.Outcome.TIMED_OUT
+        if run.duration_s is not None:
+            if self.now_s + run.duration_s < end_s:
+                end_s = self.now_s + run.duration_s
+                outcome = run.outcome
+        self._at_time(end_s, lambda: self._finish(index, local_id, outcome))
+
+    def _finish(
+        self, index: int, local_id: int, outcome: types.Outcome
+    ) -> None:
+        if local_id not in self._running:
+            return
+        if self._has_fault(index, model.FaultKind.OWNER_FROZEN):
+            self._after(0.2, lambda: self._finish(index, local_id, outcome))
+            return
+        del self._running[local_id]
+        self.models[index].busy -= 1
+        actions = self.owners[index].finished(self.now_s, local_id, outcome)
+        if outcome in (types.Outcome.ANSWERED, types.Outcome.FAILED):
+            self._answer(index, local_id, outcome)
+        self._perform_owner(index, actions)
+        if index in self._leaving:
+            self._check_drained(index)
+
+    def _answer(
+        self,
+        index: int,
+        local_id: int,
+        result: types.Outcome | types.RefuseRequest,
+    ) -> None:
+        request = self._requests.pop(local_id)
+        load = self.owners[index].load(self.now_s, SERVICE, request.route)
+        remote = self._remote.pop(local_id, None)
+        if remote is None:
+            return
+        ingress, request_id, attempt = remote
+        status: int | None = None
+        code = None
+        retry_after_s = None
+        match result:
+            case types.Outcome.ANSWERED:
+                kind, status = types.AttemptResult.ANSWERED, 200
+            case types.RefuseRequest():
+                ran_not = result.ran is exceptions.RanState.NO
+                kind = types.AttemptResult.UNKNOWN
+                if ran_not:
+                    kind = types.AttemptResult.NOT_RUN
+                code, retry_after_s = result.code, result.retry_after_s
+            case _:
+                kind, status = types.AttemptResult.ANSWERED, 500
+        outcome = types.AttemptOutcome(
+            request_id, attempt, kind, status, code, retry_after_s, load
+        )
+        self._after(
+            self._distance_s(ingress, index),
+            lambda: self._receive_answer(ingress, outcome),
+        )
+
+    def _receive_answer(
+        self, index: int, outcome: types.AttemptOutcome
+    ) -> None:
+        actions = self.ingresses[index].attempt_ended(self.now_s, outcome)
+        self._local.pop((outcome.request_id, outcome.attempt), None)
+        self._perform_ingress(index, actions)
+        caller = self._callers.get(outcome.request_id)
+        if caller is not None and caller.told == "answered":
+            if outcome.status != 200:
+                caller.told = "failed"
+            del self._callers[outcome.request_id]
+
+    # Restarts
+
+    def _leave(self, index: int) -> None:
+        self._leaving.add(index)
+        self._announce(index, types.UpstreamState.LEAVING, self.now_s)
+        self._check_drained(index)
+
+    def _check_drained(self, index: int) -> None:
+        if self.owners[index].drained(f"upstream-{index}"):
+            self._after(5.0, lambda: self._come_back(index))
+
+    def _come_back(self, index: int) -> None:
+        if index not in self._leaving:
+            return
+        self._leaving.discard(index)
+        self.models[index].started_s = self.now_s
+        self._announce(index, types.UpstreamState.COLD, self.now_s)
--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -24,7 +24,9 @@
 
 _MIN_WEIGHT = 0.1
 _PERMIT_RETRY_S = 5.0
+_FIRST_TRIAL_S = 0.5
 _TRIAL_RETRY_S = 5.0
+_FAILED_TRIALS = 2
 _TRIAL_LIMIT_FACTOR = 4.0
 
 _Tuning = _service_policy.HealthTuning
@@ -107,7 +109,7 @@
 
 def is_trial_due(upstream: state.Upstream, now_s: float) -> bool:
     """Return whether the upstream may run one lookup to show its health."""
-    if not is_out(upstream) or now_s < upstream.out_until_s:
+    if not is_out(upstream) or now_s < upstream.trial_due_s:
         return False
     return not any(run.is_trial for run in upstream.running.values())
 
@@ -125,8 +127,9 @@
         return []
     if not passed:
         upstream.trials_passed = 0
+        upstream.trials_failed += 1
         pause_s = min(_TRIAL_RETRY_S, upstream.stay_s)
-        upstream.out_until_s = max(upstream.out_until_s, now_s + pause_s)
+        upstream.trial_due_s = now_s + pause_s
         return []
     upstream.trials_passed += 1
     if upstream.trials_passed < tuning.return_lookups:
@@ -143,7 +146,9 @@
     upstream.out_until_s = now_s + upstream.stay_s
     upstream.standing = state.Standing.STEERED
     upstream.standing_since_s = now_s
+    upstream.trial_due_s = now_s + _FIRST_TRIAL_S
     upstream.trials_passed = 0
+    upstream.trials_failed = 0
 
 
 def _settle(upstream: state.Upstream, now_s: float, tuning: _Tuning) -> None:
@@ -176,6 +181,11 @@
         return False
     if healthy_share < tuning.min_healthy_share:
         return False
-    if now_s - upstream.standing_since_s < tuning.eject_confirm_s:
+    if now_s - upstream.permit_asked_s < _PERMIT_RETRY_S:
         return False
-    return now_s - upstream.permit_asked_s >= _PERMIT_RETRY_S
+    steered_s = upstream.standing_since_s
+    if now_s - steered_s < tuning.eject_confirm_s:
+        return False
+    if upstream.trials_failed >= _FAILED_TRIALS:
+        return True
+    return upstream.last_answer_s <= steered_s and bool(upstream.running)
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -195,6 +195,10 @@
                 actions += self._hedge(now_s, pending)
         return actions
 
+    def has_work(self) -> bool:
+        """Return whether any request is open, so that ticks matter."""
+        return bool(self._pending)
+
     def owners(self, service: str) -> list[_routing.OwnerView]:
         """Return the owners of a service as this ingress sees them."""
         return list(self._service(service).owners.values())
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -233,6 +233,15 @@
             for up in self._registry.all()
         ]
 
+    def has_work(self) -> bool:
+        """Return whether anything runs or waits, so that ticks matter."""
+        return bool(self._running or self._queued or self._parked)
+
+    def standing(self, upstream: str) -> state.Standing | None:
+        """Return an upstream's standing, ``None`` if it is not known."""
+        known = self._registry.find(upstream)
+        return None if known is None else known.standing
+
     def _service(self, name: str) -> state.ServiceState:
         known = self._services.get(name)
         if known is None:
@@ -244,16 +253,14 @@
         self, now_s: float, upstream: state.Upstream
     ) -> list[types.OwnerAction]:
         service = self._service(upstream.service)
-        actions = _owner_evidence.note_slow_trials(now_s, service, upstream)
-        score = _owner_evidence.score(now_s, service, upstream)
-        actions += _ejection.evaluate(
+        _owner_evidence.note_slow_trials(now_s, service, upstream)
+        return _ejection.evaluate(
             upstream,
             now_s,
-            score,
+            _owner_evidence.score(now_s, service, upstream),
             service.healthy_share,
             service.policy.thresholds(),
         )
-        return actions
 
     def _place(
         self, now_s: float, request: types.OwnerRequest
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -103,17 +103,17 @@
 
 def note_slow_trials(
     now_s: float, service: state.ServiceState, upstream: state.Upstream
-) -> list[types.OwnerAction]:
+) -> None:
     """Count trials that run too long as failed without waiting for them."""
     tuning = service.policy.thresholds()
     for run in upstream.running.values():
-        if not run.is_trial:
+        if not run.is_trial or run.trial_failed:
             continue
         base_s = reference_s(now_s, service, upstream, run.request)
         limit_s = _ejection.trial_limit_s(base_s, tuning)
         if now_s - run.started_s > limit_s:
+            run.trial_failed = True
             _ejection.note_trial(upstream, now_s, False, tuning)
-    return []
 
 
 def view(
@@ -201,7 +201,7 @@
     if run.ignored or run.first_byte_s is not None:
         return
     age_s = now_s - run.started_s
-    if not tuning.latency_evidence or age_s < tuning.stall_age_s:
+    if not tuning.latency_evidence:
         return
     base_s = reference_s(now_s, service, upstream, run.request)
     upstream.evidence.add_time(run.request.route, age_s, base_s, ended=False)
@@ -236,7 +236,9 @@
     outcome: types.Outcome,
 ) -> list[types.OwnerAction]:
     is_lookup = run.request.kind is types.RequestKind.LOOKUP
-    if not is_lookup or run.started_s < upstream.standing_since_s:
+    if not is_lookup or run.trial_failed:
+        return []
+    if run.started_s < upstream.standing_since_s:
         return []
     tuning = service.policy.thresholds()
     base_s = reference_s(now_s, service, upstream, run.request)
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -42,6 +42,7 @@
     is_suspect: bool
     is_trial: bool
     first_byte_s: float | None = None
+    trial_failed: bool = False
     ignored: bool = False
 
 
@@ -70,7 +71,9 @@
     out_until_s: float = 0.0
     stay_s: float = 0.0
     relapses: int = 0
+    trial_due_s: float = 0.0
     trials_passed: int = 0
+    trials_failed: int = 0
     permit_held: bool = False
     permit_asked_s: float = -math.inf
     shed_until_s: float = 0.0
