Let a suspicion end only after others were heard past its time

A node that went deaf 0.65 s before a suspicion's end called the member dead: three seconds of earlier hearing counted. Shorter windows were tried and only narrow the gap. Now two others must be heard after the end, so that a refutation would have come with what they say (test_a_node_out_of_touch_ends_no_suspicion, failing before).

--- a/src/papayastall/_suspicions.py
+++ b/src/papayastall/_suspicions.py
@@ -16,7 +16,6 @@
 HEARING_SAMPLE = 8
 SUSPICION_BASE_S = 3.0
 SUSPICION_PER_DECADE_S = 2.0
-SUSPICION_RETRY_S = 1.0
 
 
 class Suspicions:
@@ -51,23 +50,7 @@
 
     def trusts_itself(self, now_s: float) -> bool:
         """Tell whether others reach this node, so that silence counts."""
-        if now_s < self._doubt_until_s:
-            return False
-        live = self._table.live
-        sample = self._rng.sample(live, min(len(live), HEARING_SAMPLE))
-        others = sum(
-            1
-            for address in sample
-            if address != self._own_address
-            and self._table.members[address].state
-            is not types.MemberState.SUSPECT
-        )
-        heard = sum(
-            1
-            for heard_s in self._heard_s.values()
-            if now_s - heard_s <= HEARING_WINDOW_S
-        )
-        return heard >= min(others, HEARING_SENDERS)
+        return self._hears_since(now_s, now_s - HEARING_WINDOW_S)
 
     def open(self, now_s: float, address: str) -> None:
         """Give a suspected member its time to refute, once."""
@@ -80,18 +63,34 @@
         self._ends_s.pop(address, None)
 
     def ended(self, now_s: float) -> list[str]:
-        """Return the members whose time is over and who count as dead."""
-        due = [
-            address
-            for address, end_s in self._ends_s.items()
-            if now_s >= end_s
-        ]
+        """Return the members whose time is over and who count as dead.
+
+        Others must have been heard after that time, so that a refutation
+        would have come with what they say.
+        """
         dead: list[str] = []
-        for address in due:
+        for address, end_s in self._ends_s.items():
+            if now_s < end_s:
+                continue
             witnesses = len(self._table.members[address].suspecters)
             enough = witnesses >= _member_table.MAX_SUSPECTERS
-            if enough and self.trusts_itself(now_s):
+            if enough and self._hears_since(now_s, end_s):
                 dead.append(address)
-            else:
-                self._ends_s[address] = now_s + SUSPICION_RETRY_S
         return dead
+
+    def _hears_since(self, now_s: float, since_s: float) -> bool:
+        if now_s < self._doubt_until_s:
+            return False
+        live = self._table.live
+        sample = self._rng.sample(live, min(len(live), HEARING_SAMPLE))
+        others = sum(
+            1
+            for address in sample
+            if address != self._own_address
+            and self._table.members[address].state
+            is not types.MemberState.SUSPECT
+        )
+        heard = sum(
+            1 for heard_s in self._heard_s.values() if heard_s >= since_s
+        )
+        return heard >= min(others, HEARING_SENDERS)
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -12,10 +12,11 @@
 from papayastall import _membership
 from papayastall import _membership_types as types
 
-__all__ = ["GossipFleet", "address_of"]
+__all__ = ["DOMAINS", "GossipFleet", "address_of"]
 
 KEY = b"test key"
 START_BOOT_MS = 1_700_000_000_000
+HELD_BEFORE_TICK = 2
 DOMAINS = ("a", "b", "c")
 
 
@@ -50,6 +51,7 @@
         self.events: dict[str, list[types.MembershipEvent]] = (
             collections.defaultdict(list)
         )
+        self.sent: collections.Counter[str] = collections.Counter()
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.received_bytes: collections.Counter[str] = collections.Counter()
         self._with_codec = with_codec
@@ -94,10 +96,20 @@
         self.frozen.add(address_of(number))
 
     def wake(self, number: int) -> None:
-        """Let a frozen process run on."""
+        """Let a frozen process run on.
+
+        It reads some of the datagrams that wait, then its clock, then the
+        rest.
+        """
         address = address_of(number)
+        if address not in self.frozen:
+            return
         self.frozen.discard(address)
-        for source, datagram in self._held.pop(address, []):
+        held = self._held.pop(address, [])
+        for source, datagram in held[:HELD_BEFORE_TICK]:
+            self._receive(source, address, datagram)
+        self._act(address, self.nodes[address].tick(self.now_s))
+        for source, datagram in held[HELD_BEFORE_TICK:]:
             self._receive(source, address, datagram)
 
     def act(
@@ -166,6 +178,7 @@
     def _send(self, address: str, action: types.SendDatagram) -> None:
         target = action.datagram_address
         data = b""
+        self.sent[address] += 1
         if self._with_codec:
             data = _gossip_codec.encode(action.datagram, KEY)
             self.sent_bytes[address] += len(data)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import hypothesis
@@ -11,6 +12,7 @@
 from papayastall import _decision_types
 from papayastall import _member_table
 from papayastall import _membership_types as types
+from papayastall import _suspicions
 from tests import gossip_fleet
 
 CONVERGENCE_S = 30.0
@@ -148,6 +150,22 @@
     fleet.run_until(lambda: agrees(fleet), CONVERGENCE_S)
 
 
+def test_a_node_that_hears_only_some_suspects_nobody() -> None:
+    fleet = start_fleet(8)
+    victim = gossip_fleet.address_of(1)
+    for number in range(2, 7):
+        fleet.faults.cuts.add((gossip_fleet.address_of(number), victim))
+    fleet.run(240.0)
+    suspected = {
+        event.address
+        for events in fleet.events.values()
+        for event in events
+        if isinstance(event, types.MemberSuspect)
+    }
+    assert suspected <= {victim}
+    assert departures(fleet) == set()
+
+
 def test_a_short_freeze_changes_nothing() -> None:
     fleet = start_fleet(8)
     for _ in range(10):
@@ -174,6 +192,53 @@
         assert offered(fleet, address, "visits") == {frozen: 7}
 
 
+@pytest.mark.parametrize("fault", ["frozen", "deaf"])
+def test_a_node_out_of_touch_ends_no_suspicion(fault: str) -> None:
+    fleet = start_fleet(8, seed=2)
+    suspect, victim = map(gossip_fleet.address_of, (1, 2))
+    fleet.freeze(1)
+
+    def is_due() -> bool:
+        member = fleet.nodes[victim].member(suspect)
+        assert member is not None
+        assert member.state is not types.MemberState.DEAD
+        return len(member.suspecters) == 2
+
+    fleet.run_until(is_due, CONVERGENCE_S)
+    if fault == "frozen":
+        fleet.freeze(2)
+    else:
+        fleet.faults.cuts |= {(peer, victim) for peer in fleet.nodes}
+    fleet.wake(1)
+    fleet.run(20.0)
+    fleet.faults.cuts.clear()
+    fleet.wake(2)
+    fleet.run(20.0)
+    assert (victim, suspect) not in departures(fleet)
+
+
+def test_one_suspecter_is_not_enough_for_death() -> None:
+    table = _member_table.MemberTable()
+    for address in ADDRESSES:
+        table.merge_member(record_of(address), 0.0)
+    suspicions = _suspicions.Suspicions(
+        ADDRESSES[0], table, random.Random(1), 0.0
+    )
+    for count in (1, 2):
+        suspicion = dataclasses.replace(
+            record_of(ADDRESSES[3]),
+            state=types.MemberState.SUSPECT,
+            suspecters=tuple(ADDRESSES[:count]),
+        )
+        table.merge_member(suspicion, 0.0)
+        suspicions.open(0.0, ADDRESSES[3])
+        now_s = 100.0 * count
+        suspicions.hear(now_s, ADDRESSES[1])
+        suspicions.hear(now_s, ADDRESSES[2])
+        dead = [ADDRESSES[3]] if count == 2 else []
+        assert suspicions.ended(now_s) == dead
+
+
 def test_of_two_nodes_neither_calls_the_other_dead() -> None:
     fleet = start_fleet(2)
     fleet.kill(1)
@@ -303,13 +368,16 @@
 )
 
 
+def record_of(address: str) -> types.MemberRecord:
+    return types.MemberRecord(
+        address, "127.0.0.1:1", 1, "a", types.MemberState.ALIVE
+    )
+
+
 def table_of(records: list[types.Record]) -> _member_table.MemberTable:
     table = _member_table.MemberTable()
     for address in ADDRESSES:
-        first = types.MemberRecord(
-            address, "127.0.0.1:1", 1, "a", types.MemberState.ALIVE
-        )
-        table.merge_member(first, 0.0)
+        table.merge_member(record_of(address), 0.0)
     for record in records:
         if isinstance(record, types.MemberRecord):
             table.merge_member(record, 0.0)
