--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -24,6 +24,7 @@
 from papayastall import _frames
 from papayastall import _peering
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["LinkEvent", "LinkSettings", "Links"]
 
@@ -91,10 +92,12 @@
     def __init__(
         self,
         settings: LinkSettings,
+        counters: metrics.Metrics,
         get_config_index: cabc.Callable[[], int] = lambda: 0,
         see_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
     ) -> None:
         self.settings = settings
+        self._counters = counters
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
         self._peers: dict[str, _Peer] = {}
@@ -156,28 +159,34 @@
         """Register what answers each call of a channel."""
         self._call_handlers[int(channel)] = handler
 
-    async def connect(self, address: str) -> int:
-        """Wait for a link and return the peer's boot id.
+    async def connect(self, address: str) -> None:
+        """Wait for a link.
 
         :raises papayastall.exceptions.UnreachableError: no link in time;
             nothing was sent.
         """
-        if address == self.settings.address:
-            return self.settings.boot_id
         peer = self._peer(address)
-        if peer.connection is None or peer.connection.is_closed:
+        if not self.is_connected(address):
             peer.ready = anyio.Event()
             self._dial(peer)
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
                 await peer.ready.wait()
-            if peer.connection is None or peer.connection.is_closed:
+            if not self.is_connected(address):
                 raise exceptions.UnreachableError(
                     exceptions.ErrorCode.LINK_FAILED,
                     "no link can be made; check the node and the network",
                     step="connect",
                     peer=address,
                 )
-        return peer.boot_id
+
+    def is_connected(self, address: str) -> bool:
+        """Return whether a frame to the peer would be sent now."""
+        if address == self.settings.address:
+            return True
+        peer = self._peers.get(address)
+        if peer is None or peer.connection is None:
+            return False
+        return not peer.connection.is_closed
 
     def boot_id(self, address: str) -> int:
         """Return the boot id in the peer's last hello, 0 before one."""
@@ -320,11 +329,13 @@
         finally:
             peer.is_dialling = False
         if stream is None:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             peer.lost_connection = True
             self._tell(peer.address, LinkEvent.DOWN)
             return
         connection = _connection.Connection(stream, self._receive)
         connection.address = peer.address
+        self._counters.count(metrics.Counter.LINK_OPENS)
         self._greet(connection)
         self._start_expiry(connection)
         await self._run(connection)
@@ -468,6 +479,7 @@
             connection.last_received_s, peer.watched_since_s
         )
         if silent_s > SILENT_AFTER_S:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             connection.close()
             peer.lost_connection = True
             peer.connection = None
