--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -95,6 +95,9 @@
     CLAIM_REPEATS = Description(
         "claim_repeats", "requests", "resent with a key already claimed"
     )
+    CLAIM_OUTCOMES_LOST = Description(
+        "claim_outcomes_lost", "keys", "whose end could not be recorded"
+    )
     CRASHING_REFUSALS = Description(
         "crashing_refusals", "requests", "refused since they crash upstreams"
     )
