--- /dev/null
+++ b/src/papayastall/_claim_state.py
@@ -0,0 +1,216 @@
+"""Replicated claims of idempotency keys: one run a key.
+
+A claim is granted to one token. It ends as answered, as released (the
+request certainly did not run), or, past its holder's deadline, as unknown.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import heapq
+
+from papayastall import _control_commands as commands
+
+__all__ = ["CLAIM_KEPT_MS", "ClaimTable", "StoredClaim"]
+
+CLAIM_KEPT_MS = 24 * 3600 * 1000
+RELEASED_KEPT_MS = 10 * 60 * 1000
+ANSWER_KEPT_MS = 3600 * 1000
+MAX_ANSWER_BYTES = 64 * 1024
+MAX_ANSWERS_BYTES = 16 * 1024 * 1024
+MAX_CLAIMS = 200_000
+MAX_TIMEOUT_MS = 600_000
+MAX_RELEASED_TOKENS = 8
+
+_State = commands.ClaimState
+
+
+@dataclasses.dataclass(slots=True)
+class StoredClaim:
+    """What is known of one key.
+
+    :param state: ``GRANTED``, ``ANSWERED`` or ``RELEASED``.
+    :param running_until_ms: deadline of the holder's request.
+    :param expires_ms: when the key is forgotten.
+    :param answer: the first answer while it is kept.
+    :param released_tokens: tokens that may not claim the key any more.
+    """
+
+    key: bytes
+    token: bytes
+    digest: bytes
+    state: commands.ClaimState
+    running_until_ms: int
+    expires_ms: int
+    answer: commands.Answer | None = None
+    status: int = 0
+    released_tokens: tuple[bytes, ...] = ()
+
+
+class ClaimTable:
+    """The claims of one group."""
+
+    def __init__(
+        self,
+        claims: cabc.Iterable[StoredClaim] = (),
+        max_claims: int = MAX_CLAIMS,
+    ) -> None:
+        self._claims: dict[bytes, StoredClaim] = {}
+        self._expiries: list[tuple[int, bytes]] = []
+        self._answers: dict[bytes, int] = {}
+        self._max_claims = max_claims
+        self.answers_bytes = 0
+        for claim in claims:
+            self._claims[claim.key] = claim
+            heapq.heappush(self._expiries, (claim.expires_ms, claim.key))
+            if claim.answer is not None:
+                self._answers[claim.key] = claim.expires_ms
+                self.answers_bytes += _measure(claim.answer)
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def list_claims(self) -> list[StoredClaim]:
+        """Return all claims, those with answers last, oldest first."""
+        plain = [c for c in self._claims.values() if c.answer is None]
+        return plain + [self._claims[key] for key in self._answers]
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the claims and answers whose time is over."""
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, key = heapq.heappop(self._expiries)
+            claim = self._claims.get(key)
+            if claim is not None and claim.expires_ms <= now_ms:
+                self._drop_answer(claim)
+                del self._claims[key]
+        kept_until_ms = now_ms + CLAIM_KEPT_MS - ANSWER_KEPT_MS
+        for key, expires_ms in list(self._answers.items()):
+            if expires_ms > kept_until_ms:
+                break
+            self._drop_answer(self._claims[key])
+
+    def claim(
+        self, now_ms: int, command: commands.Claim
+    ) -> commands.ClaimResult:
+        """Grant a key to one token, or say what is known of it."""
+        known = self._claims.get(command.key)
+        if known is None:
+            return self._grant(now_ms, command, ())
+        if command.token in known.released_tokens:
+            return commands.ClaimResult(_State.RELEASED)
+        if known.state is _State.RELEASED:
+            return self._grant(now_ms, command, known.released_tokens)
+        if known.digest != command.digest:
+            return commands.ClaimResult(_State.KEY_REUSED)
+        if known.state is _State.ANSWERED:
+            return _make_answered(known)
+        if known.token == command.token:
+            return commands.ClaimResult(_State.GRANTED)
+        if now_ms < known.running_until_ms:
+            left_ms = known.running_until_ms - now_ms
+            return commands.ClaimResult(_State.RUNNING, None, left_ms)
+        return commands.ClaimResult(_State.UNKNOWN)
+
+    def record(
+        self, now_ms: int, command: commands.RecordOutcome
+    ) -> commands.ClaimResult:
+        """Record the first answer of the request that ran."""
+        known = self._claims.get(command.key)
+        if known is None or known.token != command.token:
+            return commands.ClaimResult(_State.NOT_HOLDER)
+        if known.state is _State.ANSWERED:
+            return commands.ClaimResult(_State.RECORDED)
+        assert known.state is _State.GRANTED, "a released request ran"
+        known.state = _State.ANSWERED
+        known.status = command.answer.status
+        if command.size_bytes <= MAX_ANSWER_BYTES:
+            self._keep_answer(now_ms, known, command.answer)
+        self._set_expiry(known, now_ms + CLAIM_KEPT_MS)
+        return commands.ClaimResult(_State.RECORDED)
+
+    def release(
+        self, now_ms: int, command: commands.ReleaseClaim
+    ) -> commands.ClaimResult:
+        """Free a key whose request did not run.
+
+        A token that is released before its claim arrives can't claim the
+        key any more.
+        """
+        known = self._claims.get(command.key)
+        if known is None:
+            if len(self._claims) >= self._max_claims:
+                return commands.ClaimResult(_State.FULL)
+            known = StoredClaim(
+                command.key, b"", b"", _State.RELEASED, now_ms, now_ms
+            )
+            self._claims[command.key] = known
+        elif known.token == command.token:
+            if known.state is not _State.GRANTED:
+                return commands.ClaimResult(_State.NOT_HOLDER)
+            known.state = _State.RELEASED
+            known.token = b""
+        if command.token not in known.released_tokens:
+            tokens = (*known.released_tokens, command.token)
+            known.released_tokens = tokens[-MAX_RELEASED_TOKENS:]
+        if known.state is _State.RELEASED:
+            self._set_expiry(known, now_ms + RELEASED_KEPT_MS)
+        return commands.ClaimResult(_State.RELEASED)
+
+    def _grant(
+        self,
+        now_ms: int,
+        command: commands.Claim,
+        released_tokens: tuple[bytes, ...],
+    ) -> commands.ClaimResult:
+        known = self._claims.get(command.key)
+        if known is None and len(self._claims) >= self._max_claims:
+            return commands.ClaimResult(_State.FULL)
+        assert known is None or known.state is _State.RELEASED, "one run a key"
+        timeout_ms = min(max(command.timeout_ms, 0), MAX_TIMEOUT_MS)
+        claim = StoredClaim(
+            key=command.key,
+            token=command.token,
+            digest=command.digest,
+            state=_State.GRANTED,
+            running_until_ms=now_ms + timeout_ms,
+            expires_ms=0,
+            released_tokens=released_tokens,
+        )
+        self._claims[command.key] = claim
+        self._set_expiry(claim, now_ms + CLAIM_KEPT_MS)
+        return commands.ClaimResult(_State.GRANTED)
+
+    def _set_expiry(self, claim: StoredClaim, expires_ms: int) -> None:
+        claim.expires_ms = expires_ms
+        heapq.heappush(self._expiries, (expires_ms, claim.key))
+
+    def _keep_answer(
+        self, now_ms: int, claim: StoredClaim, answer: commands.Answer
+    ) -> None:
+        size_bytes = _measure(answer)
+        while self._answers and (
+            self.answers_bytes + size_bytes > MAX_ANSWERS_BYTES
+        ):
+            self._drop_answer(self._claims[next(iter(self._answers))])
+        claim.answer = answer
+        self.answers_bytes += size_bytes
+        self._answers[claim.key] = now_ms + CLAIM_KEPT_MS
+
+    def _drop_answer(self, claim: StoredClaim) -> None:
+        if claim.answer is not None:
+            self.answers_bytes -= _measure(claim.answer)
+            del self._answers[claim.key]
+            claim.answer = None
+
+
+def _make_answered(claim: StoredClaim) -> commands.ClaimResult:
+    if claim.answer is None:
+        dropped = commands.Answer(claim.status)
+        return commands.ClaimResult(_State.ANSWER_DROPPED, dropped)
+    return commands.ClaimResult(_State.ANSWERED, claim.answer)
+
+
+def _measure(answer: commands.Answer) -> int:
+    headers = sum(len(h.name) + len(h.value) for h in answer.headers)
+    return len(answer.body) + headers
--- /dev/null
+++ b/src/papayastall/_control_state.py
@@ -0,0 +1,207 @@
+"""The state machines of the replicated groups.
+
+Deterministic: all that they know of time is what committed entries carry.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from papayastall import _claim_state
+from papayastall import _control_commands as commands
+from papayastall import _document_state
+from papayastall import _permit_state
+from papayastall import exceptions
+
+__all__ = [
+    "ChangeListener",
+    "ClaimGroupState",
+    "ControlState",
+    "ReplicatedClock",
+]
+
+SNAPSHOT_VERSION = 1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlSnapshot:
+    """All of group 0."""
+
+    version: int
+    time_ms: int
+    documents: tuple[_document_state.StoredDocument, ...] = ()
+    owners: tuple[_permit_state.StoredOwner, ...] = ()
+    upstreams: tuple[_permit_state.StoredUpstream, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimSnapshot:
+    """All of one group of claims."""
+
+    version: int
+    time_ms: int
+    claims: tuple[_claim_state.StoredClaim, ...] = ()
+
+
+class ChangeListener:
+    """Told of config changes in the order in which they are applied."""
+
+    def note_change(self, change: _document_state.ConfigChange) -> None:
+        """Take in one change."""
+
+    def note_restore(self, documents: _document_state.DocumentTable) -> None:
+        """Take in the state of a snapshot."""
+
+
+class ReplicatedClock:
+    """Milliseconds that pass only as fast as the leaders' own clocks.
+
+    A leader adds the time that it measured itself since it last saw the
+    replicated time, so the clock can be slow but never fast.
+    """
+
+    def __init__(self) -> None:
+        self._base_ms = 0
+        self._base_s: float | None = None
+
+    def read(self, now_s: float, applied_ms: int) -> int:
+        """Return the time to stamp on an entry.
+
+        :param now_s: monotonic clock of this process.
+        :param applied_ms: time of the last entry applied here.
+        """
+        elapsed_s = 0.0 if self._base_s is None else now_s - self._base_s
+        time_ms = self._base_ms + int(elapsed_s * 1000)
+        if applied_ms > time_ms or self._base_s is None:
+            self._base_ms = applied_ms
+            self._base_s = now_s
+            time_ms = applied_ms
+        return time_ms
+
+
+class ControlState:
+    """Group 0: documents and permits."""
+
+    def __init__(self, listener: ChangeListener | None = None) -> None:
+        self._listener = listener or ChangeListener()
+        self.documents = _document_state.DocumentTable()
+        self.permits = _permit_state.PermitTable()
+        self.time_ms = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed entry and return its encoded result."""
+        entry = commands.decode_entry(command)
+        self.time_ms = max(self.time_ms, entry.time_ms)
+        self.permits.expire(self.time_ms)
+        return commands.codec.encode(self._apply(index, entry))
+
+    def _apply(self, index: int, entry: commands.LogEntry) -> commands.Result:
+        match entry.command:
+            case commands.Command(apply_documents=apply) if apply:
+                result, change = self.documents.apply(index, apply)
+                if change is not None:
+                    self._listener.note_change(change)
+                return commands.Result(documents=result)
+            case commands.Command(report_upstreams=report) if report:
+                return self.permits.report(self.time_ms, report)
+            case commands.Command(ask_permit=ask) if ask:
+                return self._ask(index, ask, entry.observed)
+        raise _unknown_command()
+
+    def _ask(
+        self,
+        index: int,
+        ask: commands.AskPermit,
+        observed: tuple[commands.ObservedSlots, ...],
+    ) -> commands.Result:
+        stored = self.documents.find(ask.service_name)
+        return self.permits.ask(
+            index,
+            self.time_ms,
+            ask,
+            stored.document.floor_slots if stored else None,
+            stored.index if stored else 0,
+            observed,
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return commands.codec.encode(
+            ControlSnapshot(
+                SNAPSHOT_VERSION,
+                self.time_ms,
+                tuple(self.documents.list_documents()),
+                tuple(self.permits.list_owners()),
+                tuple(self.permits.list_upstreams()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = commands.codec.decode(ControlSnapshot, data)
+        _require_version(snapshot.version)
+        documents = _document_state.DocumentTable(snapshot.documents)
+        assert documents.index >= self.documents.index, "config went back"
+        self.documents = documents
+        self.permits = _permit_state.PermitTable(
+            snapshot.owners, snapshot.upstreams
+        )
+        self.time_ms = snapshot.time_ms
+        self._listener.note_restore(documents)
+
+
+class ClaimGroupState:
+    """A group of claims."""
+
+    def __init__(self) -> None:
+        self.claims = _claim_state.ClaimTable()
+        self.time_ms = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed entry and return its encoded result."""
+        entry = commands.decode_entry(command)
+        self.time_ms = max(self.time_ms, entry.time_ms)
+        self.claims.expire(self.time_ms)
+        result = self._apply(entry.command)
+        return commands.codec.encode(commands.Result(claim=result))
+
+    def _apply(self, command: commands.Command) -> commands.ClaimResult:
+        match command:
+            case commands.Command(claim=claim) if claim:
+                return self.claims.claim(self.time_ms, claim)
+            case commands.Command(record_outcome=record) if record:
+                return self.claims.record(self.time_ms, record)
+            case commands.Command(release_claim=release) if release:
+                return self.claims.release(self.time_ms, release)
+        raise _unknown_command()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        claims = tuple(self.claims.list_claims())
+        return commands.codec.encode(
+            ClaimSnapshot(SNAPSHOT_VERSION, self.time_ms, claims)
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = commands.codec.decode(ClaimSnapshot, data)
+        _require_version(snapshot.version)
+        self.claims = _claim_state.ClaimTable(snapshot.claims)
+        self.time_ms = snapshot.time_ms
+
+
+def _require_version(version: int) -> None:
+    if version != SNAPSHOT_VERSION:
+        raise exceptions.ProtocolError(
+            exceptions.ErrorCode.STORAGE_DAMAGED,
+            f"snapshot of version {version}; upgrade this replica",
+            step="restore",
+        )
+
+
+def _unknown_command() -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(
+        exceptions.ErrorCode.BAD_FRAME,
+        "a committed command is of another group; upgrade this replica",
+        step="apply",
+    )
