--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -184,8 +184,9 @@
     def tick(self, now_s: float) -> _Actions:
         """Do what time alone brings about; call every 20 to 100 ms."""
         actions: _Actions = []
-        for service in self._services.values():
-            _service_view.find_silent(now_s, service)
+        busy = {pending.request.service for pending in self._pending.values()}
+        for name in sorted(busy):
+            _service_view.find_silent(now_s, self._service(name))
         for pending in list(self._pending.values()):
             if pending.chosen is not None:
                 continue
@@ -195,6 +196,10 @@
                 actions += self._hedge(now_s, pending)
         return actions
 
+    def has_work(self) -> bool:
+        """Return whether any request is open, so that ticks matter."""
+        return bool(self._pending)
+
     def owners(self, service: str) -> list[_routing.OwnerView]:
         """Return the owners of a service as this ingress sees them."""
         return list(self._service(service).owners.values())
