--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -132,7 +132,6 @@
         state=upstream.state,
         standing=upstream.standing,
         out_until_s=upstream.out_until_s if is_out else None,
-        leaving=upstream.leaving_since_s is not None,
     )
 
 
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -127,4 +127,3 @@
     state: types.UpstreamState
     standing: Standing
     out_until_s: float | None
-    leaving: bool
--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -21,8 +21,6 @@
     _Code.UNKNOWN_SERVICE: 404,
     _Code.REVISION_CONFLICT: 409,
     _Code.STILL_RUNNING: 409,
-    _Code.ANSWER_NOT_KEPT: 409,
-    _Code.OUTCOME_UNKNOWN: 409,
     _Code.BODY_TOO_LARGE: 413,
     _Code.KEY_REUSED: 422,
     _Code.CRASHING_REQUEST: 422,
@@ -95,7 +93,6 @@
             retry_after_s = error.retry_after_s
             ran = exceptions.RanState.NO
         case exceptions.OutcomeUnknownError():
-            retry_after_s = error.retry_after_s
             ran = exceptions.RanState.UNKNOWN
     return Problem(
         error.code,
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -54,8 +54,6 @@
     FOLDER_IN_USE = "folder-in-use"
     INTERNAL = "internal"
     STEERED_AWAY = "steered-away"
-    OUTCOME_UNKNOWN = "outcome-unknown"
-    ANSWER_NOT_KEPT = "answer-not-kept"
 
 
 class RanState(enum.Enum):
@@ -134,20 +132,4 @@
 
 
 class OutcomeUnknownError(PapayastallError):
-    """A request may have run; nobody can tell.
-
-    :param retry_after_s: when the outcome may be known, in seconds;
-        ``None`` where it never will be.
-    """
-
-    def __init__(
-        self,
-        code: ErrorCode,
-        message: str,
-        *,
-        step: str,
-        peer: str | None = None,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(code, message, step=step, peer=peer)
-        self.retry_after_s = retry_after_s
+    """A request may have run; nobody can tell."""
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -27,7 +27,7 @@
 from papayastall import histograms
 from papayastall import metrics
 
-__all__ = ["ClaimGate", "GrantedClaim", "Ingress", "KeptAnswer"]
+__all__ = ["ClaimGate", "Ingress", "KeptAnswer"]
 
 BODY_TIMEOUT_S = 10.0
 MAX_TEAM_LENGTH = 64
@@ -54,25 +54,13 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GrantedClaim:
-    """A claim that this ingress holds.
-
-    :param key: names the claim on the wire.
-    :param token: names the holder.
-    """
-
-    key: str
-    token: str
-
-
 class ClaimGate(t.Protocol):
     """Claims idempotency keys before requests are forwarded."""
 
     async def claim(
         self, key: str, fingerprint: int, deadline_s: float
-    ) -> GrantedClaim | KeptAnswer:
-        """Return a durable claim, or the first answer.
+    ) -> str | KeptAnswer:
+        """Return the token of a durable claim, or the first answer.
 
         :raises papayastall.exceptions.PapayastallError: the key is taken
             or can't be claimed; nothing was run.
@@ -213,7 +201,7 @@
                 retry_after_s=NOT_READY_RETRY_S,
             )
         request = exchange.request
-        scoped_key = f"{request.service}/{request.team}/{key}"
+        scoped_key = f"{request.service}/{key}"
         result = await self._claims.claim(
             scoped_key, request.fingerprint, request.deadline_s
         )
@@ -221,8 +209,8 @@
             await reply.start(result.status, result.headers)
             await reply.finish(result.body)
             return True
-        exchange.claim_key = result.key
-        exchange.claim_token = result.token
+        exchange.claim_key = scoped_key
+        exchange.claim_token = result
         return False
 
     def _key_use(
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -95,9 +95,6 @@
     CLAIM_REPEATS = Description(
         "claim_repeats", "requests", "resent with a key already claimed"
     )
-    CLAIM_OUTCOMES_LOST = Description(
-        "claim_outcomes_lost", "keys", "whose end could not be recorded"
-    )
     CRASHING_REFUSALS = Description(
         "crashing_refusals", "requests", "refused since they crash upstreams"
     )
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -53,8 +53,8 @@
 class ClaimedAnswer:
     """The answer of a claimed request, as a resend would get it.
 
-    :param complete: whether the whole answer is here to be kept.
-    :param size_bytes: of the body, also where it is not kept.
+    :param complete: false where the body is too large to keep or the
+        answer broke; a resend then gets "outcome unknown".
     """
 
     claim_key: str
@@ -63,7 +63,6 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     complete: bool
-    size_bytes: int
 
 
 class Owner:
@@ -336,9 +335,9 @@
         outcome: _decision_types.Outcome,
         claims: ClaimRecorder,
     ) -> None:
-        if outcome not in (Outcome.ANSWERED, Outcome.FAILED):
-            # Not run, which the ingress says; or unknown, which it stays.
+        if outcome in (Outcome.SHED, Outcome.CONNECT_FAILED):
             return
+        whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
         await claims.record(
             ClaimedAnswer(
                 claim_key=run.open.claim_key,
@@ -346,8 +345,7 @@
                 status=sink.status,
                 headers=sink.headers,
                 body=bytes(sink.body),
-                complete=not sink.overflow,
-                size_bytes=run.sent_bytes,
+                complete=whole and not sink.overflow,
             )
         )
 
