--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -78,6 +78,12 @@
                     "casts": self.peering.casts,
                     "cast_bytes": self.peering.cast_bytes,
                 }
+            case "propose":
+                return await self.propose(order["group"])
+            case "votes":
+                members = self.host.members(order["group"])
+                own = members.find(self.host.settings.own_address)
+                return own is not None and own.voter
             case "applied":
                 return self.host.applied_index(order["group"])
             case _:
@@ -107,6 +113,14 @@
             "p99_ms": times_ms[len(times_ms) * 99 // 100],
         }
 
+    async def propose(self, group: int) -> int | None:
+        """Commit one command; ``None`` when it was not accepted here."""
+        try:
+            result = await self.host.propose(group, b"one", PROPOSE_TIMEOUT_S)
+        except exceptions.PapayastallError:
+            return None
+        return int(result)
+
     async def first(self, group: int) -> float | None:
         """Propose until one is committed; return the wall clock then.
 
--- a/src/papayastall/_data_folder.py
+++ b/src/papayastall/_data_folder.py
@@ -26,6 +26,7 @@
     "read_identity",
     "translated",
     "wal_name",
+    "write_identity",
     "write_generation",
 ]
 
@@ -102,14 +103,19 @@
             for _ in range(group_count)
         ]
         write_generation(files, path, 0, 0, wal.Boot(0, 0), empty)
-        identity = _IDENTITY.pack(
-            _IDENTITY_MAGIC,
-            FORMAT_VERSION,
-            folder_id or secrets.randbits(62) + 1,
-            group_count,
-        )
-        checksum = _CHECKSUM.pack(google_crc32c.value(identity))
-        _write_named(files, path, _IDENTITY_NAME, [identity + checksum])
+        folder_id = folder_id or secrets.randbits(62) + 1
+        write_identity(files, path, folder_id, group_count)
+
+
+def write_identity(
+    files: _files.FileLayer, folder: str, folder_id: int, group_count: int
+) -> None:
+    """Write the file that names a data folder."""
+    identity = _IDENTITY.pack(
+        _IDENTITY_MAGIC, FORMAT_VERSION, folder_id, group_count
+    )
+    checksum = _CHECKSUM.pack(google_crc32c.value(identity))
+    _write_named(files, folder, _IDENTITY_NAME, [identity + checksum])
 
 
 def _write_named(
--- a/src/papayastall/_raft_types.py
+++ b/src/papayastall/_raft_types.py
@@ -81,7 +81,7 @@
         of two machines drift apart in that time.
     """
 
-    heartbeat_s: float = 0.25
+    heartbeat_s: float = 0.3
     election_min_s: float = 1.2
     election_max_s: float = 2.0
     lease_s: float = 0.9
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -33,6 +33,7 @@
 
 MIN_IDLE_S = 0.001
 MAX_COMMAND_BYTES = 256 * 1024
+MAX_INBOX_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -95,8 +96,9 @@
 class ReplicaHost:
     """The replicas of all groups on this node.
 
-    :param state_machines: one for each group, by its number; as many as
-        the data folder was made for.
+    :param state_machines: one for each group, by its number; no fewer
+        than the data folder holds. More groups are founded once all
+        replicas were started with them.
     :param on_failure: called once when the replicas stop for good.
     """
 
@@ -111,8 +113,8 @@
         | None = None,
         seed: int | None = None,
     ) -> None:
-        self._settings = settings
-        self._links = _replica_links.ReplicaLinks(peering, self._on_message)
+        self.settings = settings
+        self._links = _replica_links.ReplicaLinks(peering, self._on_batch)
         self._machines = state_machines
         self._storage = _storage.Storage(settings.data_folder, files)
         self._on_failure = on_failure
@@ -120,6 +122,7 @@
         self._limiter = anyio.CapacityLimiter(1)
         self._set: _replica_set.ReplicaSet | None = None
         self._inbox: list[tuple[int, types.Message]] = []
+        self._inbox_bytes = 0
         self._proposals: list[_Proposal] = []
         self._appended: set[_Proposal] = set()
         self._wake = anyio.Event()
@@ -136,22 +139,16 @@
         :raises papayastall.exceptions.StorageError: the folder can't be
             used.
         """
-        folder = await self._in_thread(self._storage.open)
-        if len(folder.groups) != len(self._machines):
-            await self._in_thread(self._storage.close)
-            raise exceptions.BadInputError(
-                exceptions.ErrorCode.BAD_SETTINGS,
-                f"the data folder was made for {len(folder.groups)} groups "
-                f"but the settings ask for {len(self._machines)}",
-                step="start-replicas",
-            )
+        folder = await self._in_thread(
+            lambda: self._storage.open(group_count=len(self._machines))
+        )
         self._set = _replica_set.ReplicaSet(
             folder,
-            self._settings.own_address,
-            self._settings.addresses,
+            self.settings.own_address,
+            self.settings.addresses,
             self._machines,
-            self._settings.timings,
-            self._settings.options,
+            self.settings.timings,
+            self.settings.options,
             self._rng,
             _replica_links.clock_s(),
         )
@@ -288,9 +285,14 @@
     async def _in_thread(self, call: t.Callable[[], _T]) -> _T:
         return await anyio.to_thread.run_sync(call, limiter=self._limiter)
 
-    def _on_message(self, group: int, message: types.Message) -> None:
-        self._inbox.append((group, message))
-        self._wake.set()
+    def _on_batch(
+        self, batch: list[tuple[int, types.Message]], size_bytes: int
+    ) -> None:
+        """Keep what arrives for the next turn; a slow disk loses some."""
+        if self._inbox_bytes < MAX_INBOX_BYTES:
+            self._inbox += batch
+            self._inbox_bytes += size_bytes
+            self._wake.set()
 
     async def _run(self) -> None:
         """Step all groups until closed, or until something fails."""
@@ -326,7 +328,7 @@
         if replicas is None:
             return
         now_s = _replica_links.clock_s()
-        inbox, self._inbox = self._inbox, []
+        inbox, self._inbox, self._inbox_bytes = self._inbox, [], 0
         for number, message in inbox:
             replicas.step(now_s, number, message)
         self._append_proposals(now_s)
--- a/src/papayastall/_replica_links.py
+++ b/src/papayastall/_replica_links.py
@@ -31,16 +31,17 @@
 class ReplicaLinks:
     """Sends batches of messages and receives those of the others.
 
-    :param on_message: takes the group and the message.
+    :param on_batch: takes messages with their groups, and the size of
+        all of them in bytes.
     """
 
     def __init__(
         self,
         peering: _peering.Peering,
-        on_message: cabc.Callable[[int, types.Message], None],
+        on_batch: cabc.Callable[[list[GroupMessage], int], None],
     ) -> None:
         self._peering = peering
-        self._on_message = on_message
+        self._on_batch = on_batch
         self._identity: types.Sender | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
         self._heard_s: dict[str, float] = {}
@@ -63,8 +64,7 @@
         own_address = self._identity.address
         with contextlib.suppress(exceptions.ProtocolError):
             batch = codec.decode_batch(body, peer, own_address)
-            for group, message in batch:
-                self._on_message(group, message)
+            self._on_batch(batch, len(body))
 
     async def _on_call(self, peer: str, body: bytes) -> bytes:
         """Answer whoever wants to know whether the link is alive."""
--- a/src/papayastall/_storage.py
+++ b/src/papayastall/_storage.py
@@ -118,23 +118,45 @@
         """Size of the write-ahead log, in bytes."""
         return self._wal_bytes
 
-    def open(self, boot_nonce: int | None = None) -> FolderState:
+    def open(
+        self, boot_nonce: int | None = None, group_count: int | None = None
+    ) -> FolderState:
         """Lock the folder, read it, and record that it was opened.
 
+        :param group_count: groups from now on; no fewer than it holds.
         :raises papayastall.exceptions.StorageError: it is in use, was
             never made, is damaged, or can't be read or written.
         """
         with _data_folder.translated("open-data-folder", self._path):
-            folder_id, group_count = _data_folder.read_identity(
+            folder_id, held_count = _data_folder.read_identity(
                 self._files, self._path
             )
             self._take_lock()
             try:
-                return self._open(folder_id, group_count, boot_nonce)
+                count = self._grow(folder_id, held_count, group_count)
+                return self._open(folder_id, count, boot_nonce)
             except BaseException:
                 self.close()
                 raise
 
+    def _grow(
+        self, folder_id: int, held_count: int, group_count: int | None
+    ) -> int:
+        """Make room for more groups; their logs are empty."""
+        if group_count is None or group_count == held_count:
+            return held_count
+        if group_count < held_count:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_SETTINGS,
+                f"{self._path} holds {held_count} groups and the settings "
+                f"ask for {group_count}; the number can only grow",
+                step="open-data-folder",
+            )
+        _data_folder.write_identity(
+            self._files, self._path, folder_id, group_count
+        )
+        return group_count
+
     def _open(
         self, folder_id: int, group_count: int, boot_nonce: int | None
     ) -> FolderState:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -207,3 +207,17 @@
 ) -> None:
     with pytest.raises(exceptions.StorageError, match="papayastall init"):
         _storage.Storage(str(tmp_path)).open()
+
+
+def test_groups_can_be_added_but_not_taken_away() -> None:
+    files = fake_files.FakeFiles()
+    make_folder(files)
+    storage, _ = open_storage(files)
+    entries = make_entries(2)
+    write(storage, *entries)
+    storage.close()
+    state = _storage.Storage(FOLDER, files).open(group_count=4)
+    assert [len(group.entries) for group in state.groups] == [0, 2, 0, 0]
+    files.crash()
+    with pytest.raises(exceptions.BadInputError, match="only grow"):
+        _storage.Storage(FOLDER, files).open(group_count=3)
