--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -132,6 +132,7 @@
         state=upstream.state,
         standing=upstream.standing,
         out_until_s=upstream.out_until_s if is_out else None,
+        leaving=upstream.leaving_since_s is not None,
     )
 
 
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -127,3 +127,4 @@
     state: types.UpstreamState
     standing: Standing
     out_until_s: float | None
+    leaving: bool
