--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -59,6 +59,11 @@
         """The present term."""
         return self._state.term
 
+    @property
+    def election_count(self) -> int:
+        """How often this replica stood for election."""
+        return self._election.count
+
     @property
     def log(self) -> _raft_log.RaftLog:
         """The log; not to be changed by the caller."""
--- a/src/papayastall/_raft_election.py
+++ b/src/papayastall/_raft_election.py
@@ -14,12 +14,13 @@
     :param state: blackboard of the replica.
     """
 
-    __slots__ = ("_forced", "_state", "_votes")
+    __slots__ = ("_forced", "_state", "_votes", "count")
 
     def __init__(self, state: _raft_state.RaftState) -> None:
         self._state = state
         self._votes: set[int] = set()
         self._forced = False
+        self.count = 0
 
     def promised(self, now_s: float) -> bool:
         """Whether a leader may still count on this replica's word."""
@@ -68,6 +69,7 @@
 
     def _stand(self) -> None:
         state = self._state
+        self.count += 1
         state.set_term(state.term + 1)
         state.vote = state.identity.folder_id
         state.write_hard_state()
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -19,11 +19,13 @@
 
 from papayastall import _files
 from papayastall import _peering
+from papayastall import _proposals
 from papayastall import _raft_types as types
 from papayastall import _replica_links
 from papayastall import _replica_set
 from papayastall import _storage
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["ReplicaHost", "ReplicaSettings", "StateMachine"]
 
@@ -53,38 +55,6 @@
     options: _replica_set.SetOptions = _replica_set.SetOptions()
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Proposal:
-    """A command whose proposer waits."""
-
-    group: int
-    command: bytes
-    done: anyio.Event
-    is_appended: bool = False
-    result: bytes | None = None
-    error: exceptions.PapayastallError | None = None
-
-    def fail(self, error: exceptions.PapayastallError) -> None:
-        """Wake the proposer with an error."""
-        self.error = error
-        self.done.set()
-
-
-def _unknown(step: str) -> exceptions.OutcomeUnknownError:
-    return exceptions.OutcomeUnknownError(
-        exceptions.ErrorCode.DEADLINE_EXCEEDED,
-        "the command may or may not be committed; ask for its outcome "
-        "before sending it again",
-        step=step,
-    )
-
-
-def _not_taken(message: str) -> exceptions.PapayastallError:
-    return exceptions.PapayastallError(
-        exceptions.ErrorCode.NO_LEADER, message, step="propose"
-    )
-
-
 def _bug(error: Exception) -> exceptions.PapayastallError:
     return exceptions.PapayastallError(
         exceptions.ErrorCode.INTERNAL,
@@ -109,6 +79,7 @@
         state_machines: cabc.Sequence[StateMachine],
         *,
         files: _files.FileLayer | None = None,
+        counters: metrics.Metrics | None = None,
         on_failure: t.Callable[[exceptions.PapayastallError], None]
         | None = None,
         seed: int | None = None,
@@ -118,13 +89,17 @@
         self._machines = state_machines
         self._storage = _storage.Storage(settings.data_folder, files)
         self._on_failure = on_failure
+        self._counters = counters or metrics.Metrics(
+            None, settings.own_address
+        )
+        self._elections = 0
+        self._syncs = 0
         self._rng = random.Random(seed)
         self._limiter = anyio.CapacityLimiter(1)
         self._set: _replica_set.ReplicaSet | None = None
         self._inbox: list[tuple[int, types.Message]] = []
         self._inbox_bytes = 0
-        self._proposals: list[_Proposal] = []
-        self._appended: set[_Proposal] = set()
+        self._proposals = _proposals.Proposals()
         self._wake = anyio.Event()
         self._turn_done = anyio.Event()
         self._closed = anyio.Event()
@@ -182,28 +157,15 @@
                 f"one has {len(command)}; split it",
                 step="propose",
             )
-        proposal = _Proposal(group, command, anyio.Event())
-        self._proposals.append(proposal)
+        chosen = self._group(group)
+        proposal = self._proposals.add(group, command)
         self._wake.set()
         try:
             with anyio.move_on_after(timeout_s):
                 await proposal.done.wait()
         finally:
-            self._forget(proposal)
-        if proposal.error is not None:
-            raise proposal.error
-        if proposal.result is not None:
-            return proposal.result
-        if proposal.is_appended:
-            raise _unknown("propose")
-        raise _not_taken("the command was not taken up in time; try again")
-
-    def _forget(self, proposal: _Proposal) -> None:
-        if proposal in self._appended:
-            self._appended.discard(proposal)
-            self._group(proposal.group).forget(proposal)
-        elif proposal in self._proposals:
-            self._proposals.remove(proposal)
+            self._proposals.forget(proposal, chosen)
+        return proposal.outcome()
 
     async def read_barrier(self, group: int, timeout_s: float) -> None:
         """Return when the local state holds all that was committed.
@@ -216,7 +178,7 @@
         """
         self._require_running()
         chosen = self._group(group)
-        error = _not_taken("no lease in time; try again")
+        error = _proposals.not_taken("no lease in time; try again")
         with anyio.move_on_after(timeout_s):
             while True:
                 try:
@@ -275,11 +237,13 @@
         if self.failure is not None:
             raise self.failure
         if self._set is None or self._is_closing:
-            raise _not_taken("this replica is stopped; ask another one")
+            raise _proposals.not_taken(
+                "this replica is stopped; ask another one"
+            )
 
     def _group(self, group: int) -> _replica_set.Group:
         if self._set is None:
-            raise _not_taken("this replica is not started")
+            raise _proposals.not_taken("this replica is not started")
         return self._set.groups[group]
 
     async def _in_thread(self, call: t.Callable[[], _T]) -> _T:
@@ -331,7 +295,7 @@
         inbox, self._inbox, self._inbox_bytes = self._inbox, [], 0
         for number, message in inbox:
             replicas.step(now_s, number, message)
-        self._append_proposals(now_s)
+        self._proposals.append(now_s, replicas)
         replicas.tick(now_s)
         await self._finish_turn(replicas)
 
@@ -350,44 +314,25 @@
         if turn.blocks:
             await self._in_thread(lambda: turn.run(self._storage))
         for resolved in replicas.finish(_replica_links.clock_s(), turn):
-            self._resolve(resolved)
+            self._proposals.resolve(resolved)
         self._links.send(turn.messages)
+        self._count_work(replicas)
         self._note_leaders(replicas)
         self._turn_done.set()
         self._turn_done = anyio.Event()
 
-    def _append_proposals(self, now_s: float) -> None:
-        proposals, self._proposals = self._proposals, []
-        by_group: dict[int, list[_Proposal]] = {}
-        for proposal in proposals:
-            by_group.setdefault(proposal.group, []).append(proposal)
-        for number, chosen in by_group.items():
-            pairs: list[tuple[bytes, object]] = [
-                (each.command, each) for each in chosen
-            ]
-            try:
-                self._group(number).propose(now_s, pairs)
-            except exceptions.PapayastallError as error:
-                for each in chosen:
-                    each.fail(error)
-                continue
-            for each in chosen:
-                each.is_appended = True
-                self._appended.add(each)
-
-    def _resolve(self, resolved: _replica_set.Resolved) -> None:
-        proposal = t.cast(_Proposal, resolved.token)
-        self._appended.discard(proposal)
-        match resolved.resolution:
-            case _replica_set.Applied(result):
-                proposal.result = result
-                proposal.done.set()
-            case _replica_set.Superseded():
-                proposal.fail(
-                    _not_taken("another leader took over; try again")
-                )
-            case _replica_set.Unresolved():
-                proposal.fail(_unknown("propose"))
+    def _count_work(self, replicas: _replica_set.ReplicaSet) -> None:
+        elections = sum(
+            group.replica.election_count for group in replicas.groups
+        )
+        syncs = self._storage.sync_count
+        for counter, total, counted in (
+            (metrics.Counter.ELECTIONS, elections, self._elections),
+            (metrics.Counter.FSYNCS, syncs, self._syncs),
+        ):
+            if total > counted:
+                self._counters.count(counter, total - counted)
+        self._elections, self._syncs = elections, syncs
 
     def _note_leaders(self, replicas: _replica_set.ReplicaSet) -> None:
         for group in replicas.groups:
@@ -410,7 +355,7 @@
         for group in replicas.groups:
             group.output.extend(group.replica.transfer(now_s))
         await self._finish_turn(replicas)
-        self._fail_waiting()
+        self._proposals.fail_all()
 
     def _fail(self, error: exceptions.PapayastallError) -> None:
         """Stop for good; what is on the disk may be unknown."""
@@ -418,15 +363,7 @@
         eliot.log_message(
             message_type="papayastall:replica-failed", error=str(error)
         )
-        self._fail_waiting()
+        self._proposals.fail_all()
         self._turn_done.set()
         if self._on_failure is not None:
             self._on_failure(error)
-
-    def _fail_waiting(self) -> None:
-        for proposal in self._proposals:
-            proposal.fail(_not_taken("this replica stops; ask another one"))
-        for proposal in self._appended:
-            proposal.fail(_unknown("propose"))
-        self._proposals = []
-        self._appended.clear()
--- a/src/papayastall/_storage.py
+++ b/src/papayastall/_storage.py
@@ -111,6 +111,7 @@
         self._generation = 0
         self._sequence = 0
         self._wal_bytes = 0
+        self.sync_count = 0
         self._has_failed = False
 
     @property
@@ -287,6 +288,7 @@
         self._file.sync()
         self._sequence += 1
         self._wal_bytes += len(frame)
+        self.sync_count += 1
 
     @contextlib.contextmanager
     def _guarded(self, step: str) -> cabc.Iterator[None]:
