Run config, claims and permits on the replicated log

Cause: config was passed on by the node that took it; a node that joined late missed it (seen: apply before a node had joined left it behind for good).

--- a/bench/_decision_driver.py
+++ b/bench/_decision_driver.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc as cabc
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -134,7 +135,7 @@
         self._slow_tick()
         self._pause()
         for index, at_s in self.scenario.restarts.items():
-            self._at_time(at_s, lambda index=index: self._leave(index))
+            self._at_time(at_s, functools.partial(self._leave, index))
         while self._heap and self._heap[0][0] <= self.scenario.seconds:
             at_s, _, step = heapq.heappop(self._heap)
             self.now_s = at_s
@@ -391,7 +392,8 @@
                     self._answer(index, action.request_id, action)
                 case types.AskPermit(upstream, _, _):
                     self._after(
-                        PERMIT_S, lambda up=upstream: self._grant(index, up)
+                        PERMIT_S,
+                        functools.partial(self._grant, index, upstream),
                     )
                 case types.ReleasePermit():
                     self._ejected.discard(index)
--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -241,12 +241,7 @@
     client: _control_client.ControlClient, index: int, arguments: Arguments
 ) -> None:
     def find_behind() -> list[str]:
-        nodes = client.get("/v1/status")["nodes"]
-        return [
-            node["node"]
-            for node in nodes
-            if node["state"] == "alive" and (node["index"] or 0) < index
-        ]
+        return list(client.get(f"/v1/missing?index={index}")["missing"])
 
     behind = _poll(find_behind, "nodes behind", arguments)
     if behind:
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -6,9 +6,12 @@
 import typing as t
 import urllib.parse
 
+from papayastall import _config_service
 from papayastall import _control_app
+from papayastall import _control_commands as commands
 from papayastall import _decision_types
 from papayastall import _histogram_report
+from papayastall import _owner_state
 from papayastall import _thrift
 from papayastall import exceptions
 
@@ -26,6 +29,7 @@
     return {
         "POST /v1/documents": calls.apply_documents,
         "GET /v1/documents": calls.list_documents,
+        "GET /v1/missing": calls.list_missing,
         "GET /v1/status": calls.show_status,
         "GET /v1/upstreams": calls.list_upstreams,
         "POST /v1/drain": calls.drain,
@@ -52,15 +56,48 @@
                 "send documents: a list of objects with source and text",
                 step="apply",
             )
-        return await self._node.config.apply_documents(body)
+        outcome = await self._node.control.config.apply_documents(
+            [
+                _config_service.DocumentSource(item["source"], item["text"])
+                for item in items
+            ]
+        )
+        return {
+            "index": outcome.index,
+            "results": [
+                {
+                    "name": verdict.name,
+                    "revision": verdict.revision,
+                    "result": verdict.state.name.lower().replace("_", " "),
+                }
+                for verdict in outcome.verdicts
+            ],
+        }
+
+    async def list_missing(self, query: str) -> object:
+        """Return the live nodes that lack ``index=``."""
+        text = dict(urllib.parse.parse_qsl(query)).get("index", "")
+        if not text.isdigit():
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                "give index=N, the index that apply printed",
+                step="missing",
+            )
+        missing = await self._node.control.config.wait_for(int(text), 0)
+        return {"index": int(text), "missing": missing}
 
     async def list_documents(self, _query: str) -> object:
         """Return the documents in force on this node."""
         return {
             "index": self._node.blackboard.config_index,
             "documents": [
-                {"name": doc.name, "revision": doc.revision}
-                for doc in self._node.blackboard.services.values()
+                {
+                    "name": text.name,
+                    "revision": text.revision,
+                    "digest": text.digest,
+                    "text": text.text,
+                }
+                for text in self._node.control.config.list_documents()
             ],
         }
 
@@ -85,7 +122,11 @@
             "node": own,
             "index": node.blackboard.config_index,
             "nodes": nodes_status,
-            "control": {},
+            "ready": node.control.config.is_ready(),
+            "control": {
+                "replicas": list(node.settings.control_replicas),
+                "leader": next(iter(node.control.leaders()), None),
+            },
         }
 
     async def list_upstreams(self, _query: str) -> object:
@@ -110,16 +151,29 @@
 
     async def drain(self, body: t.Any) -> object:
         """Give an upstream of this node no new work."""
-        upstream = self._find_upstream(body)
+        view = self._find_upstream(body)
         node = self._node
-        actions = node.owner_controller.leave(time.monotonic(), upstream)
+        result = await node.control.permits.request(
+            view.upstream, view.service, commands.PermitReason.LEAVING
+        )
+        if result.state is not commands.PermitState.GRANTED:
+            raise exceptions.RefusedError(
+                exceptions.ErrorCode.FLOOR,
+                f"{view.service} has {result.healthy_slots} healthy slots "
+                f"and a floor of {result.floor_slots}; add upstreams or "
+                "wait until others are back",
+                step="drain",
+                peer=view.upstream,
+            )
+        actions = node.owner_controller.leave(time.monotonic(), view.upstream)
         node.owner.perform(actions)
-        return {"upstream": upstream, "state": "leaving"}
+        return {"upstream": view.upstream, "state": "leaving"}
 
     async def undrain(self, body: t.Any) -> object:
         """Let a drained upstream serve again."""
-        upstream = self._find_upstream(body)
+        upstream = self._find_upstream(body).upstream
         self._node.owner_controller.undrain(time.monotonic(), upstream)
+        self._node.control.permits.release_upstream(upstream)
         return {"upstream": upstream, "state": "ready"}
 
     async def list_histograms(self, query: str) -> object:
@@ -133,20 +187,18 @@
         )
         return {"histograms": rows}
 
-    def _find_upstream(self, body: t.Any) -> str:
+    def _find_upstream(self, body: t.Any) -> _owner_state.UpstreamView:
         upstream = body.get("upstream") if isinstance(body, dict) else None
-        known = [
-            view.upstream
-            for view in self._node.owner_controller.upstreams(time.monotonic())
-        ]
-        if not isinstance(upstream, str) or upstream not in known:
-            raise exceptions.BadInputError(
-                exceptions.ErrorCode.BAD_REQUEST,
-                f"this node does not own {upstream!r}; it owns "
-                f"{', '.join(known) or 'none'}",
-                step="drain",
-            )
-        return upstream
+        views = self._node.owner_controller.upstreams(time.monotonic())
+        for view in views:
+            if view.upstream == upstream:
+                return view
+        known = ", ".join(view.upstream for view in views)
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            f"this node does not own {upstream!r}; it owns {known or 'none'}",
+            step="drain",
+        )
 
 
 def encode_suspect(news: _decision_types.SuspectNews) -> bytes:
--- a/src/papayastall/blackboard.py
+++ b/src/papayastall/blackboard.py
@@ -14,8 +14,6 @@
     """What is in force on this node.
 
     :param config_index: index of the config in force; never goes back.
-    :param config_ready: whether the config is known to be recent enough to
-        serve; false on a node that has just started.
     :param services: the document in force of each service.
     :param stopping: a planned stop has begun.
     """
@@ -23,7 +21,6 @@
     node: str
     failure_domain: str
     config_index: int = 0
-    config_ready: bool = False
     services: dict[str, documents.Document] = dataclasses.field(
         default_factory=dict
     )
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -73,6 +73,7 @@
 class Ingress:
     """Answers callers; one instance per node.
 
+    :param is_ready: whether the config is known to be recent enough.
     :param claims: gate for idempotency keys; ``None`` refuses them.
     :param note_sample: told the times of each answered request.
     """
@@ -80,6 +81,7 @@
     def __init__(
         self,
         blackboard: blackboards.Blackboard,
+        is_ready: cabc.Callable[[], bool],
         attempts: _attempts.AttemptSender,
         counters: metrics.Metrics,
         claims: ClaimGate | None = None,
@@ -88,6 +90,7 @@
         ] = lambda sample: None,
     ) -> None:
         self._blackboard = blackboard
+        self._is_ready = is_ready
         self._attempts = attempts
         self._counters = counters
         self._claims = claims
@@ -160,7 +163,7 @@
         )
 
     def _find_document(self, path: str) -> documents.Document:
-        if not self._blackboard.config_ready:
+        if not self._is_ready():
             raise exceptions.RefusedError(
                 _Code.NOT_READY,
                 "this node has not learned the configuration yet",
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import signal
 import time
-import typing as t
 
 import anyio
 import anyio.abc
@@ -14,6 +14,8 @@
 from papayastall import _announcements
 from papayastall import _attempts
 from papayastall import _control_app
+from papayastall import _control_commands as commands
+from papayastall import _control_plane
 from papayastall import _credentials
 from papayastall import _decision_types
 from papayastall import _gossip
@@ -24,9 +26,9 @@
 from papayastall import _membership_types
 from papayastall import _node_calls
 from papayastall import _owner_controller
+from papayastall import _owner_state
 from papayastall import _peering
 from papayastall import _service_policy
-from papayastall import _thin_config
 from papayastall import _tls
 from papayastall import blackboard as blackboards
 from papayastall import documents
@@ -42,11 +44,10 @@
 
 ADVERT_INTERVAL_S = 0.2
 LEAVE_SPREAD_S = 2.0
+SUSPECT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 MIN_RENEW_MS = 100
 
-_Code = exceptions.ErrorCode
-
 
 def run(node_settings: settings.NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT, then stop it without a cut."""
@@ -71,7 +72,7 @@
         log_file.close()
 
 
-class Node:
+class Node(_control_plane.ControlPorts):
     """All parts of one node.
 
     :param node_settings: checked settings of this process.
@@ -88,10 +89,14 @@
             node_settings.statsd_address, node_settings.link_address
         )
         self.histograms = histograms.HistogramTable()
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._build_links()
         self._build_membership()
+        self.control = _control_plane.ControlPlane(
+            node_settings, self.links, self, self.boot_ms, self._rng
+        )
         self._build_request_path()
-        self._build_control()
+        self._build_servers()
 
     def _build_links(self) -> None:
         node_settings = self.settings
@@ -106,6 +111,7 @@
             link_settings,
             self.counters,
             lambda: self.blackboard.config_index,
+            lambda peer, index: self.control.config.observe(peer, index),
         )
 
     def _build_membership(self) -> None:
@@ -138,8 +144,10 @@
         self.owner = owner.Owner(
             self.links,
             self.owner_controller,
-            _DenyingPermits(self),
+            self.control.permits,
             self.counters,
+            self.control.claims,
+            self.spread_suspect,
         )
         self.ingress_controller = _ingress_controller.IngressController(
             address, self._rng
@@ -149,22 +157,18 @@
         )
         self.ingress = ingress.Ingress(
             self.blackboard,
+            self.control.config.is_ready,
             self.attempts,
             self.counters,
+            self.control.claims,
             note_sample=lambda sample: self.histograms.record(
                 time.monotonic(), sample
             ),
         )
 
-    def _build_control(self) -> None:
+    def _build_servers(self) -> None:
         close_timeout_s = self.settings.shutdown_timeout_ms / 1000
-        self.config = _thin_config.ThinConfig(
-            self.blackboard,
-            self.links,
-            self.list_others,
-            self.put_in_force,
-        )
-        self.links.handle_casts(
+        self.links.handle_calls(
             _peering.Channel.SUSPECT, self._receive_suspect
         )
         application = _control_app.ControlApp(
@@ -184,12 +188,14 @@
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start all parts; returns once requests are taken."""
+        self._tasks = tasks
         self.counters.start()
         tasks.start_soon(self.counters.run)
         await self.links.start(tasks)
         await self.owner.start(tasks)
         await self.attempts.start(tasks)
         await self.gossiper.start(tasks)
+        await self.control.start(tasks)
         tasks.start_soon(self._advertise)
         await self.control_server.start(tasks)
         await self.caller_server.start(tasks)
@@ -211,6 +217,7 @@
                 await anyio.sleep(DRAIN_POLL_S)
         await self.caller_server.close()
         await self.control_server.close()
+        await self.control.close()
         await self.gossiper.close()
         await self.owner.close()
         await self.links.close()
@@ -247,26 +254,67 @@
             and member.state <= _membership_types.MemberState.SUSPECT
         ]
 
-    def put_in_force(self, document: documents.Document) -> None:
-        """Make a document's policy the one that the controllers use."""
-        policy = _service_policy.from_document(
-            document, self.settings.failure_domain
-        )
-        self.owner_controller.configure(document.name, policy)
-        self.ingress_controller.configure(document.name, policy)
+    def put_in_force(
+        self, index: int, changed: list[documents.Document]
+    ) -> None:
+        """Serve by these documents from now on."""
+        assert index >= self.blackboard.config_index, "the config went back"
+        for document in changed:
+            known = self.blackboard.services.get(document.name)
+            assert known is None or known.revision < document.revision
+            self.blackboard.services[document.name] = document
+            policy = _service_policy.from_document(
+                document, self.settings.failure_domain
+            )
+            self.owner_controller.configure(document.name, policy)
+            self.ingress_controller.configure(document.name, policy)
+            self.counters.count(metrics.Counter.CONFIG_CHANGES)
+        self.blackboard.config_index = index
+
+    def list_reports(self) -> list[commands.UpstreamReport]:
+        """Return the upstreams of this node, for the ledger."""
+        return [
+            commands.UpstreamReport(
+                view.upstream, view.service, view.slots, _report_state(view)
+            )
+            for view in self.owner_controller.upstreams(time.monotonic())
+        ]
+
+    def observe_slots(self, service: str) -> dict[str, int]:
+        """Return the slots that each live owner offers of a service."""
+        return {
+            advert.owner: advert.slots
+            for advert in self.membership.adverts(service)
+        }
+
+    def permit_answered(self, upstream: str, granted: bool) -> None:
+        """Take in the answer to an ejection's permit."""
+        counter = metrics.Counter.PERMITS_DENIED
+        if granted:
+            counter = metrics.Counter.EJECTIONS
+        self.counters.count(counter)
+        self.owner.permit_answered(upstream, granted)
 
     def spread_suspect(self, news: _decision_types.SuspectNews) -> None:
         """Tell every member of a request that may crash upstreams."""
         self.ingress_controller.suspect(time.monotonic(), news)
         body = _node_calls.encode_suspect(news)
+        assert self._tasks is not None
         for member in self.list_others():
-            self.links.cast(member, _peering.Channel.SUSPECT, body)
+            self._tasks.start_soon(self._tell_suspect, member, body)
 
-    async def _receive_suspect(self, _peer: str, body: bytes) -> None:
+    async def _tell_suspect(self, member: str, body: bytes) -> None:
+        with contextlib.suppress(exceptions.PapayastallError):
+            await self.links.call(
+                member, _peering.Channel.SUSPECT, body, SUSPECT_TIMEOUT_S
+            )
+
+    async def _receive_suspect(self, _peer: str, body: bytes) -> bytes:
         news = _node_calls.decode_suspect(body)
         now_s = time.monotonic()
         self.owner.perform(self.owner_controller.suspect(now_s, news))
         self.ingress_controller.suspect(now_s, news)
+        return b""
 
     def _note_membership(
         self, event: _membership_types.MembershipEvent
@@ -275,12 +323,22 @@
         match event:
             case _membership_types.AdvertChanged(advert):
                 self._note_advert(now_s, advert)
+            case _membership_types.PeerConfigIndex(address, index):
+                self.control.config.observe(address, index)
             case _membership_types.MemberLeft(address, state):
                 self.ingress_controller.remove_owner(address)
                 self._log_member(address, state.name.lower())
             case _membership_types.MemberJoined(address):
+                self._restore_adverts(now_s, address)
                 self._log_member(address, "alive")
 
+    def _restore_adverts(self, now_s: float, address: str) -> None:
+        """Route to a member that is back, by what it offered before."""
+        for service in self.blackboard.services:
+            for advert in self.membership.adverts(service):
+                if advert.owner == address:
+                    self._note_advert(now_s, advert)
+
     def _note_advert(
         self, now_s: float, advert: _decision_types.OwnerAdvert
     ) -> None:
@@ -331,15 +389,15 @@
         )
 
 
-class _DenyingPermits:
-    """Grants no ejection while there is no control state."""
-
-    def __init__(self, node: t.Any) -> None:
-        self._node = node
-
-    def ask(self, action: _decision_types.AskPermit) -> None:
-        """Deny."""
-        self._node.owner.permit_answered(action.upstream, False)
-
-    def release(self, action: _decision_types.ReleasePermit) -> None:
-        """Do nothing: no permit was given."""
+def _report_state(
+    view: _owner_state.UpstreamView,
+) -> commands.UpstreamReportState:
+    """Return whether an upstream is healthy capacity of its service."""
+    healthy = view.standing in (
+        _owner_state.Standing.HEALTHY,
+        _owner_state.Standing.RETURNING,
+    )
+    ready = view.state is _decision_types.UpstreamState.READY
+    if healthy and ready and not view.leaving:
+        return commands.UpstreamReportState.SERVING
+    return commands.UpstreamReportState.NOT_SERVING
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -116,15 +116,10 @@
     token.write_text(f"{SECRET}\n")
     result = {"name": "visits", "revision": 1, "result": "applied"}
     node.answers["/v1/documents"] = [(200, {"index": 7, "results": [result]})]
-    behind = [
-        {"node": "a", "state": "alive", "index": 7},
-        {"node": "b", "state": "alive", "index": 6},
-        {"node": "c", "state": "dead", "index": 1},
-    ]
-    current = [{**behind[0]}, {**behind[1], "index": 8}, behind[2]]
-    node.answers["/v1/status"] = [
-        (200, {"nodes": behind}),
-        (200, {"nodes": current}),
+    path = "/v1/missing?index=7"
+    node.answers[path] = [
+        (200, {"index": 7, "missing": ["b"]}),
+        (200, {"index": 7, "missing": []}),
     ]
     argv = ["apply", f"--node={node.address}", f"--token-file={token}"]
     argv += ["--wait", str(document)]
@@ -146,8 +141,8 @@
     document = tmp_path / "visits.toml"
     document.write_text("")
     node.answers["/v1/documents"] = [(200, {"index": 7, "results": []})]
-    nodes = [{"node": "10.0.0.9:7401", "state": "alive", "index": 6}]
-    node.answers["/v1/status"] = [(200, {"nodes": nodes})]
+    missing = {"index": 7, "missing": ["10.0.0.9:7401"]}
+    node.answers["/v1/missing?index=7"] = [(200, missing)]
     argv = ["apply", f"--node={node.address}", "--wait", "--timeout=0"]
     code = cli.main([*argv, str(document)])
     assert code == cli.ExitCode.NOT_FINISHED
