Add config in force, claims and permits on every node

Config: each document carries the index of its last change, so what a node lacks is the documents above its own index.

Claims and permits: any node calls the group's leader; every command may be repeated, since the state knows the token or the owner's sequence number.

--- a/src/papayastall/_claim_state.py
+++ b/src/papayastall/_claim_state.py
@@ -85,8 +85,9 @@
                 self._drop_answer(claim)
                 del self._claims[key]
         kept_until_ms = now_ms + CLAIM_KEPT_MS - ANSWER_KEPT_MS
-        for key, expires_ms in list(self._answers.items()):
-            if expires_ms > kept_until_ms:
+        while self._answers:
+            key = next(iter(self._answers))
+            if self._answers[key] > kept_until_ms:
                 break
             self._drop_answer(self._claims[key])
 
--- /dev/null
+++ b/src/papayastall/_claims.py
@@ -0,0 +1,208 @@
+"""Claims of idempotency keys from any node."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import time
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import xxhash
+
+from papayastall import _control_calls
+from papayastall import _control_commands as commands
+from papayastall import _peering
+from papayastall import exceptions
+from papayastall import ingress
+from papayastall import owner
+
+__all__ = ["ClaimClient", "claim_group", "make_claim_key"]
+
+KEY_SIZE_BYTES = 16
+TOKEN_SIZE_BYTES = 16
+CLAIM_TIMEOUT_S = 2.0
+BACKGROUND_TIMEOUT_S = 120.0
+MAX_BACKGROUND_CALLS = 1024
+MAX_KEPT_BODY_BYTES = 60 * 1024
+UNAVAILABLE_RETRY_S = 2.0
+HASH_SLOTS = 4096
+
+_Code = exceptions.ErrorCode
+_State = commands.ClaimState
+
+
+def make_claim_key(key: str) -> bytes:
+    """Return the fixed-size form of a scoped idempotency key."""
+    return hashlib.blake2b(key.encode(), digest_size=KEY_SIZE_BYTES).digest()
+
+
+def claim_group(key: bytes, groups: int) -> int:
+    """Return the group that holds a key, from 1 to ``groups``."""
+    slot = xxhash.xxh64_intdigest(key) % HASH_SLOTS
+    return 1 + slot % groups
+
+
+class ClaimClient:
+    """Claims keys for the ingress and records outcomes for the owner.
+
+    :param groups: number of groups of claims.
+    """
+
+    def __init__(
+        self, caller: _control_calls.GroupCaller, groups: int
+    ) -> None:
+        self._caller = caller
+        self._groups = groups
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._background = 0
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Run what may take longer than its request in ``tasks``."""
+        self._tasks = tasks
+
+    async def close(self) -> None:
+        """Wait until outcomes are recorded and claims given back."""
+        while self._background:
+            await anyio.sleep(0.02)
+
+    async def claim(
+        self, key: str, fingerprint: int, deadline_s: float
+    ) -> str | ingress.KeptAnswer:
+        """Return the token of a durable claim, or the first answer.
+
+        :param deadline_s: of the request, on the monotonic clock.
+        :raises papayastall.exceptions.PapayastallError: the key is taken
+            or can't be claimed; this request was not run.
+        """
+        token = os.urandom(TOKEN_SIZE_BYTES)
+        left_s = max(0.0, deadline_s - time.monotonic())
+        command = commands.Claim(
+            make_claim_key(key),
+            token,
+            fingerprint.to_bytes(8, "big", signed=fingerprint < 0),
+            int(left_s * 1000),
+        )
+        try:
+            result = await self._call(
+                commands.Command(claim=command), min(left_s, CLAIM_TIMEOUT_S)
+            )
+        except BaseException as error:
+            # The claim may be committed; nothing was or will be run by it.
+            self._spawn(_make_release(key, token.hex()))
+            if isinstance(error, exceptions.PapayastallError):
+                raise _unavailable(str(error)) from error
+            raise
+        return _read_result(result, token)
+
+    async def release(self, key: str, token: str) -> None:
+        """Free the key of a request that certainly did not run."""
+        self._spawn(_make_release(key, token))
+
+    async def record(self, outcome: owner.ClaimedAnswer) -> None:
+        """Record an answer; goes on after this returns.
+
+        The answer need not wait for it: until the outcome is recorded a
+        resend is told "still running" or "outcome unknown".
+        """
+        self._spawn(commands.Command(record_outcome=_make_record(outcome)))
+
+    async def _call(
+        self, command: commands.Command, timeout_s: float
+    ) -> commands.ClaimResult:
+        part = command.claim or command.record_outcome or command.release_claim
+        assert part is not None
+        group = claim_group(part.key, self._groups)
+        result = await self._caller.call(
+            _peering.Channel.CLAIM, group, command, timeout_s
+        )
+        if result.claim is None:
+            raise exceptions.ProtocolError(
+                _Code.BAD_FRAME, "control sent no claim", step="claim"
+            )
+        return result.claim
+
+    def _spawn(self, command: commands.Command) -> None:
+        if self._tasks is None or self._background >= MAX_BACKGROUND_CALLS:
+            return
+        self._background += 1
+        self._tasks.start_soon(self._run, command)
+
+    async def _run(self, command: commands.Command) -> None:
+        try:
+            await self._call(command, BACKGROUND_TIMEOUT_S)
+        except exceptions.PapayastallError:
+            # A resend is then told "outcome unknown", which is true.
+            await anyio.lowlevel.checkpoint()
+        finally:
+            self._background -= 1
+
+
+def _make_release(key: str, token: str) -> commands.Command:
+    return commands.Command(
+        release_claim=commands.ReleaseClaim(
+            make_claim_key(key), bytes.fromhex(token)
+        )
+    )
+
+
+def _make_record(outcome: owner.ClaimedAnswer) -> commands.RecordOutcome:
+    headers = tuple(
+        commands.Header(name, value) for name, value in outcome.headers
+    )
+    size_bytes = len(outcome.body) + sum(
+        len(header.name) + len(header.value) for header in headers
+    )
+    answer = commands.Answer(outcome.status, headers, outcome.body)
+    if not outcome.complete or size_bytes > MAX_KEPT_BODY_BYTES:
+        answer = commands.Answer(outcome.status)
+        size_bytes = commands.NOT_KEPT_SIZE_BYTES
+    return commands.RecordOutcome(
+        make_claim_key(outcome.claim_key),
+        bytes.fromhex(outcome.claim_token),
+        answer,
+        size_bytes,
+    )
+
+
+def _read_result(
+    result: commands.ClaimResult, token: bytes
+) -> str | ingress.KeptAnswer:
+    match result:
+        case commands.ClaimResult(_State.GRANTED):
+            return token.hex()
+        case commands.ClaimResult(_State.ANSWERED, answer) if answer:
+            headers = [(h.name, h.value) for h in answer.headers]
+            return ingress.KeptAnswer(answer.status, headers, answer.body)
+        case commands.ClaimResult(_State.RUNNING):
+            # Refused alone would say that the first one did not run.
+            raise exceptions.StillRunningError(
+                _Code.STILL_RUNNING,
+                "the first request with this key still runs; come back",
+                step="claim",
+                retry_after_s=result.retry_after_ms / 1000,
+            )
+        case commands.ClaimResult(_State.KEY_REUSED):
+            raise exceptions.ConflictError(
+                _Code.KEY_REUSED,
+                "the key was used for another request; take a new key",
+                step="claim",
+            )
+        case commands.ClaimResult(_State.UNKNOWN | _State.ANSWER_DROPPED):
+            raise exceptions.OutcomeUnknownError(
+                _Code.OUTCOME_UNKNOWN,
+                "the first request with this key may have run and its "
+                "answer is not known; ask the service before a new key",
+                step="claim",
+            )
+    raise _unavailable(result.state.name.lower())
+
+
+def _unavailable(cause: str) -> exceptions.RefusedError:
+    return exceptions.RefusedError(
+        _Code.CLAIM_UNAVAILABLE,
+        f"the key could not be claimed and nothing was run ({cause})",
+        step="claim",
+        retry_after_s=UNAVAILABLE_RETRY_S,
+    )
--- /dev/null
+++ b/src/papayastall/_config_service.py
@@ -0,0 +1,378 @@
+"""Brings the config in force to a node, and operators' changes to control."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import random
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+
+from papayastall import _config
+from papayastall import _control_calls
+from papayastall import _control_commands as commands
+from papayastall import _control_state
+from papayastall import _document_state
+from papayastall import _peering
+from papayastall import documents
+from papayastall import exceptions
+from papayastall import logs
+
+__all__ = ["ApplyOutcome", "ConfigService", "DocumentSource"]
+
+TICK_S = 0.25
+CALL_TIMEOUT_S = 1.0
+BARRIER_TIMEOUT_S = 0.5
+APPLY_TIMEOUT_S = 10.0
+WAIT_POLL_S = 0.2
+MAX_WAIT_CALLS = 32
+NOTICE_FANOUT = 3
+
+_Code = exceptions.ErrorCode
+
+PutInForce = cabc.Callable[[int, list[documents.Document]], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DocumentSource:
+    """A document as an operator sends it.
+
+    :param source: where the text is from, for messages.
+    """
+
+    source: str
+    text: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ApplyOutcome:
+    """Documents that are in force, and since which index."""
+
+    index: int
+    verdicts: tuple[commands.DocumentVerdict, ...]
+
+
+class _Listener(_control_state.ChangeListener):
+    """Hands what the control replica here applies to the service."""
+
+    def __init__(self, service: ConfigService) -> None:
+        self._service = service
+
+    def note_change(self, change: _document_state.ConfigChange) -> None:
+        stored = [
+            _config.IndexedDocument(change.index, document)
+            for document in change.documents
+        ]
+        self._service.note_applied(change.index, stored)
+
+    def note_restore(self, table: _document_state.DocumentTable) -> None:
+        stored = [
+            _config.IndexedDocument(item.index, item.document)
+            for item in table.list_documents()
+        ]
+        self._service.note_applied(table.index, stored)
+
+
+class ConfigService:
+    """The config of one node, and the operators' way to change it.
+
+    :param list_members: link addresses of the other live members.
+    :param put_in_force: told of changed documents and their index.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        peering: _peering.Peering,
+        caller: _control_calls.GroupCaller,
+        control: cabc.Sequence[str],
+        list_members: cabc.Callable[[], list[str]],
+        put_in_force: PutInForce,
+        rng: random.Random,
+    ) -> None:
+        self._node = node
+        self._peering = peering
+        self._caller = caller
+        self._list_members = list_members
+        self._put_in_force = put_in_force
+        self._rng = rng
+        self._host: _control_calls.GroupHost | None = None
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._controller = _config.ConfigController(
+            node, control, time.monotonic()
+        )
+        peering.handle_calls(_peering.Channel.CONFIG, self._receive_fetch)
+        peering.handle_casts(_peering.Channel.CONFIG, self._receive_notice)
+
+    @property
+    def index(self) -> int:
+        """Index of the config in force here."""
+        return self._controller.index
+
+    def is_ready(self) -> bool:
+        """Return whether this node may serve by its config."""
+        return self._controller.is_ready(time.monotonic())
+
+    def list_documents(self) -> list[commands.DocumentText]:
+        """Return the documents in force here."""
+        return self._controller.list_documents()
+
+    def make_listener(self) -> _control_state.ChangeListener:
+        """Return the listener for the control replica of this node."""
+        return _Listener(self)
+
+    def use_host(self, host: _control_calls.GroupHost) -> None:
+        """Use the control replica of this node to confirm its config."""
+        self._host = host
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Keep the config up to date from now on."""
+        self._tasks = tasks
+        tasks.start_soon(self._run)
+
+    def observe(self, peer: str, index: int) -> None:
+        """Take in the index that a frame or datagram of a peer carried."""
+        if index > self._controller.find_peer_index(peer):
+            self._start_fetches(
+                self._controller.observe(time.monotonic(), peer, index)
+            )
+
+    def note_applied(
+        self, index: int, stored: list[_config.IndexedDocument]
+    ) -> None:
+        """Take in what the control replica of this node applied."""
+        now_s = time.monotonic()
+        self._take(self._controller.note_applied(now_s, index, stored))
+
+    async def apply_documents(
+        self, sources: cabc.Sequence[DocumentSource]
+    ) -> ApplyOutcome:
+        """Put an operator's documents in force, all or none.
+
+        :raises papayastall.exceptions.BadInputError: they have problems;
+            the message lists those of all documents.
+        :raises papayastall.exceptions.ConflictError: another operator was
+            first; names the digest that won.
+        :raises papayastall.exceptions.UnreachableError: control is away;
+            applying the same documents again is safe.
+        """
+        command = commands.ApplyDocuments(_check_sources(sources))
+        result = await self._caller.call(
+            _peering.Channel.CONTROL,
+            commands.CONTROL_GROUP,
+            commands.Command(apply_documents=command),
+            APPLY_TIMEOUT_S,
+        )
+        assert result.documents is not None
+        _raise_conflict(result.documents)
+        return ApplyOutcome(result.documents.index, result.documents.verdicts)
+
+    async def wait_for(self, index: int, timeout_s: float) -> list[str]:
+        """Wait until every live member has an index in force.
+
+        :returns: the members that did not have it in time.
+        """
+        missing = await self._find_missing(index)
+        with anyio.move_on_after(timeout_s):
+            while missing:
+                await anyio.sleep(WAIT_POLL_S)
+                missing = await self._find_missing(index)
+        return missing
+
+    async def _find_missing(self, index: int) -> list[str]:
+        limiter = anyio.CapacityLimiter(MAX_WAIT_CALLS)
+        missing = [] if self.index >= index else [self._node]
+
+        async def ask(peer: str) -> None:
+            async with limiter:
+                if not await self._has(peer, index):
+                    missing.append(peer)
+
+        async with anyio.create_task_group() as tasks:
+            for peer in self._list_members():
+                if self._controller.find_peer_index(peer) < index:
+                    tasks.start_soon(ask, peer)
+        return sorted(missing)
+
+    async def _has(self, peer: str, index: int) -> bool:
+        request = _config.FetchDocuments(_config.MESSAGE_VERSION, index, True)
+        try:
+            answer = await self._call(peer, request)
+        except exceptions.PapayastallError:
+            return False
+        self._controller.observe_quietly(peer, answer)
+        return answer.index >= index
+
+    async def _run(self) -> None:
+        while True:
+            now_s = time.monotonic()
+            members = self._list_members()
+            self._start_fetches(self._controller.tick(now_s, members))
+            if not self._controller.is_ready(now_s):
+                await self._confirm_here()
+            await anyio.sleep(TICK_S)
+
+    async def _confirm_here(self) -> None:
+        if await self._leads_control():
+            self._controller.note_authoritative(
+                time.monotonic(), self._controller.index
+            )
+
+    async def _leads_control(self) -> bool:
+        host = self._host
+        if host is None:
+            return False
+        try:
+            await host.read_barrier(commands.CONTROL_GROUP, BARRIER_TIMEOUT_S)
+        except exceptions.PapayastallError:
+            return False
+        return True
+
+    def _start_fetches(self, fetches: list[_config.Fetch]) -> None:
+        for fetch in fetches:
+            if self._tasks is None:
+                self._controller.failed(fetch)
+            else:
+                self._tasks.start_soon(self._fetch, fetch)
+
+    async def _fetch(self, fetch: _config.Fetch) -> None:
+        request = _config.FetchDocuments(
+            _config.MESSAGE_VERSION,
+            fetch.after_index,
+            fetch.confirmation > 0,
+        )
+        try:
+            answer = await self._call(fetch.peer, request)
+        except exceptions.PapayastallError:
+            self._controller.failed(fetch)
+            return
+        update, fetches = self._controller.fetched(
+            time.monotonic(), fetch, answer
+        )
+        self._take(update)
+        self._start_fetches(fetches)
+
+    async def _call(
+        self, peer: str, request: _config.FetchDocuments
+    ) -> _config.FetchedDocuments:
+        body = commands.codec.encode(request)
+        data = await self._peering.call(
+            peer, _peering.Channel.CONFIG, body, CALL_TIMEOUT_S
+        )
+        return commands.codec.decode(_config.FetchedDocuments, data)
+
+    async def _receive_fetch(self, _peer: str, body: bytes) -> bytes:
+        request = commands.codec.decode(_config.FetchDocuments, body)
+        leads = request.confirm and await self._leads_control()
+        return commands.codec.encode(self._controller.answer(request, leads))
+
+    async def _receive_notice(self, peer: str, body: bytes) -> None:
+        notice = commands.codec.decode(_config.IndexNotice, body)
+        self.observe(peer, notice.index)
+
+    def _take(self, update: _config.ConfigUpdate | None) -> None:
+        if update is None:
+            return
+        self._put_in_force(update.index, _parse_all(update.documents))
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.CONFIG,
+                self._node,
+                "",
+                str(update.index),
+                f"{len(update.documents)} documents came in force",
+            )
+        )
+        self._spread(update.index)
+
+    def _spread(self, index: int) -> None:
+        """Tell a few members, who tell others in turn."""
+        notice = _config.IndexNotice(_config.MESSAGE_VERSION, index)
+        body = commands.codec.encode(notice)
+        members = [
+            peer
+            for peer in self._list_members()
+            if self._controller.find_peer_index(peer) < index
+        ]
+        count = min(NOTICE_FANOUT, len(members))
+        for peer in self._rng.sample(members, count):
+            self._peering.cast(peer, _peering.Channel.CONFIG, body)
+
+
+def _check_sources(
+    sources: cabc.Sequence[DocumentSource],
+) -> tuple[commands.DocumentText, ...]:
+    checked: list[commands.DocumentText] = []
+    problems: list[str] = []
+    names: dict[str, str] = {}
+    for item in sources:
+        try:
+            document = documents.parse_document(item.text, item.source)
+        except exceptions.BadInputError as error:
+            problems.append(error.message)
+            continue
+        if document.name in names:
+            problems.append(
+                f"{item.source} and {names[document.name]} are both for "
+                f"{document.name!r}; send one"
+            )
+        names[document.name] = item.source
+        checked.append(_make_text(document, item.text))
+    if not sources:
+        problems.append("send at least one document")
+    if problems:
+        raise exceptions.BadInputError(
+            _Code.BAD_DOCUMENT, "\n".join(problems), step="apply"
+        )
+    return tuple(checked)
+
+
+def _make_text(
+    document: documents.Document, text: str
+) -> commands.DocumentText:
+    return commands.DocumentText(
+        name=document.name,
+        revision=document.revision,
+        digest=documents.compute_digest(text),
+        floor_slots=document.floor_slots,
+        text=text,
+    )
+
+
+def _raise_conflict(result: commands.DocumentsResult) -> None:
+    if result.accepted:
+        return
+    lines = [
+        _explain(verdict)
+        for verdict in result.verdicts
+        if verdict.state is commands.DocumentState.CONFLICT
+    ]
+    raise exceptions.ConflictError(
+        _Code.REVISION_CONFLICT,
+        "nothing was applied: " + "; ".join(lines),
+        step="apply",
+    )
+
+
+def _explain(verdict: commands.DocumentVerdict) -> str:
+    next_revision = verdict.current_revision + 1
+    if verdict.revision > next_revision:
+        cause = f"skips revision {next_revision}"
+    elif verdict.revision == next_revision:
+        cause = "stands twice"
+    else:
+        cause = f"was taken by digest {verdict.current_digest}"
+    return (
+        f"{verdict.name} revision {verdict.revision} {cause}; revision "
+        f"{verdict.current_revision} is in force, read it and send "
+        f"{next_revision}"
+    )
+
+
+def _parse_all(
+    texts: t.Iterable[commands.DocumentText],
+) -> list[documents.Document]:
+    return [documents.parse_document(text.text, text.name) for text in texts]
--- /dev/null
+++ b/src/papayastall/_control_calls.py
@@ -0,0 +1,243 @@
+"""Calls of any node to the leader of a replicated group."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import random
+import time
+import typing as t
+
+import anyio
+
+from papayastall import _control_commands as commands
+from papayastall import _control_state
+from papayastall import _peering
+from papayastall import exceptions
+
+__all__ = ["GroupCaller", "GroupHost", "GroupServer", "ObserveSlots"]
+
+TRY_TIMEOUT_S = 0.5
+PROPOSE_TIMEOUT_S = 2.0
+BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.4
+
+_Code = exceptions.ErrorCode
+_State = commands.GroupCallState
+
+GroupState = _control_state.ControlState | _control_state.ClaimGroupState
+ObserveSlots = cabc.Callable[[str], dict[str, int]]
+"""Returns the healthy slots of a service at each live owner."""
+
+
+class GroupHost(t.Protocol):
+    """The replicas on this node; see `_replica.ReplicaHost`."""
+
+    async def propose(
+        self, group: int, command: bytes, timeout_s: float
+    ) -> bytes:
+        """Commit a command and return its result."""
+
+    async def read_barrier(self, group: int, timeout_s: float) -> None:
+        """Return when the local state holds all that was committed."""
+
+    def leader(self, group: int) -> str | None:
+        """Return the leader as far as it is known."""
+
+
+class GroupServer:
+    """Commits what other nodes ask a control replica for.
+
+    :param states: the state machine of each group, by its number.
+    :param observe_slots: what membership says of a service's owners.
+    """
+
+    def __init__(
+        self,
+        peering: _peering.Peering,
+        host: GroupHost,
+        states: cabc.Sequence[GroupState],
+        observe_slots: ObserveSlots | None = None,
+        clock_s: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._host = host
+        self._states = states
+        self._observe_slots = observe_slots
+        self._clock_s = clock_s
+        self._clocks = [_control_state.ReplicatedClock() for _ in states]
+        for channel in (
+            _peering.Channel.CONTROL,
+            _peering.Channel.CLAIM,
+            _peering.Channel.PERMIT,
+        ):
+            peering.handle_calls(channel, self._receive)
+
+    async def _receive(self, _peer: str, body: bytes) -> bytes:
+        call = commands.codec.decode(commands.GroupCall, body)
+        return commands.codec.encode(await self.call(call))
+
+    async def call(self, call: commands.GroupCall) -> commands.GroupAnswer:
+        """Commit a command here, or say whom to ask."""
+        if not self._is_known(call):
+            return _make_answer(_State.REFUSED)
+        entry = commands.codec.encode(self._make_entry(call))
+        try:
+            data = await self._host.propose(
+                call.group, entry, PROPOSE_TIMEOUT_S
+            )
+        except exceptions.OutcomeUnknownError:
+            return _make_answer(_State.OUTCOME_UNKNOWN)
+        except exceptions.BadInputError:
+            return _make_answer(_State.REFUSED)
+        except exceptions.PapayastallError as error:
+            leader = error.peer if error.code is _Code.NOT_LEADER else None
+            return _make_answer(_State.NOT_LEADER, leader=leader)
+        result = commands.codec.decode(commands.Result, data)
+        return _make_answer(_State.APPLIED, result)
+
+    def _is_known(self, call: commands.GroupCall) -> bool:
+        if call.command.version > commands.COMMAND_VERSION:
+            return False
+        if not 0 <= call.group < len(self._states):
+            return False
+        command = call.command
+        control_parts = (
+            command.apply_documents,
+            command.report_upstreams,
+            command.ask_permit,
+        )
+        claim_parts = (
+            command.claim,
+            command.record_outcome,
+            command.release_claim,
+        )
+        parts = control_parts if call.group == 0 else claim_parts
+        others = claim_parts if call.group == 0 else control_parts
+        if any(part is not None for part in others):
+            return False
+        return sum(part is not None for part in parts) == 1
+
+    def _make_entry(self, call: commands.GroupCall) -> commands.LogEntry:
+        state = self._states[call.group]
+        time_ms = self._clocks[call.group].read(self._clock_s(), state.time_ms)
+        return commands.LogEntry(
+            commands.COMMAND_VERSION,
+            time_ms,
+            call.command,
+            self._observe(state, call.command),
+        )
+
+    def _observe(
+        self, state: GroupState, command: commands.Command
+    ) -> tuple[commands.ObservedSlots, ...]:
+        """Return the owners that have less than the ledger holds."""
+        ask = command.ask_permit
+        if ask is None or self._observe_slots is None:
+            return ()
+        assert isinstance(state, _control_state.ControlState)
+        held = state.permits.count_slots_by_owner(ask.service_name)
+        seen = self._observe_slots(ask.service_name)
+        return tuple(
+            commands.ObservedSlots(owner, seen.get(owner, 0))
+            for owner, slots in held.items()
+            if seen.get(owner, 0) < slots
+        )
+
+
+class GroupCaller:
+    """Brings commands to the leader of their group, from any node.
+
+    Every command may be sent again: the state knows a repeated one.
+
+    :param local: the server of this node, if it is a control replica.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        peering: _peering.Peering,
+        control: cabc.Sequence[str],
+        rng: random.Random,
+        local: GroupServer | None = None,
+    ) -> None:
+        self._node = node
+        self._peering = peering
+        self._control = list(control)
+        self._rng = rng
+        self._local = local
+        self._leaders: dict[int, str] = {}
+
+    async def call(
+        self,
+        channel: _peering.Channel,
+        group: int,
+        command: commands.Command,
+        timeout_s: float,
+    ) -> commands.Result:
+        """Return the result of a committed command.
+
+        :raises papayastall.exceptions.BadInputError: control refuses it.
+        :raises papayastall.exceptions.UnreachableError: no result in time;
+            the command may be committed, and may be sent again.
+        """
+        call = commands.GroupCall(commands.COMMAND_VERSION, group, command)
+        with anyio.move_on_after(timeout_s):
+            return await self._try_all(channel, call)
+        raise exceptions.UnreachableError(
+            _Code.NO_LEADER,
+            "control gave no answer in time; sending it again is safe",
+            step=channel.name.lower(),
+        )
+
+    async def _try_all(
+        self, channel: _peering.Channel, call: commands.GroupCall
+    ) -> commands.Result:
+        backoff_s = BACKOFF_S
+        while True:
+            peer = self._choose(call.group)
+            answer = await self._try(channel, peer, call)
+            match answer:
+                case commands.GroupAnswer(result=result) if result:
+                    self._leaders[call.group] = peer
+                    return result
+                case commands.GroupAnswer(state=_State.REFUSED):
+                    raise exceptions.BadInputError(
+                        _Code.BAD_REQUEST,
+                        "control refuses the command: too large, or of "
+                        "another version; upgrade control first",
+                        step=channel.name.lower(),
+                        peer=peer,
+                    )
+                case commands.GroupAnswer(leader=leader) if leader:
+                    if leader != peer:
+                        self._leaders[call.group] = leader
+                        backoff_s = min(backoff_s, BACKOFF_S)
+                case _:
+                    self._leaders.pop(call.group, None)
+            await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+
+    def _choose(self, group: int) -> str:
+        known = self._leaders.get(group)
+        return known or self._rng.choice(self._control)
+
+    async def _try(
+        self, channel: _peering.Channel, peer: str, call: commands.GroupCall
+    ) -> commands.GroupAnswer | None:
+        if peer == self._node and self._local is not None:
+            return await self._local.call(call)
+        body = commands.codec.encode(call)
+        try:
+            data = await self._peering.call(peer, channel, body, TRY_TIMEOUT_S)
+            return commands.codec.decode(commands.GroupAnswer, data)
+        except exceptions.PapayastallError:
+            return None
+
+
+def _make_answer(
+    state: commands.GroupCallState,
+    result: commands.Result | None = None,
+    leader: str | None = None,
+) -> commands.GroupAnswer:
+    return commands.GroupAnswer(
+        commands.COMMAND_VERSION, state, result, leader
+    )
--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -34,6 +34,7 @@
     "GroupCallState",
     "Header",
     "LogEntry",
+    "NOT_KEPT_SIZE_BYTES",
     "ObservedSlots",
     "PermitReason",
     "PermitResult",
@@ -51,6 +52,7 @@
 ]
 
 COMMAND_VERSION = 1
+NOT_KEPT_SIZE_BYTES = 1 << 31
 CONTROL_GROUP = 0
 
 codec = _thrift_codec.ThriftCodec(_thrift.load_module("control"))
--- a/src/papayastall/_permit_state.py
+++ b/src/papayastall/_permit_state.py
@@ -63,6 +63,7 @@
         upstreams: cabc.Iterable[StoredUpstream] = (),
     ) -> None:
         self._owners = {owner.owner: owner for owner in owners}
+        self._next_expiry_ms = 0
         self._upstreams: dict[str, StoredUpstream] = {}
         self._by_service: dict[str, dict[str, None]] = {}
         self._by_owner: dict[str, dict[str, None]] = {}
@@ -101,6 +102,8 @@
 
     def expire(self, now_ms: int) -> None:
         """Forget owners without a word for the length of their lease."""
+        if now_ms < self._next_expiry_ms:
+            return
         gone = [
             owner.owner
             for owner in self._owners.values()
@@ -110,6 +113,8 @@
             del self._owners[name]
             for upstream in list(self._by_owner.get(name, ())):
                 self._drop(upstream)
+        renewals = (owner.renewed_ms for owner in self._owners.values())
+        self._next_expiry_ms = min(renewals, default=now_ms) + OWNER_LEASE_MS
 
     def report(
         self, now_ms: int, command: commands.ReportUpstreams
--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -21,6 +21,7 @@
     _Code.UNKNOWN_SERVICE: 404,
     _Code.REVISION_CONFLICT: 409,
     _Code.STILL_RUNNING: 409,
+    _Code.OUTCOME_UNKNOWN: 409,
     _Code.BODY_TOO_LARGE: 413,
     _Code.KEY_REUSED: 422,
     _Code.CRASHING_REQUEST: 422,
@@ -92,6 +93,9 @@
         case exceptions.RefusedError():
             retry_after_s = error.retry_after_s
             ran = exceptions.RanState.NO
+        case exceptions.StillRunningError():
+            retry_after_s = error.retry_after_s
+            ran = exceptions.RanState.UNKNOWN
         case exceptions.OutcomeUnknownError():
             ran = exceptions.RanState.UNKNOWN
     return Problem(
--- a/src/papayastall/control.thrift
+++ b/src/papayastall/control.thrift
@@ -183,24 +183,24 @@
   3: list<StoredClaim> claims,
 }
 
-struct ConfigChange {
+struct IndexedDocument {
   1: i64 index,
-  2: i64 previous_index,
-  3: list<DocumentText> documents,
+  2: DocumentText document,
 }
 
-struct FetchChanges {
+struct FetchDocuments {
   1: i32 version,
   2: i64 after_index,
+  3: bool confirm,
 }
 
-struct ConfigChanges {
+struct FetchedDocuments {
   1: i32 version,
   2: i64 index,
-  3: list<ConfigChange> changes,
-  4: list<DocumentText> snapshot,
-  5: bool is_snapshot,
-  6: bool authoritative,
+  3: list<IndexedDocument> documents,
+  4: bool more,
+  5: bool authoritative,
+  6: bool confirmed,
 }
 
 struct IndexNotice {
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -17,6 +17,7 @@
     "ProtocolError",
     "RanState",
     "RefusedError",
+    "StillRunningError",
     "StorageError",
     "UnreachableError",
 ]
@@ -53,6 +54,7 @@
     STORAGE_FAILED = "storage-failed"
     FOLDER_IN_USE = "folder-in-use"
     INTERNAL = "internal"
+    OUTCOME_UNKNOWN = "outcome-unknown"
     STEERED_AWAY = "steered-away"
 
 
@@ -133,3 +135,22 @@
 
 class OutcomeUnknownError(PapayastallError):
     """A request may have run; nobody can tell."""
+
+
+class StillRunningError(OutcomeUnknownError):
+    """The first request with the same key has not ended yet.
+
+    :param retry_after_s: when its outcome will be known, in seconds.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        step: str,
+        peer: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(code, message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
