--- a/src/papayastall/_control_calls.py
+++ b/src/papayastall/_control_calls.py
@@ -14,7 +14,13 @@
 from papayastall import _peering
 from papayastall import exceptions
 
-__all__ = ["GroupCaller", "GroupHost", "GroupServer", "ObserveSlots"]
+__all__ = [
+    "GroupCaller",
+    "GroupHost",
+    "GroupServer",
+    "GroupState",
+    "ObserveSlots",
+]
 
 TRY_TIMEOUT_S = 0.5
 PROPOSE_TIMEOUT_S = 2.0
--- /dev/null
+++ b/src/papayastall/_control_plane.py
@@ -0,0 +1,131 @@
+"""Joins the parts of control on one node: config, claims and permits.
+
+Every node has the clients; a control replica also hosts the groups.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import random
+
+import anyio
+import anyio.abc
+
+from papayastall import _claims
+from papayastall import _config_service
+from papayastall import _control_calls
+from papayastall import _control_state
+from papayastall import _peering
+from papayastall import _permits
+from papayastall import _replica
+
+__all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
+
+CLOSE_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlSettings:
+    """What a node knows of control.
+
+    :param node: its own link address.
+    :param control: link addresses of the control replicas.
+    :param claim_groups: number of groups that hold claims.
+    :param data_folder: of a control replica; ``None`` on other nodes.
+    :param epoch: start of this process; greater at each start.
+    """
+
+    node: str
+    control: tuple[str, ...]
+    claim_groups: int
+    data_folder: str | None
+    epoch: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlHooks:
+    """What control asks of the rest of the node and tells it.
+
+    :param list_members: link addresses of the other live members.
+    :param put_in_force: told of changed documents and their index.
+    :param list_reports: this owner's upstreams as they are now.
+    :param permit_answered: told whether an ejection is granted.
+    :param observe_slots: healthy slots of a service at each live owner.
+    """
+
+    list_members: cabc.Callable[[], list[str]]
+    put_in_force: _config_service.PutInForce
+    list_reports: _permits.ListReports
+    permit_answered: cabc.Callable[[str, bool], None]
+    observe_slots: _control_calls.ObserveSlots | None = None
+
+
+class ControlPlane:
+    """Config, claims and permits of one node."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        peering: _peering.Peering,
+        hooks: ControlHooks,
+        rng: random.Random,
+    ) -> None:
+        self.host: _replica.ReplicaHost | None = None
+        server = None
+        state = _control_state.ControlState()
+        if settings.data_folder is not None:
+            groups = range(settings.claim_groups)
+            states: list[_control_calls.GroupState] = [
+                state,
+                *(_control_state.ClaimGroupState() for _ in groups),
+            ]
+            self.host = _replica.ReplicaHost(
+                _replica.ReplicaSettings(
+                    settings.control, settings.node, settings.data_folder
+                ),
+                peering,
+                states,
+            )
+            server = _control_calls.GroupServer(
+                peering, self.host, states, hooks.observe_slots
+            )
+        self.caller = _control_calls.GroupCaller(
+            settings.node, peering, settings.control, rng, server
+        )
+        self.config = _config_service.ConfigService(
+            settings.node,
+            peering,
+            self.caller,
+            settings.control,
+            hooks.list_members,
+            hooks.put_in_force,
+            rng,
+        )
+        if self.host is not None:
+            state.listener = self.config.make_listener()
+            self.config.use_host(self.host)
+        self.claims = _claims.ClaimClient(self.caller, settings.claim_groups)
+        self.permits = _permits.PermitClient(
+            settings.node,
+            settings.epoch,
+            self.caller,
+            hooks.list_reports,
+            lambda: self.config.index,
+            hooks.permit_answered,
+        )
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start the replicas, if any are here, and the clients."""
+        if self.host is not None:
+            await self.host.start(tasks)
+        await self.config.start(tasks)
+        await self.claims.start(tasks)
+        await self.permits.start(tasks)
+
+    async def close(self) -> None:
+        """Finish what is to be recorded, then stop the replicas."""
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            await self.claims.close()
+        if self.host is not None:
+            await self.host.close()
--- a/src/papayastall/_control_state.py
+++ b/src/papayastall/_control_state.py
@@ -83,7 +83,7 @@
     """Group 0: documents and permits."""
 
     def __init__(self, listener: ChangeListener | None = None) -> None:
-        self._listener = listener or ChangeListener()
+        self.listener = listener or ChangeListener()
         self.documents = _document_state.DocumentTable()
         self.permits = _permit_state.PermitTable()
         self.time_ms = 0
@@ -100,7 +100,7 @@
             case commands.Command(apply_documents=apply) if apply:
                 result, change = self.documents.apply(index, apply)
                 if change is not None:
-                    self._listener.note_change(change)
+                    self.listener.note_change(change)
                 return commands.Result(documents=result)
             case commands.Command(report_upstreams=report) if report:
                 return self.permits.report(self.time_ms, report)
@@ -147,7 +147,7 @@
             snapshot.owners, snapshot.upstreams
         )
         self.time_ms = snapshot.time_ms
-        self._listener.note_restore(documents)
+        self.listener.note_restore(documents)
 
 
 class ClaimGroupState:
