--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -1,14 +1,15 @@
-"""A node's part in the replicated control state.
+"""Joins the parts of control on one node: config, claims and permits.
 
-Every node calls the control replicas for config, claims and permits; a
-node whose settings name a data folder hosts a replica of each group.
+Every node has the clients; a control replica also hosts the groups.
 """
 
 from __future__ import annotations
 
 import collections.abc as cabc
+import dataclasses
 import random
 
+import anyio
 import anyio.abc
 
 from papayastall import _claims
@@ -16,144 +17,126 @@
 from papayastall import _control_calls
 from papayastall import _control_commands as commands
 from papayastall import _control_state
-from papayastall import _links
+from papayastall import _peering
 from papayastall import _permits
 from papayastall import _replica
-from papayastall import documents
 from papayastall import exceptions
-from papayastall import logs
-from papayastall import settings
 
-__all__ = ["ControlPlane", "ControlPorts"]
+__all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
 
+CLOSE_TIMEOUT_S = 5.0
 
-class ControlPorts:
-    """What the control plane reads of its node and tells it.
 
-    The node overrides all of it.
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlSettings:
+    """What a node knows of control.
+
+    :param node: its own link address.
+    :param control: link addresses of the control replicas.
+    :param claim_groups: number of groups that hold claims.
+    :param data_folder: of a control replica; ``None`` on other nodes.
+    :param epoch: start of this process; greater at each start.
     """
 
-    def list_others(self) -> list[str]:
-        """Return the link addresses of the other live members."""
-        raise NotImplementedError
+    node: str
+    control: tuple[str, ...]
+    claim_groups: int
+    data_folder: str | None
+    epoch: int
 
-    def list_reports(self) -> cabc.Iterable[commands.UpstreamReport]:
-        """Return the upstreams that this node owns."""
-        raise NotImplementedError
 
-    def observe_slots(self, service: str) -> dict[str, int]:
-        """Return the slots that each live owner offers of a service."""
-        raise NotImplementedError
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlHooks:
+    """What control asks of the rest of the node and tells it.
 
-    def put_in_force(
-        self, index: int, changed: list[documents.Document]
-    ) -> None:
-        """Serve by these documents from now on."""
-        raise NotImplementedError
+    :param list_members: link addresses of the other live members.
+    :param put_in_force: told of changed documents and their index.
+    :param list_reports: this owner's upstreams as they are now.
+    :param permit_answered: told whether an ejection is granted.
+    :param replica_failed: told why the replicas here stopped for good.
+    :param observe_slots: healthy slots of a service at each live owner.
+    """
 
-    def permit_answered(self, upstream: str, granted: bool) -> None:
-        """Take in the answer to an ejection's permit."""
-        raise NotImplementedError
+    list_members: cabc.Callable[[], list[str]]
+    put_in_force: _config_service.PutInForce
+    list_reports: _permits.ListReports
+    permit_answered: cabc.Callable[[str, bool], None]
+    replica_failed: cabc.Callable[[exceptions.PapayastallError], None]
+    observe_slots: _control_calls.ObserveSlots | None = None
 
 
 class ControlPlane:
-    """Config, claims and permits of one node, and its replicas if any.
-
-    :param epoch: start of this process; greater at each start.
-    """
+    """Config, claims and permits of one node."""
 
     def __init__(
         self,
-        node_settings: settings.NodeSettings,
-        links: _links.Links,
-        ports: ControlPorts,
-        epoch: int,
+        settings: ControlSettings,
+        peering: _peering.Peering,
+        hooks: ControlHooks,
         rng: random.Random,
     ) -> None:
-        self._settings = node_settings
-        self._links = links
-        self._ports = ports
-        address = node_settings.link_address
-        control = [str(peer) for peer in node_settings.control_replicas]
-        self.caller = _control_calls.GroupCaller(address, links, control, rng)
+        self.host: _replica.ReplicaHost | None = None
+        server = None
+        state = _control_state.ControlState()
+        if settings.data_folder is not None:
+            groups = range(settings.claim_groups)
+            states: list[_control_calls.GroupState] = [
+                state,
+                *(_control_state.ClaimGroupState() for _ in groups),
+            ]
+            self.host = _replica.ReplicaHost(
+                _replica.ReplicaSettings(
+                    settings.control, settings.node, settings.data_folder
+                ),
+                peering,
+                states,
+                on_failure=hooks.replica_failed,
+            )
+            server = _control_calls.GroupServer(
+                peering, self.host, states, hooks.observe_slots
+            )
+        self.caller = _control_calls.GroupCaller(
+            settings.node, peering, settings.control, rng, server
+        )
         self.config = _config_service.ConfigService(
-            address,
-            links,
+            settings.node,
+            peering,
             self.caller,
-            control,
-            ports.list_others,
-            ports.put_in_force,
+            settings.control,
+            hooks.list_members,
+            hooks.put_in_force,
             rng,
         )
-        self.claims = _claims.ClaimClient(
-            self.caller, node_settings.claim_groups
-        )
+        if self.host is not None:
+            state.listener = self.config.make_listener()
+            self.config.use_host(self.host)
+        self.claims = _claims.ClaimClient(self.caller, settings.claim_groups)
         self.permits = _permits.PermitClient(
-            address,
-            epoch,
+            settings.node,
+            settings.epoch,
             self.caller,
-            ports.list_reports,
+            hooks.list_reports,
             lambda: self.config.index,
-            ports.permit_answered,
-        )
-        self.host: _replica.ReplicaHost | None = None
-        if node_settings.is_control_replica:
-            self.host = self._make_host(control)
-
-    def _make_host(self, control: list[str]) -> _replica.ReplicaHost:
-        states: list[_control_calls.GroupState] = [
-            _control_state.ControlState(self.config.make_listener())
-        ]
-        for _ in range(self._settings.claim_groups):
-            states.append(_control_state.ClaimGroupState())
-        host = _replica.ReplicaHost(
-            _replica.ReplicaSettings(
-                tuple(control),
-                self._settings.link_address,
-                str(self._settings.data_folder),
-            ),
-            self._links,
-            states,
-            on_failure=self._note_failure,
+            hooks.permit_answered,
         )
-        _control_calls.GroupServer(
-            self._links, host, states, self._ports.observe_slots
-        )
-        self.config.use_host(host)
-        return host
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Start the replicas, then everything that calls them.
-
-        :raises papayastall.exceptions.StorageError: the data folder can't
-            be used.
-        """
+        """Start the replicas, if any are here, and the clients."""
         if self.host is not None:
             await self.host.start(tasks)
         await self.config.start(tasks)
         await self.claims.start(tasks)
         await self.permits.start(tasks)
 
+    def find_leader(self) -> str | None:
+        """Return the leader of group 0, if a replica here knows it."""
+        if self.host is None:
+            return None
+        return self.host.leader(commands.CONTROL_GROUP)
+
     async def close(self) -> None:
-        """Record what is known of claims, then stop the replicas."""
-        await self.claims.close()
+        """Finish what is to be recorded, then stop the replicas."""
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            await self.claims.close()
         if self.host is not None:
             await self.host.close()
-
-    def leaders(self) -> list[str | None]:
-        """Return the leader of each group as a replica here knows it."""
-        if self.host is None:
-            return []
-        groups = 1 + self._settings.claim_groups
-        return [self.host.leader(group) for group in range(groups)]
-
-    def _note_failure(self, error: exceptions.PapayastallError) -> None:
-        logs.log_change(
-            logs.StateChange(
-                logs.ChangeKind.STORAGE,
-                self._settings.link_address,
-                "running",
-                "stopped",
-                str(error),
-            )
-        )
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -125,7 +125,7 @@
             "ready": node.control.config.is_ready(),
             "control": {
                 "replicas": list(node.settings.control_replicas),
-                "leader": next(iter(node.control.leaders()), None),
+                "leader": node.control.find_leader(),
             },
         }
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -72,7 +72,7 @@
         log_file.close()
 
 
-class Node(_control_plane.ControlPorts):
+class Node:
     """All parts of one node.
 
     :param node_settings: checked settings of this process.
@@ -92,9 +92,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._build_links()
         self._build_membership()
-        self.control = _control_plane.ControlPlane(
-            node_settings, self.links, self, self.boot_ms, self._rng
-        )
+        self._build_control()
         self._build_request_path()
         self._build_servers()
 
@@ -136,6 +134,28 @@
             self._note_membership,
         )
 
+    def _build_control(self) -> None:
+        node_settings = self.settings
+        folder = node_settings.data_folder
+        control_settings = _control_plane.ControlSettings(
+            node=node_settings.link_address,
+            control=tuple(node_settings.control_replicas),
+            claim_groups=node_settings.claim_groups,
+            data_folder=None if folder is None else str(folder),
+            epoch=self.boot_ms,
+        )
+        hooks = _control_plane.ControlHooks(
+            list_members=self.list_others,
+            put_in_force=self.put_in_force,
+            list_reports=self.list_reports,
+            permit_answered=self.permit_answered,
+            replica_failed=self._note_replica_failure,
+            observe_slots=self.observe_slots,
+        )
+        self.control = _control_plane.ControlPlane(
+            control_settings, self.links, hooks, self._rng
+        )
+
     def _build_request_path(self) -> None:
         address = self.settings.link_address
         self.owner_controller = _owner_controller.OwnerController(
@@ -366,6 +386,19 @@
                 known = adverts
             await anyio.sleep(ADVERT_INTERVAL_S)
 
+    def _note_replica_failure(
+        self, error: exceptions.PapayastallError
+    ) -> None:
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.STORAGE,
+                self.settings.link_address,
+                "running",
+                "stopped",
+                str(error),
+            )
+        )
+
     def _log_state(self, before: str, after: str, cause: str) -> None:
         logs.log_change(
             logs.StateChange(
