--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -19,11 +19,13 @@
 
 from papayastall import _files
 from papayastall import _peering
+from papayastall import _proposals
 from papayastall import _raft_types as types
 from papayastall import _replica_links
 from papayastall import _replica_set
 from papayastall import _storage
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["ReplicaHost", "ReplicaSettings", "StateMachine"]
 
@@ -31,8 +33,9 @@
 
 _T = t.TypeVar("_T")
 
-TICK_S = 0.1
+MIN_IDLE_S = 0.001
 MAX_COMMAND_BYTES = 256 * 1024
+MAX_INBOX_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -52,38 +55,6 @@
     options: _replica_set.SetOptions = _replica_set.SetOptions()
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Proposal:
-    """A command whose proposer waits."""
-
-    group: int
-    command: bytes
-    done: anyio.Event
-    is_appended: bool = False
-    result: bytes | None = None
-    error: exceptions.PapayastallError | None = None
-
-    def fail(self, error: exceptions.PapayastallError) -> None:
-        """Wake the proposer with an error."""
-        self.error = error
-        self.done.set()
-
-
-def _unknown(step: str) -> exceptions.OutcomeUnknownError:
-    return exceptions.OutcomeUnknownError(
-        exceptions.ErrorCode.DEADLINE_EXCEEDED,
-        "the command may or may not be committed; ask for its outcome "
-        "before sending it again",
-        step=step,
-    )
-
-
-def _not_taken(message: str) -> exceptions.PapayastallError:
-    return exceptions.PapayastallError(
-        exceptions.ErrorCode.NO_LEADER, message, step="propose"
-    )
-
-
 def _bug(error: Exception) -> exceptions.PapayastallError:
     return exceptions.PapayastallError(
         exceptions.ErrorCode.INTERNAL,
@@ -95,8 +66,9 @@
 class ReplicaHost:
     """The replicas of all groups on this node.
 
-    :param state_machines: one for each group, by its number; as many as
-        the data folder was made for.
+    :param state_machines: one for each group, by its number; no fewer
+        than the data folder holds. More groups are founded once all
+        replicas were started with them.
     :param on_failure: called once when the replicas stop for good.
     """
 
@@ -107,21 +79,27 @@
         state_machines: cabc.Sequence[StateMachine],
         *,
         files: _files.FileLayer | None = None,
+        counters: metrics.Metrics | None = None,
         on_failure: t.Callable[[exceptions.PapayastallError], None]
         | None = None,
         seed: int | None = None,
     ) -> None:
-        self._settings = settings
-        self._links = _replica_links.ReplicaLinks(peering, self._on_message)
+        self.settings = settings
+        self._links = _replica_links.ReplicaLinks(peering, self._on_batch)
         self._machines = state_machines
         self._storage = _storage.Storage(settings.data_folder, files)
         self._on_failure = on_failure
+        self._counters = counters or metrics.Metrics(
+            None, settings.own_address
+        )
+        self._elections = 0
+        self._syncs = 0
         self._rng = random.Random(seed)
         self._limiter = anyio.CapacityLimiter(1)
         self._set: _replica_set.ReplicaSet | None = None
         self._inbox: list[tuple[int, types.Message]] = []
-        self._proposals: list[_Proposal] = []
-        self._appended: set[_Proposal] = set()
+        self._inbox_bytes = 0
+        self._proposals = _proposals.Proposals()
         self._wake = anyio.Event()
         self._turn_done = anyio.Event()
         self._closed = anyio.Event()
@@ -136,22 +114,16 @@
         :raises papayastall.exceptions.StorageError: the folder can't be
             used.
         """
-        folder = await self._in_thread(self._storage.open)
-        if len(folder.groups) != len(self._machines):
-            await self._in_thread(self._storage.close)
-            raise exceptions.BadInputError(
-                exceptions.ErrorCode.BAD_SETTINGS,
-                f"the data folder was made for {len(folder.groups)} groups "
-                f"but the settings ask for {len(self._machines)}",
-                step="start-replicas",
-            )
+        folder = await self._in_thread(
+            lambda: self._storage.open(group_count=len(self._machines))
+        )
         self._set = _replica_set.ReplicaSet(
             folder,
-            self._settings.own_address,
-            self._settings.addresses,
+            self.settings.own_address,
+            self.settings.addresses,
             self._machines,
-            self._settings.timings,
-            self._settings.options,
+            self.settings.timings,
+            self.settings.options,
             self._rng,
             _replica_links.clock_s(),
         )
@@ -185,28 +157,15 @@
                 f"one has {len(command)}; split it",
                 step="propose",
             )
-        proposal = _Proposal(group, command, anyio.Event())
-        self._proposals.append(proposal)
+        chosen = self._group(group)
+        proposal = self._proposals.add(group, command)
         self._wake.set()
         try:
             with anyio.move_on_after(timeout_s):
                 await proposal.done.wait()
         finally:
-            self._forget(proposal)
-        if proposal.error is not None:
-            raise proposal.error
-        if proposal.result is not None:
-            return proposal.result
-        if proposal.is_appended:
-            raise _unknown("propose")
-        raise _not_taken("the command was not taken up in time; try again")
-
-    def _forget(self, proposal: _Proposal) -> None:
-        if proposal in self._appended:
-            self._appended.discard(proposal)
-            self._group(proposal.group).forget(proposal)
-        elif proposal in self._proposals:
-            self._proposals.remove(proposal)
+            self._proposals.forget(proposal, chosen)
+        return proposal.outcome()
 
     async def read_barrier(self, group: int, timeout_s: float) -> None:
         """Return when the local state holds all that was committed.
@@ -219,7 +178,7 @@
         """
         self._require_running()
         chosen = self._group(group)
-        error = _not_taken("no lease in time; try again")
+        error = _proposals.not_taken("no lease in time; try again")
         with anyio.move_on_after(timeout_s):
             while True:
                 try:
@@ -278,19 +237,26 @@
         if self.failure is not None:
             raise self.failure
         if self._set is None or self._is_closing:
-            raise _not_taken("this replica is stopped; ask another one")
+            raise _proposals.not_taken(
+                "this replica is stopped; ask another one"
+            )
 
     def _group(self, group: int) -> _replica_set.Group:
         if self._set is None:
-            raise _not_taken("this replica is not started")
+            raise _proposals.not_taken("this replica is not started")
         return self._set.groups[group]
 
     async def _in_thread(self, call: t.Callable[[], _T]) -> _T:
         return await anyio.to_thread.run_sync(call, limiter=self._limiter)
 
-    def _on_message(self, group: int, message: types.Message) -> None:
-        self._inbox.append((group, message))
-        self._wake.set()
+    def _on_batch(
+        self, batch: list[tuple[int, types.Message]], size_bytes: int
+    ) -> None:
+        """Keep what arrives for the next turn; a slow disk loses some."""
+        if self._inbox_bytes < MAX_INBOX_BYTES:
+            self._inbox += batch
+            self._inbox_bytes += size_bytes
+            self._wake.set()
 
     async def _run(self) -> None:
         """Step all groups until closed, or until something fails."""
@@ -309,14 +275,15 @@
             self._closed.set()
 
     async def _wait(self) -> None:
-        if self._set is not None and self._set.has_work():
+        if self._set is None or self._set.has_work():
             return
         if self._inbox or self._proposals:
             return
+        idle_s = self._set.due_s - _replica_links.clock_s()
         self._wake = anyio.Event()
         if self._is_closing:
             return
-        with anyio.move_on_after(TICK_S):
+        with anyio.move_on_after(max(idle_s, MIN_IDLE_S)):
             await self._wake.wait()
 
     async def _turn(self) -> None:
@@ -325,10 +292,10 @@
         if replicas is None:
             return
         now_s = _replica_links.clock_s()
-        inbox, self._inbox = self._inbox, []
+        inbox, self._inbox, self._inbox_bytes = self._inbox, [], 0
         for number, message in inbox:
             replicas.step(now_s, number, message)
-        self._append_proposals(now_s)
+        self._proposals.append(now_s, replicas)
         replicas.tick(now_s)
         await self._finish_turn(replicas)
 
@@ -347,44 +314,25 @@
         if turn.blocks:
             await self._in_thread(lambda: turn.run(self._storage))
         for resolved in replicas.finish(_replica_links.clock_s(), turn):
-            self._resolve(resolved)
+            self._proposals.resolve(resolved)
         self._links.send(turn.messages)
+        self._count_work(replicas)
         self._note_leaders(replicas)
         self._turn_done.set()
         self._turn_done = anyio.Event()
 
-    def _append_proposals(self, now_s: float) -> None:
-        proposals, self._proposals = self._proposals, []
-        by_group: dict[int, list[_Proposal]] = {}
-        for proposal in proposals:
-            by_group.setdefault(proposal.group, []).append(proposal)
-        for number, chosen in by_group.items():
-            pairs: list[tuple[bytes, object]] = [
-                (each.command, each) for each in chosen
-            ]
-            try:
-                self._group(number).propose(now_s, pairs)
-            except exceptions.PapayastallError as error:
-                for each in chosen:
-                    each.fail(error)
-                continue
-            for each in chosen:
-                each.is_appended = True
-                self._appended.add(each)
-
-    def _resolve(self, resolved: _replica_set.Resolved) -> None:
-        proposal = t.cast(_Proposal, resolved.token)
-        self._appended.discard(proposal)
-        match resolved.resolution:
-            case _replica_set.Applied(result):
-                proposal.result = result
-                proposal.done.set()
-            case _replica_set.Superseded():
-                proposal.fail(
-                    _not_taken("another leader took over; try again")
-                )
-            case _replica_set.Unresolved():
-                proposal.fail(_unknown("propose"))
+    def _count_work(self, replicas: _replica_set.ReplicaSet) -> None:
+        elections = sum(
+            group.replica.election_count for group in replicas.groups
+        )
+        syncs = self._storage.sync_count
+        for counter, total, counted in (
+            (metrics.Counter.ELECTIONS, elections, self._elections),
+            (metrics.Counter.FSYNCS, syncs, self._syncs),
+        ):
+            if total > counted:
+                self._counters.count(counter, total - counted)
+        self._elections, self._syncs = elections, syncs
 
     def _note_leaders(self, replicas: _replica_set.ReplicaSet) -> None:
         for group in replicas.groups:
@@ -407,7 +355,7 @@
         for group in replicas.groups:
             group.output.extend(group.replica.transfer(now_s))
         await self._finish_turn(replicas)
-        self._fail_waiting()
+        self._proposals.fail_all()
 
     def _fail(self, error: exceptions.PapayastallError) -> None:
         """Stop for good; what is on the disk may be unknown."""
@@ -415,15 +363,7 @@
         eliot.log_message(
             message_type="papayastall:replica-failed", error=str(error)
         )
-        self._fail_waiting()
+        self._proposals.fail_all()
         self._turn_done.set()
         if self._on_failure is not None:
             self._on_failure(error)
-
-    def _fail_waiting(self) -> None:
-        for proposal in self._proposals:
-            proposal.fail(_not_taken("this replica stops; ask another one"))
-        for proposal in self._appended:
-            proposal.fail(_unknown("propose"))
-        self._proposals = []
-        self._appended.clear()
