--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -35,6 +35,8 @@
 WATCH_INTERVAL_S = 0.1
 REDIAL_INTERVAL_S = 0.5
 IDLE_CLOSE_S = 60.0
+IDLE_ROUND_INTERVAL = 50
+"""Rounds of the watch between two looks at the links without work."""
 MAX_UNSENT_CAST_BYTES = 4 << 20
 HELLO_TIMEOUT_S = 2.0
 
@@ -101,6 +103,7 @@
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
         self._peers: dict[str, _Peer] = {}
+        self._watched: dict[str, _Peer] = {}
         self._handlers: dict[type, FrameHandler] = {}
         self._event_handlers: list[EventHandler] = []
         self._cast_handlers: dict[int, _peering.CastHandler] = {}
@@ -216,6 +219,7 @@
         peer = self._peer(address)
         if peer.outstanding == 0:
             peer.watched_since_s = time.monotonic()
+            self._watched[address] = peer
         peer.outstanding += 1
 
     def unwatch(self, address: str) -> None:
@@ -225,6 +229,8 @@
         peer = self._peer(address)
         peer.outstanding -= 1
         assert peer.outstanding >= 0, address
+        if peer.outstanding == 0:
+            self._watched.pop(address, None)
 
     def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
         """Send without waiting; dropped where the link is down or full."""
@@ -455,8 +461,11 @@
             now_s = time.monotonic()
             pause_s = now_s - last_s - WATCH_INTERVAL_S
             last_s = self._beat_s = now_s
-            for peer in list(self._peers.values()):
-                self._watch_peer(peer, now_s, pause_s, next(numbers))
+            number = next(numbers)
+            is_idle_round = number % IDLE_ROUND_INTERVAL == 0
+            peers = self._peers if is_idle_round else self._watched
+            for peer in list(peers.values()):
+                self._watch_peer(peer, now_s, pause_s, number)
 
     def _watch_peer(
         self, peer: _Peer, now_s: float, pause_s: float, number: int
