Doubt an upstream before steering it away

Change: below the steering score an upstream is only doubted: it gets one lookup now and then, which settles the matter, and no stay. Evidence fades with a half-life of a minute. An ingress gives no bookings to an owner that leaves attempts without a word; any frame of the peer clears that.

--- a/bench/_decision_driver.py
+++ b/bench/_decision_driver.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc as cabc
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -31,6 +32,8 @@
 LOOKUP_DEADLINE_S = 2.5
 BOOKING_DEADLINE_S = 6.0
 PERMIT_S = 0.02
+PING_S = 0.25
+LINK_FAILED_S = 1.0
 DOMAINS = 3
 
 IngressFactory = cabc.Callable[
@@ -134,7 +137,7 @@
         self._slow_tick()
         self._pause()
         for index, at_s in self.scenario.restarts.items():
-            self._at_time(at_s, lambda index=index: self._leave(index))
+            self._at_time(at_s, functools.partial(self._leave, index))
         while self._heap and self._heap[0][0] <= self.scenario.seconds:
             at_s, _, step = heapq.heappop(self._heap)
             self.now_s = at_s
@@ -241,12 +244,30 @@
             self._perform_owner(index, self.owners[index].tick(self.now_s))
             busy = self.owners[index].has_work()
         else:
+            self._ping(index)
             actions = self.ingresses[index].tick(self.now_s)
             self._perform_ingress(index, actions)
             busy = self.ingresses[index].has_work()
         if busy:
             self._keep_ticking(side, index)
 
+    def _ping(self, index: int) -> None:
+        """Do what links do while attempts are open: ping, and give up."""
+        ingress = self.ingresses[index]
+        for view in ingress.owners(SERVICE):
+            owner = int(view.advert.owner.split("-")[1])
+            is_cut = self._has_fault(owner, model.FaultKind.OWNER_FROZEN)
+            if view.is_link_down and not is_cut:
+                ingress.link_ok(self.now_s, view.advert.owner)
+            for attempt in view.outstanding.values():
+                silent_s = self.now_s - max(attempt.sent_s, view.heard_s)
+                if silent_s < PING_S:
+                    continue
+                if not is_cut:
+                    ingress.peer_heard(self.now_s, view.advert.owner)
+                elif silent_s >= LINK_FAILED_S:
+                    ingress.link_failed(self.now_s, view.advert.owner)
+
     def _has_fault(self, index: int, kind: model.FaultKind) -> bool:
         return any(
             fault.kind is kind and fault.is_on(self.now_s)
@@ -391,7 +412,8 @@
                     self._answer(index, action.request_id, action)
                 case types.AskPermit(upstream, _, _):
                     self._after(
-                        PERMIT_S, lambda up=upstream: self._grant(index, up)
+                        PERMIT_S,
+                        functools.partial(self._grant, index, upstream),
                     )
                 case types.ReleasePermit():
                     self._ejected.discard(index)
@@ -432,11 +454,7 @@
 
     def _dispatch(self, index: int, local_id: int) -> None:
         request = self._requests[local_id]
-        standing = self.owners[index].standing(f"upstream-{index}")
-        ordinary = standing in (
-            _owner_state.Standing.HEALTHY,
-            _owner_state.Standing.RETURNING,
-        )
+        ordinary = self.owners[index].is_trusted(f"upstream-{index}")
         self.stats.given.append((self.now_s, index, ordinary))
         upstream = self.models[index]
         run = upstream.run(self.now_s, request.route, self._rng)
--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -17,16 +17,20 @@
     "forget_permit",
     "is_out",
     "is_trial_due",
+    "is_trusted",
     "note_trial",
+    "note_trial_sent",
     "trial_limit_s",
     "weight",
 ]
 
 _MIN_WEIGHT = 0.1
 _PERMIT_RETRY_S = 5.0
+_DOUBT_TRIAL_S = 0.3
 _FIRST_TRIAL_S = 0.5
 _TRIAL_RETRY_S = 5.0
 _FAILED_TRIALS = 2
+_NO_LOOKUPS_S = 30.0
 _TRIAL_LIMIT_FACTOR = 4.0
 
 _Tuning = _service_policy.HealthTuning
@@ -40,6 +44,17 @@
     )
 
 
+def is_trusted(upstream: state.Upstream) -> bool:
+    """Return whether the upstream takes ordinary work."""
+    return not upstream.is_doubted and not is_out(upstream)
+
+
+def note_trial_sent(upstream: state.Upstream, now_s: float) -> None:
+    """Leave some time before the next lookup on a doubted upstream."""
+    if not is_out(upstream):
+        upstream.trial_due_s = now_s + _DOUBT_TRIAL_S
+
+
 def weight(upstream: state.Upstream, now_s: float, tuning: _Tuning) -> float:
     """Return the routing weight, 0 to 1."""
     if is_out(upstream) or upstream.leaving_since_s is not None:
@@ -71,6 +86,8 @@
             else:
                 _settle(upstream, now_s, tuning)
         case state.Standing.STEERED:
+            if _has_no_lookups(upstream, now_s):
+                return _return(upstream, now_s)
             if _wants_permit(upstream, now_s, score, healthy_share, tuning):
                 upstream.permit_asked_s = now_s
                 return [
@@ -80,6 +97,8 @@
                 ]
         case state.Standing.EJECTED:
             assert upstream.permit_held, "ejected without a permit"
+            if _has_no_lookups(upstream, now_s):
+                return _return(upstream, now_s)
     return []
 
 
@@ -109,7 +128,7 @@
 
 def is_trial_due(upstream: state.Upstream, now_s: float) -> bool:
     """Return whether the upstream may run one lookup to show its health."""
-    if not is_out(upstream) or now_s < upstream.trial_due_s:
+    if is_trusted(upstream) or now_s < upstream.trial_due_s:
         return False
     return not any(run.is_trial for run in upstream.running.values())
 
@@ -170,6 +189,13 @@
     return forget_permit(upstream)
 
 
+def _has_no_lookups(upstream: state.Upstream, now_s: float) -> bool:
+    """Return whether nobody sends lookups that could show its health."""
+    if upstream.trials_failed or upstream.trials_passed or upstream.running:
+        return False
+    return now_s >= upstream.out_until_s + _NO_LOOKUPS_S
+
+
 def _wants_permit(
     upstream: state.Upstream,
     now_s: float,
--- a/src/papayastall/_health.py
+++ b/src/papayastall/_health.py
@@ -36,6 +36,7 @@
 _BROKEN_GROUP_S = 0.1
 _MIN_STEP = 0.03
 _ALL_ROUTES = "*"
+_HALF_LIFE_S = 60.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,6 +124,14 @@
         self._scores.clear()
         self._connect = 0.0
 
+    def decay(self, elapsed_s: float) -> None:
+        """Let evidence grow old, so that idleness is not held against it."""
+        share = 0.5 ** (elapsed_s / _HALF_LIFE_S)
+        self._connect *= share
+        for scores in self._scores.values():
+            scores.latency *= share
+            scores.errors *= share
+
     def add_time(
         self, route: str, age_s: float, reference_s: float, ended: bool
     ) -> None:
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -170,6 +170,13 @@
         self._links_down.discard(peer)
         self._set_link(peer, is_down=False)
 
+    def peer_heard(self, now_s: float, peer: str) -> None:
+        """Take in any frame of a peer, such as the answer to a ping."""
+        for service in self._services.values():
+            view = service.owners.get(peer)
+            if view is not None:
+                view.note_heard(now_s)
+
     def caller_gone(self, now_s: float, request_id: int) -> _Actions:
         """Cancel what is left of a request whose caller went away."""
         pending = self._pending.pop(request_id, None)
@@ -185,7 +192,8 @@
         """Do what time alone brings about; call every 20 to 100 ms."""
         actions: _Actions = []
         for service in self._services.values():
-            _service_view.find_silent(now_s, service)
+            for view in service.owners.values():
+                view.note_silence(now_s)
         for pending in list(self._pending.values()):
             if pending.chosen is not None:
                 continue
@@ -236,7 +244,9 @@
         pending.tried.add(owner)
         choice.view.in_flight += 1
         key = (request.request_id, attempt.number)
-        choice.view.outstanding[key] = now_s
+        choice.view.outstanding[key] = _routing.Outstanding(
+            now_s, _service_view.patience_s(service, request.route)
+        )
         pending.hedge_due_s = _service_view.hedge_due_s(
             now_s, service, request
         )
@@ -273,8 +283,7 @@
         view = service.owners.get(pending.open[number].owner)
         if view is None or load is None:
             return
-        view.heard_s = now_s
-        view.is_silent = False
+        view.note_heard(now_s)
         view.note_load(now_s, load)
 
     def _note_failure(
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -237,6 +237,11 @@
         """Return whether anything runs or waits, so that ticks matter."""
         return bool(self._running or self._queued or self._parked)
 
+    def is_trusted(self, upstream: str) -> bool:
+        """Return whether an upstream takes ordinary work."""
+        known = self._registry.find(upstream)
+        return known is not None and _ejection.is_trusted(known)
+
     def standing(self, upstream: str) -> state.Standing | None:
         """Return an upstream's standing, ``None`` if it is not known."""
         known = self._registry.find(upstream)
@@ -253,13 +258,14 @@
         self, now_s: float, upstream: state.Upstream
     ) -> list[types.OwnerAction]:
         service = self._service(upstream.service)
+        tuning = service.policy.thresholds()
         _owner_evidence.note_slow_trials(now_s, service, upstream)
+        _owner_evidence.update_doubt(now_s, service, upstream)
+        score = _owner_evidence.score(
+            now_s, service, upstream, tuning.stall_age_s
+        )
         return _ejection.evaluate(
-            upstream,
-            now_s,
-            _owner_evidence.score(now_s, service, upstream),
-            service.healthy_share,
-            service.policy.thresholds(),
+            upstream, now_s, score, service.healthy_share, tuning
         )
 
     def _place(
@@ -292,6 +298,7 @@
         assert request.deadline_s > now_s, "dispatched after its deadline"
         if is_trial:
             assert request.kind is types.RequestKind.LOOKUP
+            _ejection.note_trial_sent(upstream, now_s)
         run = state.RunningRequest(
             request, upstream.name, now_s, is_suspect, is_trial
         )
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -14,6 +14,7 @@
     "note_slow_trials",
     "reference_s",
     "score",
+    "update_doubt",
     "view",
 ]
 
@@ -21,6 +22,7 @@
 _MIN_REFERENCE_S = 0.001
 _MIN_SAMPLES = 20
 _BUSY_STEP = 0.05
+_DECAY_INTERVAL_S = 1.0
 _MAX_ROUTES = 64
 
 
@@ -47,23 +49,43 @@
 
 
 def score(
-    now_s: float, service: state.ServiceState, upstream: state.Upstream
+    now_s: float,
+    service: state.ServiceState,
+    upstream: state.Upstream,
+    min_age_s: float,
 ) -> float:
-    """Return the evidence of failure against an upstream now, in nats."""
-    tuning = service.policy.thresholds()
+    """Return the evidence of failure against an upstream now, in nats.
+
+    :param min_age_s: requests in flight that are younger do not count.
+    """
     samples: list[_health.AgeSample] = []
-    if tuning.latency_evidence:
+    if service.policy.thresholds().latency_evidence:
         for run in upstream.running.values():
             age_s = now_s - run.started_s
             if run.ignored or run.first_byte_s is not None:
                 continue
-            if age_s < tuning.stall_age_s:
+            if age_s < min_age_s:
                 continue
             base_s = reference_s(now_s, service, upstream, run.request)
             samples.append(_health.AgeSample(run.request.route, age_s, base_s))
     return upstream.evidence.score(samples)
 
 
+def update_doubt(
+    now_s: float, service: state.ServiceState, upstream: state.Upstream
+) -> None:
+    """Doubt an upstream by its evidence now, and let old evidence fade."""
+    elapsed_s = now_s - upstream.decayed_s
+    if elapsed_s >= _DECAY_INTERVAL_S:
+        upstream.decayed_s = now_s
+        upstream.evidence.decay(elapsed_s)
+    limit = service.policy.thresholds().doubt_score
+    was_doubted = upstream.is_doubted
+    upstream.is_doubted = score(now_s, service, upstream, 0.0) >= limit
+    if upstream.is_doubted and not was_doubted:
+        upstream.trial_due_s = now_s
+
+
 def note_first_byte(
     now_s: float,
     service: state.ServiceState,
@@ -128,7 +150,7 @@
         slots=upstream.slots,
         in_flight=len(upstream.running),
         weight=_ejection.weight(upstream, now_s, tuning),
-        score=score(now_s, service, upstream),
+        score=score(now_s, service, upstream, 0.0),
         state=upstream.state,
         standing=upstream.standing,
         out_until_s=upstream.out_until_s if is_out else None,
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -50,6 +50,8 @@
 class Upstream:
     """One upstream: what it announced and how its work went.
 
+    :param is_doubted: gets only a lookup now and then.
+    :param decayed_s: when its evidence was last let grow old.
     :param held_until_s: slots kept busy after failures that came too fast.
     """
 
@@ -66,6 +68,8 @@
         default_factory=dict
     )
     held_until_s: list[float] = dataclasses.field(default_factory=list)
+    is_doubted: bool = False
+    decayed_s: float = 0.0
     standing: Standing = Standing.HEALTHY
     standing_since_s: float = -math.inf
     out_until_s: float = 0.0
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -60,13 +60,15 @@
         for up in upstreams
         if not _leaving.is_leaving(up) and up.is_present(now_s)
     ]
-    trusted = [up for up in usable if not _ejection.is_out(up)]
+    trusted = [
+        up for up in usable if not _ejection.is_out(up) and not up.is_doubted
+    ]
     trial = _trial(now_s, usable, request)
     if trial and (not trusted or rng.random() < _TRIAL_SHARE):
         return Place(trial, is_trial=True)
     if not trusted and request.hints.last_resort:
         trusted = [
-            up for up in usable if up.standing is state.Standing.STEERED
+            up for up in usable if up.standing is not state.Standing.EJECTED
         ]
     if not trusted:
         return NoUpstream(_why_none(upstreams, usable))
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -10,14 +10,23 @@
 from papayastall import _decision_types as types
 from papayastall import _service_policy
 
-__all__ = ["OwnerView", "choose_owner", "load_share"]
+__all__ = ["Outstanding", "OwnerView", "choose_owner", "load_share"]
 
 _STEERED_SHARE = 0.05
 """An owner with less weight per slot than this is steered away."""
 _STEERED_WORD_S = 5.0
+_SILENCE_WORD_S = 10.0
 _MIN_WEIGHT = 0.01
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outstanding:
+    """An attempt without an answer, and for how long that is normal."""
+
+    sent_s: float
+    patience_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class OwnerView:
     """What an ingress knows of one owner of one service.
@@ -31,12 +40,12 @@
     others_in_flight: float = 0.0
     load_s: float = -math.inf
     in_flight: int = 0
-    outstanding: dict[tuple[int, int], float] = dataclasses.field(
+    outstanding: dict[tuple[int, int], Outstanding] = dataclasses.field(
         default_factory=dict
     )
     heard_s: float = -math.inf
     is_link_down: bool = False
-    is_silent: bool = False
+    silent_until_s: float = -math.inf
     avoid_until_s: float = 0.0
 
     def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
@@ -47,6 +56,23 @@
         self.others_in_flight = max(0.0, total - self.in_flight)
         self.load_s = now_s
 
+    def note_heard(self, now_s: float) -> None:
+        """Take in that the owner's process lives and is heard."""
+        self.heard_s = now_s
+        self.silent_until_s = -math.inf
+
+    def note_silence(self, now_s: float) -> None:
+        """Avoid the owner if it left an attempt without a word too long."""
+        for attempt in self.outstanding.values():
+            since_s = max(attempt.sent_s, self.heard_s)
+            if now_s - since_s > attempt.patience_s:
+                self.silent_until_s = now_s + _SILENCE_WORD_S
+                return
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether its silence is still held against it."""
+        return now_s < self.silent_until_s
+
     def is_steered(self, now_s: float) -> bool:
         """Return whether the owner steers all its upstreams away.
 
@@ -59,7 +85,9 @@
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether ordinary work goes elsewhere."""
-        if self.is_link_down or self.is_silent or self.is_steered(now_s):
+        if self.is_link_down or self.is_silent(now_s):
+            return True
+        if self.is_steered(now_s):
             return True
         return now_s < self.avoid_until_s
 
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -21,14 +21,18 @@
 
     Scores are log-likelihood ratios (nats) of "failing" over "healthy".
 
+    :param doubt_score: score at which an upstream gets only a lookup now
+        and then, until these have moved the score.
     :param steer_score: score at which an upstream's weight falls to zero.
     :param eject_score: score at which a permit to eject is asked for.
-    :param stall_age_s: requests in flight younger than this are no evidence.
+    :param stall_age_s: requests in flight younger than this raise doubt but
+        steer nothing away.
     :param eject_confirm_s: how long an upstream is steered away first.
     :param stay_s: first stay away; doubled at each relapse.
     :param slow_start_s: time from return to full weight.
     """
 
+    doubt_score: float
     steer_score: float
     eject_score: float
     stall_age_s: float
@@ -47,8 +51,12 @@
     hold_failed_slots: bool = True
 
 
-_DETECTION = HealthTuning(steer_score=9.0, eject_score=18.0, stall_age_s=0.3)
-_CAPACITY = HealthTuning(steer_score=12.0, eject_score=22.0, stall_age_s=1.0)
+_DETECTION = HealthTuning(
+    doubt_score=5.0, steer_score=9.0, eject_score=18.0, stall_age_s=0.5
+)
+_CAPACITY = HealthTuning(
+    doubt_score=5.0, steer_score=11.0, eject_score=20.0, stall_age_s=1.0
+)
 
 
 def health_tuning(priority: documents.HealthPriority) -> HealthTuning:
@@ -67,8 +75,8 @@
     :param choices: owners drawn at random, of which the best is taken.
     :param trial_ratio: share of lookups offered to owners steered away.
     :param hedge_factor: a lookup is hedged at this multiple of the median.
-    :param silence_s: an owner with work outstanding that sends nothing for
-        this long is avoided.
+    :param silence_factor: an owner that sends nothing for this multiple of
+        the median, and ``silence_s`` at least, is given no bookings.
     """
 
     choices: int = 2
@@ -77,8 +85,8 @@
     hedge_factor: float = 5.0
     min_hedge_s: float = 0.02
     max_refusals: int = 3
-    silence_s: float = 0.7
-    silence_factor: float = 15.0
+    silence_s: float = 0.3
+    silence_factor: float = 5.0
     load_decay_s: float = 1.0
 
 
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -13,12 +13,12 @@
 __all__ = [
     "OwnerChoice",
     "choose",
-    "find_silent",
     "has_room",
     "hedge_due_s",
     "hints",
     "note_answer",
     "note_refusal",
+    "patience_s",
     "reference_ms",
 ]
 
@@ -26,8 +26,10 @@
 _MIN_SAMPLES = 10
 _MAX_ROUTES = 64
 _OVERLOADED_PAUSE_S = 0.05
+_STEERED_PAUSE_S = 0.2
 _LEAVING_PAUSE_S = 2.0
 _UNKNOWN_HEDGE_S = 0.5
+_UNKNOWN_PATIENCE_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,7 +74,7 @@
         doubted = [
             view
             for view in untried
-            if view.is_silent or view.is_steered(now_s)
+            if view.is_silent(now_s) or view.is_steered(now_s)
         ]
         if doubted and rng.random() < tuning.trial_ratio:
             return OwnerChoice(rng.choice(doubted), False)
@@ -177,28 +179,19 @@
         case _Code.LEAVING | _Code.NO_UPSTREAM:
             pause_s = _LEAVING_PAUSE_S
         case _Code.UPSTREAM_FAILED | _Code.STEERED_AWAY:
-            pause_s = _OVERLOADED_PAUSE_S
+            pause_s = _STEERED_PAUSE_S
         case _:
             return
     view.avoid_until_s = max(view.avoid_until_s, now_s + pause_s)
 
 
-def find_silent(now_s: float, service: state.ServiceView) -> None:
-    """Avoid owners that send nothing while work is outstanding."""
+def patience_s(service: state.ServiceView, route: str) -> float:
+    """Return for how long an owner may send nothing at all, seconds."""
     tuning = service.policy.routing
-    medians = [
-        known.median.value
-        for known in service.references.values()
-        if known.median.value is not None
-    ]
-    slowest_s = max(medians, default=0.0) / 1000.0
-    limit_s = max(tuning.silence_s, tuning.silence_factor * slowest_s)
-    for view in service.owners.values():
-        if not view.outstanding or view.is_silent:
-            continue
-        oldest_s = min(view.outstanding.values())
-        since_s = max(oldest_s, view.heard_s)
-        view.is_silent = now_s - since_s > limit_s
+    known_ms = reference_ms(service, route)
+    if known_ms is None:
+        return max(tuning.silence_s, _UNKNOWN_PATIENCE_S)
+    return max(tuning.silence_s, tuning.silence_factor * known_ms / 1000.0)
 
 
 def _home_rank(owner: str, fingerprint: int) -> int:
