--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -31,6 +31,8 @@
 
 GroupMessage = tuple[int, types.Message]
 
+ENTRY_OVERHEAD_BYTES = 64
+
 
 class StateMachine(t.Protocol):
     """Deterministic state that one group of replicas agrees on."""
@@ -39,7 +41,11 @@
         """Apply one committed command and return its result."""
 
     def snapshot(self) -> bytes:
-        """Return the whole state."""
+        """Return the whole state.
+
+        Runs in a worker thread, while nothing is applied; the state may
+        be read at the same time.
+        """
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
@@ -49,9 +55,11 @@
 class SetOptions:
     """How much log is kept.
 
+    A snapshot is taken after so many entries or bytes, but not before as
+    many bytes were applied as the last snapshot had.
+
     :param snapshot_entries: applied entries after which one is taken.
-    :param snapshot_bytes: applied bytes after which one is taken, unless
-        the last snapshot was larger than that.
+    :param snapshot_bytes: applied bytes after which one is taken.
     :param kept_entries: entries that stay for slow replicas.
     :param generation_bytes: write-ahead log that is rewritten.
     """
@@ -98,7 +106,8 @@
 class _Snapshot:
     group: int
     meta: types.SnapshotMeta
-    data: bytes
+    machine: StateMachine
+    size_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,7 +145,9 @@
                 group, meta.index
             )
         for snapshot in self.snapshots:
-            storage.save_snapshot(snapshot.group, snapshot.meta, snapshot.data)
+            data = snapshot.machine.snapshot()
+            snapshot.size_bytes = len(data)
+            storage.save_snapshot(snapshot.group, snapshot.meta, data)
         for group, request in self.chunks:
             self._read_chunk(storage, group, request)
 
@@ -206,7 +217,8 @@
             result = b""
             if entry.kind is types.EntryKind.COMMAND:
                 result = self.machine.apply(entry.index, entry.payload)
-                self._unsaved_bytes += len(entry.payload)
+            size_bytes = len(entry.payload) + ENTRY_OVERHEAD_BYTES
+            self._unsaved_bytes += size_bytes
             self.applied_index = entry.index
             waiting = self._waiting.pop(entry.index, None)
             if waiting is not None:
@@ -235,21 +247,26 @@
             _, token = self._waiting.pop(index)
             resolved.append(Resolved(token, Unresolved()))
 
-    def take_snapshot(self, options: SetOptions) -> _Snapshot | None:
-        """Return a snapshot of the applied state when one is due."""
+    def due_snapshot(self, options: SetOptions) -> _Snapshot | None:
+        """Return what to snapshot when it is time to."""
         log = self.replica.log
         saved_index = self.replica.snapshot_index
-        limit_bytes = max(options.snapshot_bytes, self._snapshot_size_bytes)
-        is_due = (
+        has_enough = (
             self.applied_index - saved_index >= options.snapshot_entries
-            or self._unsaved_bytes >= limit_bytes
+            or self._unsaved_bytes >= options.snapshot_bytes
         )
-        if not is_due or self.applied_index <= saved_index:
+        # A snapshot costs its size; it waits until as much was applied.
+        is_worth_it = self._unsaved_bytes >= self._snapshot_size_bytes
+        if not has_enough or not is_worth_it:
             return None
-        data = self.machine.snapshot()
-        self._snapshot_size_bytes = len(data)
+        meta = log.meta_at(self.applied_index)
+        return _Snapshot(self.number, meta, self.machine)
+
+    def note_saved(self, snapshot: _Snapshot, kept_entries: int) -> None:
+        """Forget entries that a snapshot on the disk covers."""
+        self._snapshot_size_bytes = snapshot.size_bytes
         self._unsaved_bytes = 0
-        return _Snapshot(self.number, log.meta_at(self.applied_index), data)
+        self.replica.compact(snapshot.meta.index, kept_entries)
 
 
 class ReplicaSet:
@@ -328,7 +345,7 @@
             if output.restored is not None:
                 turn.restores[number] = output.restored
             else:
-                snapshot = group.take_snapshot(self._options)
+                snapshot = group.due_snapshot(self._options)
                 if snapshot is not None:
                     turn.snapshots.append(snapshot)
             output.early = []
@@ -347,8 +364,8 @@
         """Apply what is committed once the turn's writes are durable."""
         resolved: list[Resolved] = []
         for snapshot in turn.snapshots:
-            self.groups[snapshot.group].replica.compact(
-                snapshot.meta.index, self._options.kept_entries
+            self.groups[snapshot.group].note_saved(
+                snapshot, self._options.kept_entries
             )
         for group in self.groups:
             data = turn.restored_data.get(group.number)
