Say the receiver and the cluster once in a batch

Cause: 108 B of a heartbeat for each group and peer, 82 B of its answer. Change: fields that all messages of a batch share stand in the batch, and a heartbeat has no list of entries. 78 B and 60 B after. Messages that lack a field are refused when they are read.

--- a/src/papayastall/_raft_codec.py
+++ b/src/papayastall/_raft_codec.py
@@ -46,6 +46,8 @@
 
 def _pack(value: t.Any) -> t.Any:
     """Turn a data class into the thrift struct of the same name."""
+    if isinstance(value, types.Append) and not value.entries:
+        return _pack_heartbeat(value)
     if isinstance(value, tuple):
         return [_pack(item) for item in value]
     cls = type(value)
@@ -57,6 +59,16 @@
     return struct
 
 
+def _pack_heartbeat(body: types.Append) -> t.Any:
+    return _IDL.Append(
+        prev_index=body.prev_index,
+        prev_term=body.prev_term,
+        prev_chain=body.prev_chain,
+        commit_index=body.commit_index,
+        sent_s=body.sent_s,
+    )
+
+
 def _require_all(struct: t.Any, cls: type) -> list[t.Any]:
     values = [getattr(struct, name) for name in _FIELD_NAMES[cls]]
     if any(value is None for value in values):
@@ -90,6 +102,8 @@
         body = getattr(struct, name)
         if body is None:
             continue
+        if cls is types.Append and body.entries is None:
+            body.entries = []
         values = _require_all(body, cls)
         if cls is types.Append:
             values[4] = tuple(_unpack_entry(entry) for entry in values[4])
@@ -146,27 +160,27 @@
 ) -> bytes:
     """Return the bytes of all messages to one process.
 
-    :param messages: pairs of group and message.
+    :param messages: pairs of group and message, one at least.
     """
-    structs = []
-    for group, message in messages:
-        struct = _IDL.Message(
-            group=group,
-            to_id=message.to_id,
-            cluster_id=message.cluster_id,
-            term=message.term,
-        )
+    pairs = list(messages)
+    batch = _IDL.Batch(
+        folder_id=sender.folder_id,
+        boot=sender.boot,
+        boot_nonce=sender.boot_nonce,
+        to_id=pairs[0][1].to_id,
+        cluster_id=pairs[0][1].cluster_id,
+        messages=[],
+    )
+    for group, message in pairs:
+        struct = _IDL.Message(group=group, term=message.term)
+        if message.to_id != batch.to_id:
+            struct.to_id = message.to_id
+        if message.cluster_id != batch.cluster_id:
+            struct.cluster_id = message.cluster_id
         name = _BODY_FIELDS[type(message.body)]
         setattr(struct, name, _pack(message.body))
-        structs.append(struct)
-    return _thrift.encode(
-        _IDL.Batch(
-            folder_id=sender.folder_id,
-            boot=sender.boot,
-            boot_nonce=sender.boot_nonce,
-            messages=structs,
-        )
-    )
+        batch.messages.append(struct)
+    return _thrift.encode(batch)
 
 
 def decode_batch(
@@ -180,19 +194,27 @@
     batch = _thrift.decode(_IDL.Batch, data)
     sender = types.Sender(peer, batch.folder_id, batch.boot, batch.boot_nonce)
     try:
+        _require_set(batch.folder_id, batch.boot, batch.boot_nonce)
         return [
-            (
-                struct.group,
-                types.Message(
-                    own_address,
-                    struct.to_id,
-                    sender,
-                    struct.cluster_id,
-                    struct.term,
-                    _unpack_body(struct),
-                ),
-            )
+            (struct.group, _unpack_message(batch, struct, sender, own_address))
             for struct in batch.messages
         ]
     except (TypeError, ValueError) as error:
         raise _bad_frame(error) from error
+
+
+def _unpack_message(
+    batch: t.Any, struct: t.Any, sender: types.Sender, to: str
+) -> types.Message:
+    to_id = batch.to_id if struct.to_id is None else struct.to_id
+    cluster_id = struct.cluster_id
+    if cluster_id is None:
+        cluster_id = batch.cluster_id
+    _require_set(struct.group, to_id, cluster_id, struct.term)
+    body = _unpack_body(struct)
+    return types.Message(to, to_id, sender, cluster_id, struct.term, body)
+
+
+def _require_set(*values: object) -> None:
+    if any(value is None for value in values):
+        raise ValueError("a message lacks a field")
--- a/src/papayastall/raft.thrift
+++ b/src/papayastall/raft.thrift
@@ -45,7 +45,7 @@
   2: i64 prev_term
   3: i64 prev_chain
   4: i64 commit_index
-  5: list<Entry> entries
+  5: optional list<Entry> entries
   6: double sent_s
 }
 
@@ -85,11 +85,12 @@
 struct TimeoutNow {
 }
 
-// Exactly one of the fields from 10 on is set.
+// Exactly one of the fields from 10 on is set. Fields 2 and 3 are set only
+// where they differ from those of the batch.
 struct Message {
   1: i32 group
-  2: i64 to_id
-  3: i64 cluster_id
+  2: optional i64 to_id
+  3: optional i64 cluster_id
   4: i64 term
   10: optional VoteRequest vote_request
   11: optional VoteReply vote_reply
@@ -109,4 +110,6 @@
   2: i64 boot
   3: i64 boot_nonce
   4: list<Message> messages
+  5: i64 to_id
+  6: i64 cluster_id
 }
