Call a request broken when it died on a reused connection

Cause: a lookup sent on a reused connection whose upstream died at work was sent again on a fresh one; that was refused by the dead upstream, and the refusal was told as 'not run'. So a request that crashes upstreams was never suspected: a trial with 6 upstreams lost 5 of them to one lookup, and its caller was told ran: no. Ruled out: the news of suspects (it was never sent). Change: only the first try on a fresh connection can say 'not run'.

--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -67,7 +67,12 @@
 
 
 class AnswerSink:
-    """Takes an answer as it arrives; the owner overrides both."""
+    """Takes an answer as it arrives; the owner overrides both methods.
+
+    :ivar started: whether the head of an answer came.
+    """
+
+    started = False
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Take the status and the headers."""
@@ -104,13 +109,19 @@
         if timeout_s <= 0:
             return Outcome.CONNECT_FAILED
         with anyio.move_on_after(timeout_s) as scope:
-            while True:
-                connection, reused = self._take(request)
+            connection, reused = self._take(request)
+            outcome = await self._run_on(
+                connection, request, scope.deadline, sink
+            )
+            if outcome is Outcome.BROKEN and reused and not sink.started:
+                # Closed when idle, or dead at work: a fresh connection
+                # tells, but can't make the first try "not run".
                 outcome = await self._run_on(
-                    connection, request, scope.deadline, sink, reused
+                    self._open(request), request, scope.deadline, sink
                 )
-                if outcome is not None:
-                    return outcome
+                if outcome in (Outcome.CONNECT_FAILED, Outcome.SHED):
+                    return Outcome.BROKEN
+            return outcome
         return Outcome.TIMED_OUT
 
     def _take(
@@ -121,9 +132,12 @@
             connection = idle.pop()
             if connection.is_available() and not connection.has_expired():
                 return connection, True
+        return self._open(request), False
+
+    def _open(self, request: UpstreamRequest) -> httpcore.AsyncHTTPConnection:
         host, _, port = request.upstream.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode(), int(port))
-        return httpcore.AsyncHTTPConnection(origin), False
+        return httpcore.AsyncHTTPConnection(origin)
 
     async def _run_on(
         self,
@@ -131,17 +145,14 @@
         request: UpstreamRequest,
         deadline_s: float,
         sink: AnswerSink,
-        reused: bool,
-    ) -> _decision_types.Outcome | None:
-        """Run on one connection; ``None`` asks for a fresh one."""
-        started = False
+    ) -> _decision_types.Outcome:
         try:
             response = await connection.handle_async_request(
                 _build_request(request, deadline_s)
             )
             shed = response.status == 503 and _says_not_run(response.headers)
             if not shed:
-                started = True
+                sink.started = True
                 await sink.send_head(
                     response.status, _keep_answer_headers(response.headers)
                 )
@@ -156,8 +167,6 @@
         ):
             return Outcome.CONNECT_FAILED
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            if reused and not started:
-                return None
             return Outcome.BROKEN
         except httpcore.TimeoutException:
             return Outcome.TIMED_OUT
