--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -53,6 +53,7 @@
     """Who this node is on its links.
 
     :param address: own link address, ``ip:port``.
+    :param listen_address: where to listen, if not there.
     :param server_tls: context for accepted connections, or ``None``.
     :param client_tls: context for dialled connections, or ``None``.
     """
@@ -60,6 +61,7 @@
     address: str
     boot_id: int
     failure_domain: str
+    listen_address: str | None = None
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
 
@@ -115,7 +117,8 @@
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen and watch; runs in ``tasks`` until :meth:`close`."""
         self._tasks = tasks
-        host, _, port = self.settings.address.rpartition(":")
+        address = self.settings.listen_address or self.settings.address
+        host, _, port = address.rpartition(":")
         listener: anyio.abc.Listener[t.Any]
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port)
@@ -326,19 +329,26 @@
                 stream = await self._open_stream(peer.address)
         except (OSError, anyio.BrokenResourceError, ssl.SSLError):
             pass
-        finally:
-            peer.is_dialling = False
         if stream is None:
-            self._counters.count(metrics.Counter.LINK_FAILURES)
-            peer.lost_connection = True
-            self._tell(peer.address, LinkEvent.DOWN)
+            self._note_dial_failed(peer)
             return
         connection = _connection.Connection(stream, self._receive)
         connection.address = peer.address
-        self._counters.count(metrics.Counter.LINK_OPENS)
         self._greet(connection)
-        self._start_expiry(connection)
+        self._start_expiry(connection, DIAL_TIMEOUT_S)
         await self._run(connection)
+        if connection.peer is None:
+            # A stopped process, or a network cut one way, accepts
+            # connections as well but never greets.
+            self._note_dial_failed(peer)
+
+    def _note_dial_failed(self, peer: _Peer) -> None:
+        peer.is_dialling = False
+        if peer.connection is not None and not peer.connection.is_closed:
+            return
+        peer.lost_connection = True
+        peer.ready.set()
+        self._tell(peer.address, LinkEvent.DOWN)
 
     async def _open_stream(self, address: str) -> anyio.abc.ByteStream:
         host, _, port = address.rpartition(":")
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -99,6 +99,7 @@
             address=node_settings.link_address,
             boot_id=self.boot_ms,
             failure_domain=node_settings.failure_domain,
+            listen_address=node_settings.link_listen_address,
             server_tls=_tls.server_context(node_settings),
             client_tls=_tls.client_context(node_settings),
         )
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -44,6 +44,8 @@
     :param caller_address: where callers send their HTTP requests.
     :param control_address: HTTP for announcements and for operators.
     :param link_address: TCP from other nodes; also names this node.
+    :param link_listen_address: where to listen for links, if the others
+        reach ``link_address`` by a forwarded port.
     :param gossip_address: UDP from other nodes.
     :param seeds: gossip addresses of nodes to join through.
     :param control_replicas: link addresses of the first control replicas.
@@ -66,6 +68,7 @@
     region: str
     seeds: list[_checking.Address]
     control_replicas: list[_checking.Address]
+    link_listen_address: _checking.Address | None = None
     data_folder: pathlib.Path | None = None
     claim_groups: _checking.PositiveInt = _checking.PositiveInt(4)
     tls: TlsSettings | None = None
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,429 @@
+"""Nodes and upstreams as real processes, callers, and their history."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing as t
+
+import httpcore
+import orjson
+
+from tests import relays
+
+__all__ = ["Fleet", "Load", "Told", "check_history"]
+
+DOMAINS = ("a", "b", "c")
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 40.0
+POLL_INTERVAL_S = 0.05
+TIMEOUT_S = 2.0
+LATE_S = 0.5
+CALLER_TIMEOUT_S = 10.0
+READY_BURST = 16
+
+SETTINGS = """\
+version = 1
+caller_address = "{node.caller}"
+control_address = "{node.control}"
+link_address = "{node.link}"
+link_listen_address = "{node.listen}"
+gossip_address = "{node.gossip}"
+failure_domain = "{node.domain}"
+region = "r"
+seeds = [{seeds}]
+control_replicas = [{replicas}]
+data_folder = "data-{node.domain}"
+insecure = true
+log_file = "{node.domain}.log"
+shutdown_timeout_ms = 20000
+"""
+
+DOCUMENT = """\
+version = 1
+name = "visits"
+revision = 1
+floor_slots = 1
+timeout_ms = 2000
+health_priority = "detection"
+
+[[routes]]
+name = "status"
+methods = ["GET"]
+path = "/visits/status"
+kind = "lookup"
+
+[[routes]]
+name = "book"
+methods = ["POST"]
+path = "/visits/bookings"
+kind = "non-idempotent"
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One node process and its addresses."""
+
+    domain: str
+    caller: str
+    control: str
+    link: str
+    listen: str
+    gossip: str
+    process: subprocess.Popen[bytes] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """One stand-in upstream process."""
+
+    address: str
+    record: pathlib.Path
+    announce: list[int]
+    process: subprocess.Popen[bytes] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Told:
+    """What a caller sent and was told.
+
+    :param status: of the answer; 0 where no whole answer came.
+    :param ran: the answer's word on whether the request ran.
+    """
+
+    name: str
+    method: str
+    node: int
+    sent_s: float
+    status: int = 0
+    ran: str | None = None
+    code: str = ""
+    body: t.Any = None
+    error: str = ""
+    took_s: float = 0.0
+
+
+class Fleet:
+    """Three nodes behind relays, and upstreams announced to them.
+
+    :param service_ms: time that the upstreams take for a request.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        announce: t.Sequence[t.Sequence[int]],
+        service_ms: int = 20,
+    ) -> None:
+        self.folder = folder
+        self.nodes: list[Node] = []
+        self.relays: list[relays.Relay] = []
+        self.upstreams = [
+            Upstream(
+                _free_address(), folder / f"upstream-{number}", list(owners)
+            )
+            for number, owners in enumerate(announce)
+        ]
+        self._service_ms = service_ms
+        self._output = open(folder / "output", "wb")
+
+    async def __aenter__(self) -> t.Self:
+        """Start everything and wait until requests are answered."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """End everything."""
+        await self.close()
+
+    async def _start(self) -> None:
+        for domain in DOMAINS:
+            listen = _free_address()
+            relay = relays.Relay(listen)
+            await relay.start()
+            self.relays.append(relay)
+            self.nodes.append(
+                Node(
+                    domain,
+                    _free_address(),
+                    _free_address(),
+                    relay.address,
+                    listen,
+                    _free_address(socket.SOCK_DGRAM),
+                )
+            )
+        for relay in self.relays:
+            relay.sources = [node.link for node in self.nodes]
+        made = [self._write_settings(node) for node in self.nodes]
+        for process in made:
+            process.wait(START_TIMEOUT_S)
+        for number in range(len(self.nodes)):
+            self.start_node(number)
+        for number in range(len(self.nodes)):
+            await self.wait_for_node(number)
+        for number in range(len(self.upstreams)):
+            self.start_upstream(number)
+        await self._apply()
+        await self.wait_until_ready()
+
+    async def close(self) -> None:
+        """Kill all processes by their ids."""
+        for relay in self.relays:
+            await relay.close()
+        processes = [upstream.process for upstream in self.upstreams]
+        processes.extend(node.process for node in self.nodes)
+        for process in processes:
+            if process is not None:
+                process.kill()
+                process.wait()
+        self._output.close()
+
+    def start_node(self, number: int) -> None:
+        """Start a node, or start it again."""
+        path = self.folder / f"{self.nodes[number].domain}.toml"
+        self.nodes[number].process = self._run(
+            "papayastall", "node", "--settings", str(path)
+        )
+
+    def start_upstream(self, number: int) -> None:
+        """Start an upstream, or start it again."""
+        upstream = self.upstreams[number]
+        owners = ",".join(
+            self.nodes[owner].control for owner in upstream.announce
+        )
+        upstream.process = self._run(
+            "papayastall.emulator",
+            f"--address={upstream.address}",
+            "--service=visits",
+            f"--announce={owners}",
+            f"--service-ms={self._service_ms}",
+            "--lease-ms=1500",
+            f"--record={upstream.record}",
+        )
+
+    def signal_node(self, number: int, signum: int) -> None:
+        """Send a signal to a node's process."""
+        process = self.nodes[number].process
+        assert process is not None
+        process.send_signal(signum)
+        if signum == signal.SIGKILL:
+            process.wait()
+
+    def signal_upstream(self, number: int, signum: int) -> None:
+        """Send a signal to an upstream's process."""
+        process = self.upstreams[number].process
+        assert process is not None
+        process.send_signal(signum)
+        if signum == signal.SIGKILL:
+            process.wait()
+
+    async def behave(self, number: int, **behaviour: object) -> None:
+        """Tell an upstream how to treat requests."""
+        await _request(
+            "POST",
+            f"http://{self.upstreams[number].address}/emulator/behaviour",
+            orjson.dumps(behaviour),
+        )
+
+    async def wait_for_node(self, number: int) -> None:
+        """Wait until a node runs and sees the other running nodes."""
+        url = f"http://{self.nodes[number].control}/v1/status"
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            try:
+                _, content = await _request("GET", url, b"")
+                if len(orjson.loads(content)["nodes"]) == len(self.nodes):
+                    return
+            except (httpcore.NetworkError, httpcore.TimeoutException):
+                pass
+            await asyncio.sleep(POLL_INTERVAL_S)
+        raise TimeoutError(url)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every node gets lookups answered by every upstream."""
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        wanted = {upstream.address for upstream in self.upstreams}
+        for number in range(len(self.nodes)):
+            seen: set[str] = set()
+            while seen != wanted:
+                # Many at a time, so that the nearest upstream can't take all.
+                burst = await asyncio.gather(
+                    *(
+                        self.send(number, "GET", "ready")
+                        for _ in range(READY_BURST)
+                    )
+                )
+                seen.update(
+                    told.body["upstream"]
+                    for told in burst
+                    if told.status == 200
+                )
+                if time.monotonic() > deadline_s:
+                    raise TimeoutError(f"node {number}: {burst[0]}")
+
+    async def send(self, number: int, method: str, name: str) -> Told:
+        """Send one request to a node; return what the caller was told."""
+        told = Told(name, method, number, time.time())
+        host = f"http://{self.nodes[number].caller}"
+        body = b""
+        url = f"{host}/visits/status/{name}"
+        if method == "POST":
+            url = f"{host}/visits/bookings"
+            body = orjson.dumps({"visit": name})
+        started_s = time.monotonic()
+        try:
+            status, content = await _request(method, url, body, name)
+        except httpcore.ConnectError as error:
+            told.error = f"not sent: {error}"
+            return told
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            told.error = f"{type(error).__name__}: {error}"
+            return told
+        finally:
+            told.took_s = time.monotonic() - started_s
+        told.status = status
+        told.body = orjson.loads(content)
+        if status != 200:
+            told.ran = told.body.get("ran")
+            told.code = told.body.get("code", "")
+        return told
+
+    def runs(self) -> list[dict[str, t.Any]]:
+        """Return what all upstreams ran, the killed ones too."""
+        return [
+            {**orjson.loads(line), "upstream": upstream.address}
+            for upstream in self.upstreams
+            if upstream.record.exists()
+            for line in upstream.record.read_bytes().splitlines()
+        ]
+
+    def _write_settings(self, node: Node) -> subprocess.Popen[bytes]:
+        text = SETTINGS.format(
+            node=node,
+            seeds=", ".join(f'"{each.gossip}"' for each in self.nodes),
+            replicas=", ".join(f'"{each.link}"' for each in self.nodes),
+        )
+        path = self.folder / f"{node.domain}.toml"
+        path.write_text(text)
+        return self._run("papayastall", "init", "--settings", str(path))
+
+    async def _apply(self) -> None:
+        path = self.folder / "visits.toml"
+        path.write_text(DOCUMENT)
+        process = self._run(
+            "papayastall",
+            "apply",
+            f"--node={self.nodes[0].control}",
+            str(path),
+        )
+        while process.poll() is None:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        assert process.returncode == 0, (self.folder / "output").read_text()
+
+    def _run(self, module: str, *arguments: str) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=self._output,
+            stderr=self._output,
+        )
+
+
+class Load:
+    """Callers at some nodes that send lookups and bookings in turn.
+
+    :param nodes: where requests go in.
+    :param callers: how many send at a time at each node.
+    """
+
+    def __init__(
+        self, fleet: Fleet, nodes: t.Sequence[int], callers: int = 4
+    ) -> None:
+        self.told: list[Told] = []
+        self._fleet = fleet
+        self._names = itertools.count()
+        self._stopping = False
+        self._tasks = [
+            asyncio.create_task(self._call(node))
+            for node in nodes
+            for _ in range(callers)
+        ]
+
+    async def stop(self) -> list[Told]:
+        """Stop after the requests in flight; return the history."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+        return self.told
+
+    async def _call(self, node: int) -> None:
+        while not self._stopping:
+            name = f"n{next(self._names)}"
+            method = "POST" if len(self.told) % 2 else "GET"
+            self.told.append(await self._fleet.send(node, method, name))
+            await asyncio.sleep(0.01)
+
+
+def check_history(told: t.Iterable[Told], fleet: Fleet) -> None:
+    """Check what every caller was told against what was run."""
+    runs: dict[str, list[dict[str, t.Any]]] = {}
+    for run in fleet.runs():
+        runs.setdefault(run["caller_id"], []).append(run)
+    for each in told:
+        ran = runs.get(each.name, [])
+        if each.status == 200:
+            _check_own(each)
+            assert ran, f"answered but not run: {each}"
+        if each.ran == "no" or each.error.startswith("not sent"):
+            assert not ran, f"told that it did not run: {each}, {ran}"
+        if each.method == "POST":
+            assert len(ran) <= 1, f"ran more than once: {each}, {ran}"
+        for run in ran:
+            latest_s = each.sent_s + TIMEOUT_S + LATE_S
+            assert run["at_s"] <= latest_s, f"ran late: {each}, {run}"
+
+
+def _check_own(told: Told) -> None:
+    body = told.body
+    assert body["method"] == told.method, told
+    if told.method == "GET":
+        assert body["path"] == f"/visits/status/{told.name}", told
+    else:
+        assert orjson.loads(body["body"]) == {"visit": told.name}, told
+
+
+async def _request(
+    method: str, url: str, body: bytes, name: str = ""
+) -> tuple[int, bytes]:
+    timeouts = dict.fromkeys(
+        ("connect", "read", "write", "pool"), CALLER_TIMEOUT_S
+    )
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            method,
+            url,
+            headers={"x-request-id": name},
+            content=body,
+            extensions={"timeout": timeouts},
+        )
+    return response.status, response.content
+
+
+def _free_address(kind: int = socket.SOCK_STREAM) -> str:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,188 @@
+"""The whole path under kills, freezes, cuts, silence and planned stops."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import time
+
+import pytest
+
+from tests import fleet as fleets
+
+SPREAD = [[0, 1], [1, 2], [2, 0]]
+"""One upstream for each node; each knows a second node."""
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize("victim", ["ingress", "owner"])
+async def test_a_killed_node(tmp_path: pathlib.Path, victim: str) -> None:
+    async with fleets.Fleet(tmp_path, [[1, 0], [1, 2], [2, 0]]) as fleet:
+        load = fleets.Load(fleet, [0, 2])
+        await asyncio.sleep(1.0)
+        number = 0 if victim == "ingress" else 1
+        fleet.signal_node(number, signal.SIGKILL)
+        await asyncio.sleep(2.5)
+        fleet.start_node(number)
+        await fleet.wait_for_node(number)
+        await asyncio.sleep(1.5)
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    lost = [
+        each
+        for each in told
+        if each.method == "GET" and each.node == 2 and each.status != 200
+    ]
+    assert not lost
+
+
+async def test_a_killed_upstream(tmp_path: pathlib.Path) -> None:
+    async with fleets.Fleet(tmp_path, SPREAD) as fleet:
+        load = fleets.Load(fleet, [0, 1, 2])
+        await asyncio.sleep(1.0)
+        fleet.signal_upstream(1, signal.SIGKILL)
+        await asyncio.sleep(2.0)
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    assert not [
+        each for each in told if each.method == "GET" and each.status != 200
+    ]
+
+
+@pytest.mark.parametrize("victim", ["ingress", "owner", "upstream"])
+async def test_a_freeze_across_deadlines(
+    tmp_path: pathlib.Path, victim: str
+) -> None:
+    announce = [[1, 0], [1, 2], [2, 0]]
+    async with fleets.Fleet(tmp_path, announce) as fleet:
+        load = fleets.Load(fleet, [0, 2])
+        await asyncio.sleep(1.0)
+        send = fleet.signal_node
+        if victim == "upstream":
+            send = fleet.signal_upstream
+        number = 0 if victim == "ingress" else 1
+        send(number, signal.SIGSTOP)
+        await asyncio.sleep(3.0)
+        send(number, signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    lost = [
+        each
+        for each in told
+        if each.method == "GET" and each.node == 2 and each.status != 200
+    ]
+    assert not lost
+
+
+@pytest.mark.parametrize("direction", ["to owner", "from owner"])
+async def test_a_link_cut_one_way(
+    tmp_path: pathlib.Path, direction: str
+) -> None:
+    async with fleets.Fleet(tmp_path, SPREAD) as fleet:
+        load = fleets.Load(fleet, [0, 2])
+        await asyncio.sleep(1.0)
+        to_owner = direction == "to owner"
+        first, second = fleet.nodes[0].link, fleet.nodes[1].link
+        fleet.relays[1].cut(first, to_node=to_owner, from_node=not to_owner)
+        fleet.relays[0].cut(second, to_node=not to_owner, from_node=to_owner)
+        await asyncio.sleep(3.5)
+        for relay in fleet.relays:
+            relay.heal()
+        await asyncio.sleep(1.5)
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    assert not [
+        each for each in told if each.method == "GET" and each.status != 200
+    ]
+    assert not [each for each in told if each.node == 2 and each.status != 200]
+
+
+async def test_answers_of_a_silent_link_are_picked_up(
+    tmp_path: pathlib.Path,
+) -> None:
+    announce = [[1, 0], [1, 2]]
+    async with fleets.Fleet(tmp_path, announce, service_ms=600) as fleet:
+        sent = [
+            asyncio.create_task(
+                fleet.send(0, "POST" if number % 2 else "GET", f"n{number}")
+            )
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.4)
+        fleet.relays[1].silence()
+        fleet.relays[0].silence()
+        told = await asyncio.gather(*sent)
+        later = await fleet.send(0, "GET", "later")
+    fleets.check_history([*told, later], fleet)
+    assert [each.status for each in told] == [200] * 12
+    assert later.status == 200
+    assert later.took_s < 1.0
+
+
+async def test_answers_that_arrive_late_and_twice(
+    tmp_path: pathlib.Path,
+) -> None:
+    announce = [[1, 0], [1, 2]]
+    async with fleets.Fleet(tmp_path, announce, service_ms=200) as fleet:
+        load = fleets.Load(fleet, [0], callers=10)
+        for _ in range(3):
+            await asyncio.sleep(0.5)
+            for relay in fleet.relays:
+                relay.silence(to_node=False)
+            await asyncio.sleep(1.2)
+            for relay in fleet.relays:
+                relay.heal()
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    assert not [each for each in told if each.status != 200]
+
+
+async def test_a_planned_stop_of_a_node_cuts_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    announce = [[1, 0], [1, 2], [2, 0]]
+    async with fleets.Fleet(tmp_path, announce, service_ms=300) as fleet:
+        load = fleets.Load(fleet, [0, 1, 2])
+        await asyncio.sleep(1.0)
+        fleet.signal_node(1, signal.SIGTERM)
+        process = fleet.nodes[1].process
+        assert process is not None
+        for _ in range(200):
+            if process.poll() is not None:
+                break
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5)
+        told = await load.stop()
+    fleets.check_history(told, fleet)
+    assert process.returncode == 0
+    cut = [
+        each
+        for each in told
+        if each.status != 200 and not each.error.startswith("not sent")
+    ]
+    assert not cut
+
+
+async def test_a_leaving_upstream_cuts_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with fleets.Fleet(tmp_path, SPREAD, service_ms=300) as fleet:
+        load = fleets.Load(fleet, [0, 1, 2])
+        await asyncio.sleep(1.0)
+        left_s = time.time()
+        fleet.signal_upstream(1, signal.SIGTERM)
+        await asyncio.sleep(3.0)
+        told = await load.stop()
+        runs = fleet.runs()
+    fleets.check_history(told, fleet)
+    assert not [each for each in told if each.status != 200]
+    late = [
+        run
+        for run in runs
+        if run["upstream"] == fleet.upstreams[1].address
+        and run["at_s"] > left_s + 2.0
+    ]
+    assert not late
