--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -170,6 +170,13 @@
         self._links_down.discard(peer)
         self._set_link(peer, is_down=False)
 
+    def peer_heard(self, now_s: float, peer: str) -> None:
+        """Take in any frame of a peer, such as the answer to a ping."""
+        for service in self._services.values():
+            view = service.owners.get(peer)
+            if view is not None:
+                view.note_heard(now_s)
+
     def caller_gone(self, now_s: float, request_id: int) -> _Actions:
         """Cancel what is left of a request whose caller went away."""
         pending = self._pending.pop(request_id, None)
@@ -186,7 +193,8 @@
         actions: _Actions = []
         busy = {pending.request.service for pending in self._pending.values()}
         for name in sorted(busy):
-            _service_view.find_silent(now_s, self._service(name))
+            for view in self._service(name).owners.values():
+                view.note_silence(now_s)
         for pending in list(self._pending.values()):
             if pending.chosen is not None:
                 continue
@@ -237,7 +245,9 @@
         pending.tried.add(owner)
         choice.view.in_flight += 1
         key = (request.request_id, attempt.number)
-        choice.view.outstanding[key] = now_s
+        choice.view.outstanding[key] = _routing.Outstanding(
+            now_s, _service_view.patience_s(service, request.route)
+        )
         pending.hedge_due_s = _service_view.hedge_due_s(
             now_s, service, request
         )
@@ -274,8 +284,7 @@
         view = service.owners.get(pending.open[number].owner)
         if view is None or load is None:
             return
-        view.heard_s = now_s
-        view.is_silent = False
+        view.note_heard(now_s)
         view.note_load(now_s, load)
 
     def _note_failure(
