Notice links that pass frames one way only, and frames that were held back

Cause, found by the runs of tests/test_failures.py: a dial counted as done once TCP connected, so a frozen owner or a cut network, where connections are accepted and nothing greets, never led to the link being called down, and lookups waited until their deadlines (504 at 2.0 s). The accepting side greeted first, so that a link whose forward direction was cut was taken for whole. A request held on the way for 3 s was run after its caller had been told that its time was over, because its remaining time counts from its arrival; ruled out: the pause of the owner's own process.

Now the dialler greets first, no answer within the dial's time means down, and each request's delay on its connection is taken off its time.

--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from papayastall import _frames
+from papayastall import _lateness
 from papayastall import exceptions
 
 __all__ = ["Connection", "MAX_UNSENT_BYTES"]
@@ -41,6 +42,7 @@
         self.peer: _frames.Hello | None = None
         self.address = ""
         self.last_received_s = time.monotonic()
+        self.lateness = _lateness.Lateness()
         self.error: exceptions.ProtocolError | None = None
 
     @property
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -51,11 +51,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Hello:
-    """Opens a link; ``boot_id`` tells a restarted node from its former."""
+    """Opens a link; ``boot_id`` tells a restarted node from its former.
+
+    :param sent_ms: on the sender's monotonic clock.
+    """
 
     node: str
     boot_id: int
     failure_domain: str
+    sent_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +69,7 @@
     :param reference_ms: median answer time of the service; 0 if unknown.
     :param fingerprint: digest of service, method, target and body.
     :param body_follows: more of the body comes in :class:`BodyChunk`.
+    :param sent_ms: on the sender's monotonic clock.
     :param claim_token: the holder of the idempotency key's claim, or "".
     """
 
@@ -86,6 +91,7 @@
     reference_error_ratio: float = 0.0
     healthy_share: float = 1.0
     last_resort: bool = False
+    sent_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -55,17 +55,17 @@
     """Who this node is on its links.
 
     :param address: own link address, ``ip:port``.
-    :param listen_address: where to listen, if not there.
     :param server_tls: context for accepted connections, or ``None``.
     :param client_tls: context for dialled connections, or ``None``.
+    :param listen_address: where to listen, if not at ``address``.
     """
 
     address: str
     boot_id: int
     failure_domain: str
-    listen_address: str | None = None
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
+    listen_address: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,7 +115,6 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._listener: anyio.abc.Listener[t.Any] | None = None
         self.rejected_connections = 0
-        self._beat_s = time.monotonic()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen and watch; runs in ``tasks`` until :meth:`close`."""
@@ -213,6 +212,8 @@
         peer = self._peer(address)
         if peer.connection is not None:
             peer.used_s = time.monotonic()
+            if isinstance(frame, _frames.Open):
+                frame.sent_ms = _now_ms()
             peer.connection.send(frame, self._get_config_index())
 
     def watch(self, address: str) -> None:
@@ -296,18 +297,21 @@
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(stream, self._receive)
-        self._greet(connection)
-        self._start_expiry(connection)
+        self._start_expiry(connection, HELLO_TIMEOUT_S)
         await self._run(connection)
 
-    def _start_expiry(self, connection: _connection.Connection) -> None:
+    def _start_expiry(
+        self, connection: _connection.Connection, timeout_s: float
+    ) -> None:
         assert self._tasks is not None
-        self._tasks.start_soon(self._expire_without_hello, connection)
+        self._tasks.start_soon(
+            self._expire_without_hello, connection, timeout_s
+        )
 
     async def _expire_without_hello(
-        self, connection: _connection.Connection
+        self, connection: _connection.Connection, timeout_s: float
     ) -> None:
-        await anyio.sleep(HELLO_TIMEOUT_S)
+        await anyio.sleep(timeout_s)
         if connection.peer is None:
             connection.close()
 
@@ -316,6 +320,7 @@
             self.settings.address,
             self.settings.boot_id,
             self.settings.failure_domain,
+            _now_ms(),
         )
         connection.send(hello, self._get_config_index())
 
@@ -387,10 +392,6 @@
                 if peer.outstanding:
                     self._dial(peer)
 
-    def seconds_since_beat(self) -> float:
-        """Return for how long this process may not have read frames."""
-        return max(0.0, time.monotonic() - self._beat_s - WATCH_INTERVAL_S)
-
     def _receive(
         self,
         connection: _connection.Connection,
@@ -425,6 +426,11 @@
                     pending.answer = frame
                     pending.event.set()
             case _:
+                if isinstance(frame, _frames.Open):
+                    late_s = connection.lateness.measure_s(
+                        time.monotonic(), frame.sent_ms
+                    )
+                    frame.remaining_ms -= int(late_s * 1000)
                 handler = self._handlers.get(type(frame))
                 if handler is not None:
                     handler(connection.address, sender.boot_id, frame)
@@ -432,9 +438,15 @@
     def _receive_hello(
         self, connection: _connection.Connection, hello: _frames.Hello
     ) -> None:
+        connection.lateness.measure_s(time.monotonic(), hello.sent_ms)
         connection.peer = hello
-        connection.address = connection.address or hello.node
+        if not connection.address:
+            # The dialler greets first, so that its link stands only once
+            # frames were seen to pass both ways.
+            connection.address = hello.node
+            self._greet(connection)
         peer = self._peer(connection.address)
+        peer.is_dialling = False
         if peer.connection is not None:
             # The peer opens a second link only where it lost the first.
             peer.lost_connection = True
@@ -470,7 +482,7 @@
             await anyio.sleep(WATCH_INTERVAL_S)
             now_s = time.monotonic()
             pause_s = now_s - last_s - WATCH_INTERVAL_S
-            last_s = self._beat_s = now_s
+            last_s = now_s
             number = next(numbers)
             is_idle_round = number % IDLE_ROUND_INTERVAL == 0
             peers = self._peers if is_idle_round else self._watched
@@ -517,6 +529,10 @@
     answer: _frames.CallAnswer | None = None
 
 
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
+
+
 def _read_answer(answer: _frames.CallAnswer, peer: str) -> bytes:
     if not answer.error_code:
         return answer.body
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -139,10 +139,7 @@
     def _receive_open(
         self, ingress: str, boot_id: int, frame: _frames.Open
     ) -> None:
-        # Frames that lay unread while this process was stopped are older
-        # than they look.
         remaining_s = frame.remaining_ms / 1000
-        remaining_s -= self._links.seconds_since_beat()
         key = (ingress, boot_id, frame.request_id)
         deadline_s = time.monotonic() + remaining_s
         run = self._runs.add(key, frame, deadline_s)
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -21,6 +21,7 @@
   1: string node,
   2: i64 boot_id,
   3: string failure_domain,
+  4: i64 sent_ms,
 }
 
 struct Open {
@@ -42,6 +43,7 @@
   16: double reference_error_ratio,
   17: double healthy_share,
   18: bool last_resort,
+  19: i64 sent_ms,
 }
 
 struct BodyChunk {
