--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,279 @@
+"""Tests of the config in force: it spreads, and never goes back."""
+
+from __future__ import annotations
+
+import random
+import typing as t
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayastall import _config
+from papayastall import _control_commands as commands
+from tests import state_helpers
+
+CONTROL = ("c0", "c1", "c2")
+
+
+class Fleet:
+    """Config controllers of some nodes over a network with cuts.
+
+    ``truth`` is the replicated state; control node ``c0`` leads.
+    """
+
+    def __init__(self, nodes: int, seed: int = 0) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.truth: dict[str, _config.IndexedDocument] = {}
+        self.index = 0
+        self.down: set[str] = set()
+        self.served: dict[str, int] = {}
+        self.controllers: dict[str, _config.ConfigController] = {}
+        self.pending: list[tuple[str, _config.Fetch]] = []
+        names = [*CONTROL, *(f"n{number}" for number in range(nodes))]
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a node without memory."""
+        self.controllers[name] = _config.ConfigController(
+            name, CONTROL, self.now_s
+        )
+        self.down.discard(name)
+
+    def apply(self, *names: str, index: int | None = None) -> None:
+        """Let control accept a change of these documents."""
+        self.index = index or self.index + 1
+        for name in names:
+            known = self.truth.get(name)
+            revision = known.document.revision + 1 if known else 1
+            self.truth[name] = _config.IndexedDocument(
+                self.index, state_helpers.make_document(name, revision)
+            )
+
+    def tick(self) -> None:
+        """Let a quarter of a second pass everywhere."""
+        self.now_s += 0.25
+        live = [name for name in self.controllers if name not in self.down]
+        if "c0" in live:
+            leader = self.controllers["c0"]
+            stored = list(self.truth.values())
+            leader.note_applied(self.now_s, self.index, stored)
+            leader.note_authoritative(self.now_s, self.index)
+        for name in live:
+            controller = self.controllers[name]
+            fetches = controller.tick(self.now_s, live)
+            self.pending += [(name, fetch) for fetch in fetches]
+            peer = self.rng.choice(live)
+            fetches = controller.observe(
+                self.now_s, peer, self.controllers[peer].index
+            )
+            self.pending += [(name, fetch) for fetch in fetches]
+        self.deliver()
+        for name in live:
+            self.check(name)
+
+    def deliver(self) -> None:
+        while self.pending:
+            name, fetch = self.pending.pop(0)
+            if name in self.down:
+                continue
+            controller = self.controllers[name]
+            if fetch.peer in self.down or fetch.peer == name:
+                controller.failed(fetch)
+                continue
+            request = _config.FetchDocuments(
+                1, fetch.after_index, fetch.confirmation > 0
+            )
+            answer = self.controllers[fetch.peer].answer(
+                request, fetch.peer == "c0"
+            )
+            _, fetches = controller.fetched(self.now_s, fetch, answer)
+            self.pending += [(name, more) for more in fetches]
+
+    def check(self, name: str) -> None:
+        controller = self.controllers[name]
+        if not controller.is_ready(self.now_s):
+            return
+        assert controller.index >= self.served.get(name, 0)
+        self.served[name] = controller.index
+        if controller.index == self.index:
+            held = {doc.name: doc for doc in controller.list_documents()}
+            truth = {n: item.document for n, item in self.truth.items()}
+            assert held == truth
+
+    def run_until_all_have_it(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.tick()
+        for name, controller in self.controllers.items():
+            if name not in self.down:
+                assert controller.index == self.index, name
+                assert controller.is_ready(self.now_s), name
+
+
+def test_a_change_reaches_every_node() -> None:
+    fleet = Fleet(20)
+    fleet.apply("visits", "intake")
+    fleet.run_until_all_have_it(20)
+
+
+def test_a_node_back_after_hundreds_of_changes_serves_none_before() -> None:
+    fleet = Fleet(6)
+    fleet.apply("visits")
+    fleet.run_until_all_have_it(20)
+    fleet.down.add("n0")
+    for number in range(300):
+        fleet.apply(f"s{number % 40}")
+        fleet.tick()
+    controller = fleet.controllers["n0"]
+    fleet.now_s += 100.0
+    assert not controller.is_ready(fleet.now_s)
+    fleet.start("n0")
+    while not fleet.controllers["n0"].is_ready(fleet.now_s):
+        fleet.tick()
+    assert fleet.controllers["n0"].index == fleet.index
+
+
+def test_a_frozen_node_does_not_serve_when_it_wakes() -> None:
+    fleet = Fleet(3)
+    fleet.apply("visits")
+    fleet.run_until_all_have_it(20)
+    controller = fleet.controllers["n0"]
+    woken_s = fleet.now_s + _config.FREEZE_S
+    assert not controller.is_ready(woken_s)
+    fetches = controller.tick(woken_s, ["c0", "n1"])
+    assert not controller.is_ready(woken_s)
+    assert {fetch.peer for fetch in fetches} >= {"c0"}
+
+
+def test_an_answer_from_before_a_freeze_confirms_nothing() -> None:
+    controller = _config.ConfigController("n0", ("c0",), 0.0)
+    (fetch,) = controller.tick(0.0, ["c0"])
+    controller.tick(_config.FREEZE_S, ["c0"])
+    late = _config.FetchedDocuments(1, 0, authoritative=True)
+    controller.fetched(_config.FREEZE_S, fetch, late)
+    assert not controller.is_ready(_config.FREEZE_S)
+
+
+def test_with_control_away_routing_goes_on_and_peers_confirm() -> None:
+    fleet = Fleet(8)
+    fleet.apply("visits")
+    fleet.run_until_all_have_it(20)
+    fleet.down |= set(CONTROL)
+    fleet.run_until_all_have_it(4 * 3600)
+    fleet.down.add("n0")
+    fleet.tick()
+    fleet.start("n0")
+    fleet.run_until_all_have_it(40)
+
+
+def test_with_control_away_a_few_peers_are_not_enough() -> None:
+    controller = _config.ConfigController("n0", ("c0",), 0.0)
+    members = [f"n{number}" for number in range(1, 10)]
+    now_s = 0.0
+    while now_s < 30:
+        now_s += 0.25
+        for fetch in controller.tick(now_s, members):
+            confirmed = fetch.peer in ("n1", "n2", "n3", "n4")
+            answer = _config.FetchedDocuments(1, 0, confirmed=confirmed)
+            controller.fetched(now_s, fetch, answer)
+    assert not controller.is_ready(now_s)
+
+
+def test_a_whole_fleet_that_restarts_without_control_serves_nothing() -> None:
+    fleet = Fleet(5)
+    fleet.down |= set(CONTROL)
+    for _ in range(200):
+        fleet.tick()
+    ready = [c.is_ready(fleet.now_s) for c in fleet.controllers.values()]
+    assert not any(ready)
+
+
+def test_documents_of_one_change_come_in_force_together() -> None:
+    source = _config.ConfigController("c0", CONTROL, 0.0)
+    text = "#" * 60_000
+    stored = [
+        _config.IndexedDocument(
+            7 if number in (0, 9) else number + 10,
+            commands.DocumentText(f"s{number}", 1, "d", 0, text),
+        )
+        for number in range(10)
+    ]
+    source.note_applied(0.0, 30, stored)
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    fetches = node.observe(0.0, "c0", 30)
+    updates = []
+    pages = 0
+    while fetches:
+        (fetch,) = fetches
+        request = _config.FetchDocuments(1, fetch.after_index)
+        answer = source.answer(request, False)
+        assert len(commands.codec.encode(answer)) < 256 * 1024
+        update, fetches = node.fetched(0.0, fetch, answer)
+        updates.append(update)
+        pages += 1
+    assert pages > 2
+    assert updates[:-1] == [None] * (pages - 1)
+    assert updates[-1] is not None and len(updates[-1].documents) == 10
+    assert node.index == 30
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["apply", "stop", "start", "tick", "cut", "mend"]),
+        st.integers(0, 4),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+def check_fleet(seed: int, actions: list[tuple[str, int]]) -> None:
+    fleet = Fleet(5, seed)
+    for action, number in actions:
+        node = f"n{number}"
+        match action:
+            case "apply" if "c0" not in fleet.down:
+                fleet.apply(f"s{number}", f"s{(number + 1) % 5}")
+            case "stop":
+                fleet.down.add(node)
+            case "start":
+                fleet.start(node)
+            case "cut":
+                fleet.down |= set(CONTROL)
+            case "mend":
+                fleet.down -= set(CONTROL)
+        for _ in range(4):
+            fleet.tick()
+    fleet.down -= set(CONTROL)
+    fleet.run_until_all_have_it(80)
+
+
+@hypothesis.given(st.integers(0, 1000), steps)
+def test_random_stops_and_cuts_never_take_the_config_back(
+    seed: int, actions: list[tuple[str, int]]
+) -> None:
+    check_fleet(seed, actions)
+
+
+@pytest.mark.parametrize("method", ["_check_confirmed", "_put_in_force"])
+def test_the_random_run_finds_planted_faults(
+    method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    honest = getattr(_config.ConfigController, method)
+
+    def confirm_at_once(self: _config.ConfigController, now_s: float) -> None:
+        self._confirmed = True
+
+    def drop_a_document(
+        self: _config.ConfigController, index: int, stored: list[t.Any]
+    ) -> t.Any:
+        return honest(self, index, stored[:1])
+
+    planted = (
+        confirm_at_once if method == "_check_confirmed" else drop_a_document
+    )
+    monkeypatch.setattr(_config.ConfigController, method, planted)
+    with pytest.raises(AssertionError):
+        state_helpers.search(check_fleet, st.integers(0, 1000), steps)
