--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -1,122 +1,133 @@
-"""Joins the parts of control on one node: config, claims and permits.
+"""A node's part in the replicated control state.
 
-Every node has the clients; a control replica also hosts the groups.
+Every node calls the control replicas for config, claims and permits; a
+node whose settings name a data folder hosts a replica of each group.
 """
 
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 
-import anyio
 import anyio.abc
 
 from papayastall import _claims
 from papayastall import _config_service
 from papayastall import _control_calls
+from papayastall import _control_commands as commands
 from papayastall import _control_state
-from papayastall import _peering
+from papayastall import _links
 from papayastall import _permits
 from papayastall import _replica
+from papayastall import documents
+from papayastall import exceptions
+from papayastall import logs
+from papayastall import settings
 
-__all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
+__all__ = ["ControlPlane", "ControlPorts"]
 
-CLOSE_TIMEOUT_S = 5.0
 
+class ControlPorts:
+    """What the control plane reads of its node and tells it.
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlSettings:
-    """What a node knows of control.
-
-    :param node: its own link address.
-    :param control: link addresses of the control replicas.
-    :param claim_groups: number of groups that hold claims.
-    :param data_folder: of a control replica; ``None`` on other nodes.
-    :param epoch: start of this process; greater at each start.
+    The node overrides all of it.
     """
 
-    node: str
-    control: tuple[str, ...]
-    claim_groups: int
-    data_folder: str | None
-    epoch: int
+    def list_others(self) -> list[str]:
+        """Return the link addresses of the other live members."""
+        raise NotImplementedError
 
+    def list_reports(self) -> cabc.Iterable[commands.UpstreamReport]:
+        """Return the upstreams that this node owns."""
+        raise NotImplementedError
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlHooks:
-    """What control asks of the rest of the node and tells it.
+    def observe_slots(self, service: str) -> dict[str, int]:
+        """Return the slots that each live owner offers of a service."""
+        raise NotImplementedError
 
-    :param list_members: link addresses of the other live members.
-    :param put_in_force: told of changed documents and their index.
-    :param list_reports: this owner's upstreams as they are now.
-    :param permit_answered: told whether an ejection is granted.
-    :param observe_slots: healthy slots of a service at each live owner.
-    """
+    def put_in_force(
+        self, index: int, changed: list[documents.Document]
+    ) -> None:
+        """Serve by these documents from now on."""
+        raise NotImplementedError
 
-    list_members: cabc.Callable[[], list[str]]
-    put_in_force: _config_service.PutInForce
-    list_reports: _permits.ListReports
-    permit_answered: cabc.Callable[[str, bool], None]
-    observe_slots: _control_calls.ObserveSlots | None = None
+    def permit_answered(self, upstream: str, granted: bool) -> None:
+        """Take in the answer to an ejection's permit."""
+        raise NotImplementedError
 
 
 class ControlPlane:
-    """Config, claims and permits of one node."""
+    """Config, claims and permits of one node, and its replicas if any.
+
+    :param epoch: start of this process; greater at each start.
+    """
 
     def __init__(
         self,
-        settings: ControlSettings,
-        peering: _peering.Peering,
-        hooks: ControlHooks,
+        node_settings: settings.NodeSettings,
+        links: _links.Links,
+        ports: ControlPorts,
+        epoch: int,
         rng: random.Random,
     ) -> None:
-        self.host: _replica.ReplicaHost | None = None
-        server = None
-        state = _control_state.ControlState()
-        if settings.data_folder is not None:
-            groups = range(settings.claim_groups)
-            states: list[_control_calls.GroupState] = [
-                state,
-                *(_control_state.ClaimGroupState() for _ in groups),
-            ]
-            self.host = _replica.ReplicaHost(
-                _replica.ReplicaSettings(
-                    settings.control, settings.node, settings.data_folder
-                ),
-                peering,
-                states,
-            )
-            server = _control_calls.GroupServer(
-                peering, self.host, states, hooks.observe_slots
-            )
-        self.caller = _control_calls.GroupCaller(
-            settings.node, peering, settings.control, rng, server
-        )
+        self._settings = node_settings
+        self._links = links
+        self._ports = ports
+        address = node_settings.link_address
+        control = [str(peer) for peer in node_settings.control_replicas]
+        self.caller = _control_calls.GroupCaller(address, links, control, rng)
         self.config = _config_service.ConfigService(
-            settings.node,
-            peering,
+            address,
+            links,
             self.caller,
-            settings.control,
-            hooks.list_members,
-            hooks.put_in_force,
+            control,
+            ports.list_others,
+            ports.put_in_force,
             rng,
         )
-        if self.host is not None:
-            state.listener = self.config.make_listener()
-            self.config.use_host(self.host)
-        self.claims = _claims.ClaimClient(self.caller, settings.claim_groups)
+        self.claims = _claims.ClaimClient(
+            self.caller, node_settings.claim_groups
+        )
         self.permits = _permits.PermitClient(
-            settings.node,
-            settings.epoch,
+            address,
+            epoch,
             self.caller,
-            hooks.list_reports,
+            ports.list_reports,
             lambda: self.config.index,
-            hooks.permit_answered,
+            ports.permit_answered,
+        )
+        self.host: _replica.ReplicaHost | None = None
+        if node_settings.is_control_replica:
+            self.host = self._make_host(control)
+
+    def _make_host(self, control: list[str]) -> _replica.ReplicaHost:
+        states: list[_control_calls.GroupState] = [
+            _control_state.ControlState(self.config.make_listener())
+        ]
+        for _ in range(self._settings.claim_groups):
+            states.append(_control_state.ClaimGroupState())
+        host = _replica.ReplicaHost(
+            _replica.ReplicaSettings(
+                tuple(control),
+                self._settings.link_address,
+                str(self._settings.data_folder),
+            ),
+            self._links,
+            states,
+            on_failure=self._note_failure,
         )
+        _control_calls.GroupServer(
+            self._links, host, states, self._ports.observe_slots
+        )
+        self.config.use_host(host)
+        return host
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Start the replicas, if any are here, and the clients."""
+        """Start the replicas, then everything that calls them.
+
+        :raises papayastall.exceptions.StorageError: the data folder can't
+            be used.
+        """
         if self.host is not None:
             await self.host.start(tasks)
         await self.config.start(tasks)
@@ -124,8 +135,25 @@
         await self.permits.start(tasks)
 
     async def close(self) -> None:
-        """Finish what is to be recorded, then stop the replicas."""
-        with anyio.move_on_after(CLOSE_TIMEOUT_S):
-            await self.claims.close()
+        """Record what is known of claims, then stop the replicas."""
+        await self.claims.close()
         if self.host is not None:
             await self.host.close()
+
+    def leaders(self) -> list[str | None]:
+        """Return the leader of each group as a replica here knows it."""
+        if self.host is None:
+            return []
+        groups = 1 + self._settings.claim_groups
+        return [self.host.leader(group) for group in range(groups)]
+
+    def _note_failure(self, error: exceptions.PapayastallError) -> None:
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.STORAGE,
+                self._settings.link_address,
+                "running",
+                "stopped",
+                str(error),
+            )
+        )
