--- a/bench/_decision_driver.py
+++ b/bench/_decision_driver.py
@@ -32,7 +32,6 @@
 LOOKUP_DEADLINE_S = 2.5
 BOOKING_DEADLINE_S = 6.0
 PERMIT_S = 0.02
-PING_S = 0.25
 LINK_FAILED_S = 1.0
 DOMAINS = 3
 
@@ -252,21 +251,30 @@
             self._keep_ticking(side, index)
 
     def _ping(self, index: int) -> None:
-        """Do what links do while attempts are open: ping, and give up."""
+        """Do what links do: ping silent peers, and give up on some."""
         ingress = self.ingresses[index]
+        silent = ingress.peers_to_ping(self.now_s)
         for view in ingress.owners(SERVICE):
-            owner = int(view.advert.owner.split("-")[1])
+            name = view.advert.owner
+            is_waiting = name in silent or bool(view.outstanding)
+            if not is_waiting and not view.is_link_down:
+                continue
+            owner = int(name.split("-")[1])
             is_cut = self._has_fault(owner, model.FaultKind.OWNER_FROZEN)
             if view.is_link_down and not is_cut:
-                ingress.link_ok(self.now_s, view.advert.owner)
-            for attempt in view.outstanding.values():
-                silent_s = self.now_s - max(attempt.sent_s, view.heard_s)
-                if silent_s < PING_S:
-                    continue
-                if not is_cut:
-                    ingress.peer_heard(self.now_s, view.advert.owner)
-                elif silent_s >= LINK_FAILED_S:
-                    ingress.link_failed(self.now_s, view.advert.owner)
+                ingress.link_ok(self.now_s, name)
+            elif name in silent and not is_cut:
+                ingress.peer_heard(self.now_s, name)
+            elif name in silent and not view.is_link_down:
+                self._after(
+                    LINK_FAILED_S,
+                    functools.partial(self._fail_link, index, owner),
+                )
+
+    def _fail_link(self, index: int, owner: int) -> None:
+        if self._has_fault(owner, model.FaultKind.OWNER_FROZEN):
+            name = self._owner_name(owner)
+            self.ingresses[index].link_failed(self.now_s, name)
 
     def _has_fault(self, index: int, kind: model.FaultKind) -> bool:
         return any(
@@ -352,6 +360,8 @@
     def _send_open(self, index: int, action: types.ForwardAttempt) -> None:
         owner = int(action.owner.split("-")[1])
         caller = self._callers[action.request_id]
+        if self._has_fault(owner, model.FaultKind.OWNER_FROZEN):
+            self._note_frozen(index, owner)
         local_id = next(self._ids)
         self._remote[local_id] = (index, action.request_id, action.attempt)
         self._local[action.request_id, action.attempt] = local_id
@@ -371,6 +381,15 @@
             lambda: self._receive_open(owner, local_id),
         )
 
+    def _note_frozen(self, index: int, owner: int) -> None:
+        """Count what is sent to a process that does nothing."""
+        avoided = any(
+            view.is_avoided(self.now_s)
+            for view in self.ingresses[index].owners(SERVICE)
+            if view.advert.owner == self._owner_name(owner)
+        )
+        self.stats.given.append((self.now_s, owner, not avoided))
+
     def _send_cancel(self, index: int, request_id: int, number: int) -> None:
         local_id = self._local.pop((request_id, number), None)
         if local_id is None:
--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -31,7 +31,7 @@
 _TRIAL_RETRY_S = 5.0
 _FAILED_TRIALS = 2
 _NO_LOOKUPS_S = 30.0
-_TRIAL_LIMIT_FACTOR = 4.0
+_TRIAL_LIMIT_FACTOR = 2.7
 
 _Tuning = _service_policy.HealthTuning
 
--- a/src/papayastall/_health.py
+++ b/src/papayastall/_health.py
@@ -26,8 +26,6 @@
 """A failing upstream is taken to finish work this many times slower."""
 _TAIL_EXPONENT = 2.0
 """Tail of healthy times: one in a hundred takes ten times the median."""
-_SLACK = 1.5
-"""Slower than the service by this factor is still healthy."""
 _MIN_ERROR_RATIO = 0.01
 _FAILING_ERROR_SHARE = 0.2
 _CONNECT_FAILED_GAIN = 6.0
@@ -94,7 +92,7 @@
     The cumulative hazard of a log-logistic distribution with the given
     median, less what a failing upstream would explain as well.
     """
-    ratio = age_s / (_SLACK * reference_s)
+    ratio = age_s / reference_s
     hazard = math.log1p(ratio**_TAIL_EXPONENT)
     return (1.0 - 1.0 / _SLOWDOWN) * hazard
 
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from papayastall import _decision_types as types
@@ -177,6 +178,15 @@
             if view is not None:
                 view.note_heard(now_s)
 
+    def peers_to_ping(self, now_s: float) -> set[str]:
+        """Return owners that left requests without a word of late."""
+        return {
+            name
+            for service in self._services.values()
+            for name, view in service.owners.items()
+            if view.is_silent(now_s)
+        }
+
     def caller_gone(self, now_s: float, request_id: int) -> _Actions:
         """Cancel what is left of a request whose caller went away."""
         pending = self._pending.pop(request_id, None)
@@ -231,10 +241,7 @@
     ) -> types.ForwardAttempt | None:
         request = pending.request
         service = self._service(request.service)
-        losses = self._suspects.losses(now_s, request.fingerprint)
-        choice = _service_view.choose(
-            now_s, service, pending, losses > 0, self._rng
-        )
+        choice = self._select(now_s, service, pending)
         if choice is None:
             return None
         owner = choice.view.advert.owner
@@ -260,6 +267,18 @@
             ),
         )
 
+    def _select(
+        self,
+        now_s: float,
+        service: state.ServiceView,
+        pending: state.PendingRequest,
+    ) -> _service_view.OwnerChoice | None:
+        fingerprint = pending.request.fingerprint
+        is_suspect = self._suspects.losses(now_s, fingerprint) > 0
+        return _service_view.choose(
+            now_s, service, pending, is_suspect, self._rng
+        )
+
     def _forward_or_end(
         self, now_s: float, pending: state.PendingRequest
     ) -> _Actions:
@@ -377,6 +396,20 @@
         actions += self._cancel_open(now_s, pending, keep=number)
         return actions
 
+    def _note_given_up(
+        self, now_s: float, pending: state.PendingRequest, number: int
+    ) -> None:
+        service = self._service(pending.request.service)
+        if math.isinf(service.policy.routing.silence_s):
+            return
+        view = service.owners.get(pending.open[number].owner)
+        if view is None:
+            return
+        key = (pending.request.request_id, number)
+        attempt = view.outstanding.get(key)
+        if attempt is not None:
+            view.note_given_up(now_s, attempt)
+
     def _cancel_open(
         self, now_s: float, pending: state.PendingRequest, keep: int | None
     ) -> _Actions:
@@ -384,6 +417,8 @@
         for number in list(pending.open):
             if number == keep:
                 continue
+            if keep is not None:
+                self._note_given_up(now_s, pending, number)
             self._close(now_s, pending, number)
             actions.append(
                 types.CancelAttempt(pending.request.request_id, number)
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -20,7 +20,7 @@
 
 _UNKNOWN_REFERENCE_S = 1.0
 _MIN_REFERENCE_S = 0.001
-_MIN_SAMPLES = 20
+_MIN_SAMPLES = 8
 _BUSY_STEP = 0.05
 _DECAY_INTERVAL_S = 1.0
 _MAX_ROUTES = 64
@@ -41,11 +41,12 @@
     upstream: state.Upstream,
     request: types.OwnerRequest,
 ) -> float:
-    """Return the time that the request should take as a rule, seconds."""
+    """Return the time that a healthy upstream may take as a rule, seconds."""
+    tuning = service.policy.thresholds()
     base_s = _warm_reference_s(service, request) or _UNKNOWN_REFERENCE_S
     if now_s < upstream.warm_s:
-        return base_s * service.policy.thresholds().cold_factor
-    return base_s
+        return base_s * tuning.slack * tuning.cold_factor
+    return base_s * tuning.slack
 
 
 def score(
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -69,6 +69,11 @@
                 self.silent_until_s = now_s + _SILENCE_WORD_S
                 return
 
+    def note_given_up(self, now_s: float, attempt: Outstanding) -> None:
+        """Take in that another owner answered while this one was silent."""
+        if self.heard_s < attempt.sent_s:
+            self.silent_until_s = now_s + _SILENCE_WORD_S
+
     def is_silent(self, now_s: float) -> bool:
         """Return whether its silence is still held against it."""
         return now_s < self.silent_until_s
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -27,6 +27,7 @@
     :param eject_score: score at which a permit to eject is asked for.
     :param stall_age_s: requests in flight younger than this raise doubt but
         steer nothing away.
+    :param slack: slower than the service by this factor is still healthy.
     :param eject_confirm_s: how long an upstream is steered away first.
     :param stay_s: first stay away; doubled at each relapse.
     :param slow_start_s: time from return to full weight.
@@ -36,6 +37,7 @@
     steer_score: float
     eject_score: float
     stall_age_s: float
+    slack: float = 1.5
     eject_confirm_s: float = 3.0
     stay_s: float = 2.0
     max_stay_s: float = 300.0
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -23,7 +23,7 @@
 ]
 
 _Code = exceptions.ErrorCode
-_MIN_SAMPLES = 10
+_MIN_SAMPLES = 3
 _MAX_ROUTES = 64
 _OVERLOADED_PAUSE_S = 0.05
 _STEERED_PAUSE_S = 0.2
