Log each change of an upstream and of a leader with its cause; send gauges

Metrics that nothing sent are removed from the table; a test compares the table with the program. The leaders' lines now have subject, before, after and cause like all others.

--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -115,6 +115,13 @@
         self.rejected_connections = 0
         self._beat_s = time.monotonic()
 
+    @property
+    def open_count(self) -> int:
+        """How many links stand."""
+        return sum(
+            peer.connection is not None for peer in self._peers.values()
+        )
+
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen and watch; runs in ``tasks`` until :meth:`close`."""
         self._tasks = tasks
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -15,7 +15,6 @@
 import anyio
 import anyio.abc
 import anyio.to_thread
-import eliot
 
 from papayastall import _files
 from papayastall import _peering
@@ -25,6 +24,7 @@
 from papayastall import _replica_set
 from papayastall import _storage
 from papayastall import exceptions
+from papayastall import logs
 from papayastall import metrics
 
 __all__ = ["ReplicaHost", "ReplicaSettings", "StateMachine"]
@@ -337,14 +337,19 @@
     def _note_leaders(self, replicas: _replica_set.ReplicaSet) -> None:
         for group in replicas.groups:
             leader = group.replica.leader
-            if self._leaders.get(group.number) != leader:
-                self._leaders[group.number] = leader
-                eliot.log_message(
-                    message_type="papayastall:leader",
-                    group=group.number,
-                    leader=leader,
-                    term=group.replica.term,
+            before = self._leaders.get(group.number)
+            if before == leader:
+                continue
+            self._leaders[group.number] = leader
+            logs.log_change(
+                logs.StateChange(
+                    logs.ChangeKind.CONTROL,
+                    f"group {group.number}",
+                    before or "no leader",
+                    leader or "no leader",
+                    f"term {group.replica.term}",
                 )
+            )
 
     async def _hand_over(self) -> None:
         """Give up all leadership and send the last messages."""
@@ -360,9 +365,6 @@
     def _fail(self, error: exceptions.PapayastallError) -> None:
         """Stop for good; what is on the disk may be unknown."""
         self.failure = error
-        eliot.log_message(
-            message_type="papayastall:replica-failed", error=str(error)
-        )
         self._proposals.fail_all()
         self._turn_done.set()
         if self._on_failure is not None:
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -209,9 +209,11 @@
             scoped_key, request.fingerprint, request.deadline_s
         )
         if isinstance(result, KeptAnswer):
+            self._count(metrics.Counter.CLAIM_REPEATS, exchange)
             await reply.start(result.status, result.headers)
             await reply.finish(result.body)
             return True
+        self._count(metrics.Counter.CLAIMS, exchange)
         exchange.claim_key = scoped_key
         exchange.claim_token = result
         return False
@@ -273,6 +275,8 @@
             counter = metrics.Counter.UNKNOWN_OUTCOMES
             detail = "the request may have run; ask before sending it again"
         self._count(counter, exchange)
+        if refusal.code is _Code.CRASHING_REQUEST:
+            self._count(metrics.Counter.CRASHING_REFUSALS, exchange)
         await reply.send_problem(
             _problem.Problem(
                 refusal.code,
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -91,29 +91,23 @@
     PERMITS_DENIED = Description(
         "permits_denied", "permits", "denied to keep the floor", True
     )
-    CLAIMS = Description("claims", "keys", "idempotency keys claimed")
+    CLAIMS = Description("claims", "keys", "idempotency keys claimed", True)
     CLAIM_REPEATS = Description(
-        "claim_repeats", "requests", "resent with a key already claimed"
+        "claim_repeats",
+        "requests",
+        "answered with the first answer to their key",
+        True,
     )
     CRASHING_REFUSALS = Description(
-        "crashing_refusals", "requests", "refused since they crash upstreams"
-    )
-    CALLER_PROTOCOL_ERRORS = Description(
-        "caller_protocol_errors", "connections", "bad input from callers"
+        "crashing_refusals",
+        "requests",
+        "refused since they crash upstreams",
+        True,
     )
     LINK_OPENS = Description("link_opens", "links", "opened to other nodes")
     LINK_FAILURES = Description(
         "link_failures", "links", "lost or found silent"
     )
-    LINK_SENT_BYTES = Description(
-        "link_sent_bytes", "bytes", "sent to other nodes over links"
-    )
-    GOSSIP_SENT_BYTES = Description(
-        "gossip_sent_bytes", "bytes", "sent to other nodes as datagrams"
-    )
-    GOSSIP_REFUSED = Description(
-        "gossip_refused", "datagrams", "with a wrong digest or form"
-    )
     CONFIG_CHANGES = Description(
         "config_changes", "documents", "that came into force here"
     )
@@ -128,9 +122,7 @@
     """Values of this node; the node's address is part of the name."""
 
     IN_FLIGHT = Description("in_flight", "requests", "in flight at this node")
-    QUEUED = Description("queued", "requests", "waiting at this owner")
     LINKS = Description("links", "links", "open to other nodes")
-    UPSTREAMS = Description("upstreams", "upstreams", "owned by this node")
     MEMBERS_ALIVE = Description("members_alive", "nodes", "alive as seen here")
     CONFIG_INDEX = Description("config_index", "index", "in force here")
     LOOP_DELAY = Description(
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -21,6 +21,7 @@
 from papayastall import _gossip
 from papayastall import _http_server
 from papayastall import _ingress_controller
+from papayastall import _journal
 from papayastall import _links
 from papayastall import _membership
 from papayastall import _membership_types
@@ -217,9 +218,30 @@
         await self.gossiper.start(tasks)
         await self.control.start(tasks)
         tasks.start_soon(self._advertise)
+        tasks.start_soon(self._make_journal().run)
         await self.control_server.start(tasks)
         await self.caller_server.start(tasks)
-        self._log_state("starting", "running", "all listeners are open")
+        cause = "all listeners are open"
+        if self.settings.insecure:
+            cause += "; insecure: keys and secrets may be left out"
+        self._log_state("starting", "running", cause)
+
+    def _make_journal(self) -> _journal.Journal:
+        return _journal.Journal(
+            self.settings.link_address,
+            self.counters,
+            lambda: self.owner_controller.upstreams(time.monotonic()),
+            self._read_gauges,
+        )
+
+    def _read_gauges(self) -> dict[metrics.Gauge, float]:
+        in_flight = self.ingress.open_requests + self.owner.running()
+        return {
+            metrics.Gauge.IN_FLIGHT: in_flight,
+            metrics.Gauge.LINKS: self.links.open_count,
+            metrics.Gauge.MEMBERS_ALIVE: len(self.membership.members()),
+            metrics.Gauge.CONFIG_INDEX: self.blackboard.config_index,
+        }
 
     async def close(self) -> None:
         """Stop without cutting a request.
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,62 @@
+"""Tests of the log lines and counters of upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from papayastall import _decision_types
+from papayastall import _journal
+from papayastall import _owner_state
+from papayastall import logs
+from papayastall import metrics
+
+VIEW = _owner_state.UpstreamView(
+    upstream="10.0.0.1:9000",
+    service="visits",
+    slots=7,
+    in_flight=0,
+    weight=1.0,
+    score=0.0,
+    state=_decision_types.UpstreamState.READY,
+    standing=_owner_state.Standing.HEALTHY,
+    out_until_s=None,
+    leaving=False,
+)
+
+
+def test_each_change_of_an_upstream_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    changes: list[logs.StateChange] = []
+    monkeypatch.setattr(logs, "log_change", changes.append)
+    views = [VIEW]
+    sums = metrics.Metrics(None, "n")
+    journal = _journal.Journal("n", sums, lambda: views, lambda: {})
+    standing = _owner_state.Standing
+    steps = [
+        VIEW,
+        dataclasses.replace(VIEW, standing=standing.STEERED, score=4.0),
+        dataclasses.replace(VIEW, standing=standing.EJECTED),
+        dataclasses.replace(VIEW, standing=standing.RETURNING),
+        dataclasses.replace(VIEW, leaving=True),
+    ]
+    for view in steps:
+        views[:] = [view]
+        journal.observe()
+        journal.observe()
+    views.clear()
+    journal.observe()
+    path = [(change.before, change.after) for change in changes]
+    assert path == [
+        ("unknown", "healthy"),
+        ("healthy", "steered away"),
+        ("steered away", "ejected"),
+        ("ejected", "returning"),
+        ("returning", "leaving"),
+        ("leaving", "gone"),
+    ]
+    assert all(change.cause for change in changes)
+    assert sums._sums[metrics.Counter.STEERINGS, "visits"] == 1
+    assert sums._sums[metrics.Counter.RETURNS, "visits"] == 1
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -51,3 +51,14 @@
         if isinstance(metric, metrics.Gauge):
             name = f"{about.name}.NODE"
         assert f"| `{name}` | {about.unit} | {about.meaning} |" in page
+
+
+def test_every_metric_is_sent_by_the_program() -> None:
+    source = "".join(
+        path.read_text()
+        for path in pathlib.Path(metrics.__file__).parent.glob("*.py")
+        if path.name != "metrics.py"
+    )
+    for metric in (*metrics.Counter, *metrics.Gauge):
+        if metric is not metrics.Counter.METRICS_DROPPED:
+            assert f"metrics.{metric}" in source
