--- a/src/papayastall/_journal.py
+++ b/src/papayastall/_journal.py
@@ -23,8 +23,15 @@
 Standing = _owner_state.Standing
 
 COUNTERS = {
-    Standing.STEERED.value: metrics.Counter.STEERINGS,
-    Standing.RETURNING.value: metrics.Counter.RETURNS,
+    (Standing.HEALTHY.value, Standing.STEERED.value): (
+        metrics.Counter.STEERINGS
+    ),
+    (Standing.RETURNING.value, Standing.STEERED.value): (
+        metrics.Counter.STEERINGS
+    ),
+    (Standing.EJECTED.value, Standing.RETURNING.value): (
+        metrics.Counter.RETURNS
+    ),
 }
 
 
@@ -70,7 +77,7 @@
                 continue
             self._states[upstream] = after
             self._log(upstream, before, after, _explain(view))
-            counter = COUNTERS.get(after)
+            counter = COUNTERS.get((before, after))
             if counter is not None:
                 self._counters.count(counter, service=view.service)
         for upstream in [name for name in self._states if name not in views]:
@@ -106,7 +113,7 @@
         case Standing.EJECTED:
             cause = "the evidence lasted and control gave a permit"
         case Standing.RETURNING:
-            cause = "its time out ended, a few lookups try it"
+            cause = "slow start: new, back, or its time out ended"
         case Standing.HEALTHY:
             cause = "announced, or real work went well"
     return f"{view.service}: {cause} (score {view.score:.1f})"
