--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -31,7 +31,7 @@
 _TRIAL_RETRY_S = 5.0
 _FAILED_TRIALS = 2
 _NO_LOOKUPS_S = 30.0
-_TRIAL_LIMIT_FACTOR = 4.0
+_TRIAL_LIMIT_FACTOR = 2.7
 
 _Tuning = _service_policy.HealthTuning
 
@@ -184,8 +184,6 @@
     upstream.standing = state.Standing.RETURNING
     upstream.standing_since_s = now_s
     upstream.evidence.reset()
-    for run in upstream.running.values():
-        run.ignored = True
     return forget_permit(upstream)
 
 
