Let a node run on without its replica when the folder is bad

Cause: a damaged or empty folder kept the whole node from starting. Change: the replica fails with its reason, the node goes on; a folder that another process uses still refuses the start. Conclusion: test_damaged_folder_leaves_the_rest_of_the_node_running.

--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -110,13 +110,24 @@
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Open the data folder and take part in every group.
 
+        With a folder that is empty, damaged or can't be written, the
+        replicas fail at once; the rest of the node goes on without them.
+
         :param tasks: the replicas run in it until :meth:`close`.
-        :raises papayastall.exceptions.StorageError: the folder can't be
-            used.
+        :raises papayastall.exceptions.StorageError: another process uses
+            the folder.
+        :raises papayastall.exceptions.BadInputError: it holds more groups
+            than there are state machines.
         """
-        folder = await self._in_thread(
-            lambda: self._storage.open(group_count=len(self._machines))
-        )
+        try:
+            folder = await self._in_thread(
+                lambda: self._storage.open(group_count=len(self._machines))
+            )
+        except exceptions.StorageError as error:
+            if error.code is exceptions.ErrorCode.FOLDER_IN_USE:
+                raise
+            self._fail(error)
+            return
         self._set = _replica_set.ReplicaSet(
             folder,
             self.settings.own_address,
@@ -200,10 +211,14 @@
 
     def leader(self, group: int) -> str | None:
         """Return the address of the leader as far as it is known."""
+        if self._set is None:
+            return None
         return self._group(group).replica.leader
 
     def applied_index(self, group: int) -> int:
         """Return the index of the last entry applied here."""
+        if self._set is None:
+            return 0
         return self._group(group).applied_index
 
     def members(self, group: int) -> types.Members:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -172,3 +172,26 @@
         await hosts.propose(0, b"on the others")
 
     await run_hosts(tmp_path, body)
+
+
+async def test_damaged_folder_leaves_the_rest_of_the_node_running(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def body(hosts: Hosts) -> None:
+        await hosts.propose(0, b"before")
+        address = ADDRESSES[1]
+        await hosts.hosts[address].close()
+        identity = pathlib.Path(hosts.path(address)) / "identity"
+        identity.write_bytes(b"damaged")
+        await hosts.start(address)
+        host = hosts.hosts.pop(address)
+        assert host.failure is not None
+        assert host.failure.code is exceptions.ErrorCode.STORAGE_DAMAGED
+        assert str(identity) in str(host.failure)
+        assert host.leader(0) is None
+        with pytest.raises(exceptions.StorageError):
+            await host.propose(0, b"refused", 1.0)
+        await host.close()
+        assert await hosts.propose(0, b"on the others") == b"2"
+
+    await run_hosts(tmp_path, body)
