Spread the leaders of the groups over the replicas

Cause: whoever won an election led on, so that restarts one by one left all leaders on the nodes restarted last. Change: each group prefers one of its voters; another leader yields to it when it holds all that is committed, with a growing wait. The randomised runs yield every 2 to 8 s.

--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -29,6 +29,7 @@
     :param identity: this process; its boot must already be durable.
     :param addresses: all replicas, in the order of the settings.
     :param stored: what the data folder holds.
+    :param preference: which of the voters should lead, see `RaftState`.
     """
 
     def __init__(
@@ -39,9 +40,10 @@
         timings: types.Timings,
         rng: random.Random,
         now_s: float,
+        preference: int | None = None,
     ) -> None:
         state = _raft_state.RaftState(
-            identity, addresses, stored, timings, rng, now_s
+            identity, addresses, stored, timings, rng, now_s, preference
         )
         self._state = state
         self._election = _raft_election.Election(state)
@@ -125,6 +127,7 @@
             self._step_down(now_s)
         else:
             leadership.tick(now_s)
+            self._yield(now_s, leadership)
         return self._take()
 
     def persisted(self, now_s: float) -> types.Output:
@@ -200,14 +203,27 @@
         """Give leadership up to the replica that is fit best."""
         if self._leadership is not None:
             target = self._leadership.transfer_target(now_s)
-            self._step_down(now_s)
-            if target is not None:
-                message = self._state.message(
-                    target.address, target.folder_id, types.TimeoutNow()
-                )
-                self._state.out.messages.append(message)
+            self._hand_over(now_s, target)
         return self._take()
 
+    def _yield(
+        self, now_s: float, leadership: _raft_leader.Leadership
+    ) -> None:
+        """Let the preferred replica lead, so that groups spread."""
+        state = self._state
+        target = leadership.yield_target(now_s)
+        if target is not None:
+            state.yield_s = min(2 * state.yield_s, state.timings.yield_max_s)
+            self._hand_over(now_s, target)
+
+    def _hand_over(self, now_s: float, target: types.Member | None) -> None:
+        self._step_down(now_s)
+        if target is not None:
+            message = self._state.message(
+                target.address, target.folder_id, types.TimeoutNow()
+            )
+            self._state.out.messages.append(message)
+
     def compact(self, index: int, kept_entries: int) -> None:
         """Forget entries that a durable snapshot covers.
 
--- a/src/papayastall/_raft_leader.py
+++ b/src/papayastall/_raft_leader.py
@@ -23,6 +23,7 @@
         "_heartbeat_s",
         "_progress",
         "_replication",
+        "_since_s",
         "_stable_index",
         "_state",
         "_term_start_index",
@@ -35,6 +36,7 @@
         self._stable_index = state.log.last_index
         self._term_start_index = state.log.last_index + 1
         self._heartbeat_s = now_s
+        self._since_s = now_s
         self._track_members(now_s)
         self.append(now_s, types.EntryKind.NOOP, [b""])
 
@@ -228,6 +230,21 @@
             return None
         return max(fit, key=lambda progress: progress.match_index).member
 
+    def yield_target(self, now_s: float) -> types.Member | None:
+        """Return the preferred leader once it is time to yield to it."""
+        state = self._state
+        preferred = state.preferred_leader()
+        if preferred is None or now_s < self._since_s + state.yield_s:
+            return None
+        progress = self._progress.get(preferred.folder_id)
+        if progress is None or not self.may_change_members():
+            return None
+        is_fit = (
+            progress.match_index >= state.commit_index
+            and now_s - progress.replied_s < state.timings.lease_s
+        )
+        return preferred if is_fit else None
+
     def may_change_members(self) -> bool:
         """Whether the last change of members is committed."""
         state = self._state
--- a/src/papayastall/_raft_state.py
+++ b/src/papayastall/_raft_state.py
@@ -34,6 +34,8 @@
     :param identity: this process; its boot must already be durable.
     :param addresses: all replicas, from the settings.
     :param rng: source of the election timeouts.
+    :param preference: which of the voters should lead; taken modulo their
+        number, ``None`` for any.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "leader",
         "log",
         "out",
+        "preference",
         "rng",
         "role",
         "snapshot",
@@ -54,6 +57,7 @@
         "term_leader_id",
         "timings",
         "vote",
+        "yield_s",
     )
 
     def __init__(
@@ -64,8 +68,11 @@
         timings: types.Timings,
         rng: random.Random,
         now_s: float,
+        preference: int | None = None,
     ) -> None:
         self.identity = identity
+        self.preference = preference
+        self.yield_s = timings.yield_s
         self.addresses = addresses
         self.timings = timings
         self.rng = rng
@@ -109,6 +116,13 @@
                 return member
         return None
 
+    def preferred_leader(self) -> types.Member | None:
+        """Return the voter that should lead when all is well."""
+        voters = [m for m in self.log.members.members if m.voter]
+        if self.preference is None or not voters:
+            return None
+        return voters[self.preference % len(voters)]
+
     def quorum_size(self) -> int:
         """Return how many voters make a majority."""
         return len(self.log.members.voter_ids()) // 2 + 1
--- a/src/papayastall/_raft_types.py
+++ b/src/papayastall/_raft_types.py
@@ -79,6 +79,8 @@
         heard a leader.
     :param lease_s: shorter than ``election_min_s`` by more than the clocks
         of two machines drift apart in that time.
+    :param yield_s: a leader leads for so long before it yields to the
+        replica that is preferred; twice as long after each time.
     """
 
     heartbeat_s: float = 0.3
@@ -86,6 +88,8 @@
     election_max_s: float = 2.0
     lease_s: float = 0.9
     join_s: float = 0.5
+    yield_s: float = 10.0
+    yield_max_s: float = 600.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -296,7 +296,13 @@
             Group(
                 number,
                 _raft.Replica(
-                    self.identity, addresses, stored, timings, rng, now_s
+                    self.identity,
+                    addresses,
+                    stored,
+                    timings,
+                    rng,
+                    now_s,
+                    preference=number,
                 ),
                 machine,
             )
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -369,3 +369,17 @@
     cluster.cuts.clear()
     cluster.run_until(lambda: lost.folder_id in voter_ids(cluster))
     cluster.settle()
+
+
+def test_leadership_returns_to_the_preferred_replica() -> None:
+    cluster = make_cluster()
+    cluster.timings = types.Timings()
+    for node in cluster.running():
+        cluster.restart(node)
+    preferred = cluster.nodes[cluster.addresses[0]]
+    cluster.crash(preferred)
+    commit(cluster, "while it is away")
+    cluster.start(preferred)
+    cluster.run_until(lambda: cluster.leader() is preferred)
+    commit(cluster, "under the preferred leader")
+    cluster.settle()
--- a/tests/test_raft_random.py
+++ b/tests/test_raft_random.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from papayastall import _raft_types as types
 from tests import raft_cluster
 
 FAULTS = (
@@ -40,6 +41,9 @@
         cluster_class: type[raft_cluster.Cluster] = raft_cluster.Cluster,
     ) -> None:
         self.cluster = cluster_class(seed, size)
+        self.cluster.timings = types.Timings(yield_s=2.0, yield_max_s=8.0)
+        for node in self.cluster.running():
+            self.cluster.restart(node)
         self.proposals = 0
         self.cluster.run_until(self.cluster.has_leader)
 
