--- a/src/papayastall/_claims.py
+++ b/src/papayastall/_claims.py
@@ -25,6 +25,8 @@
 CLAIM_TIMEOUT_S = 2.0
 BACKGROUND_TIMEOUT_S = 120.0
 MAX_BACKGROUND_CALLS = 1024
+CLOSE_TIMEOUT_S = 5.0
+CLOSE_POLL_S = 0.02
 MAX_KEPT_BODY_BYTES = 60 * 1024
 UNAVAILABLE_RETRY_S = 2.0
 HASH_SLOTS = 4096
@@ -63,9 +65,13 @@
         self._tasks = tasks
 
     async def close(self) -> None:
-        """Wait until outcomes are recorded and claims given back."""
-        while self._background:
-            await anyio.sleep(0.02)
+        """Wait, for a time, until outcomes are recorded.
+
+        What is not recorded by then is answered with "outcome unknown".
+        """
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            while self._background:
+                await anyio.sleep(CLOSE_POLL_S)
 
     async def claim(
         self, key: str, fingerprint: int, deadline_s: float
--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -75,6 +75,8 @@
     SERVING = 1
     NOT_SERVING = 2
     GONE = 3
+    SUSPECTED = 4
+    """Steered away: not counted as healthy, nor taken out for nothing."""
 
 
 class PermitReason(enum.IntEnum):
--- a/src/papayastall/_permit_state.py
+++ b/src/papayastall/_permit_state.py
@@ -198,7 +198,8 @@
             return _State.UNKNOWN_SERVICE
         if command.config_index < config_index:
             return _State.OLD_CONFIG
-        if entry.healthy_slots == 0:
+        is_out = entry.report.state is _Report.NOT_SERVING
+        if is_out or entry.granted_index:
             return _State.GRANTED
         return self._judge_floor(entry, floor_slots, observed)
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -398,6 +398,10 @@
         _owner_state.Standing.RETURNING,
     )
     ready = view.state is _decision_types.UpstreamState.READY
-    if healthy and ready and not view.leaving:
-        return commands.UpstreamReportState.SERVING
+    if view.standing is _owner_state.Standing.EJECTED:
+        return commands.UpstreamReportState.NOT_SERVING
+    if ready and not view.leaving:
+        if healthy:
+            return commands.UpstreamReportState.SERVING
+        return commands.UpstreamReportState.SUSPECTED
     return commands.UpstreamReportState.NOT_SERVING
--- a/tests/test_permit_state.py
+++ b/tests/test_permit_state.py
@@ -129,6 +129,16 @@
     assert ledger.ask("o2", "u2") is _State.FLOOR
 
 
+def test_suspected_upstreams_are_not_ejected_under_the_floor() -> None:
+    ledger = make_ledger(floor_slots=6)
+    ledger.report("o1", ("u1", 3, _Report.SUSPECTED), full=False)
+    assert ledger.ask("o2", "u2") is _State.FLOOR
+    ledger.report("o2", ("u2", 3, _Report.SUSPECTED), full=False)
+    assert ledger.ask("o1", "u1") is _State.FLOOR
+    ledger.report("o2", ("u2", 3, _Report.SERVING), full=False)
+    assert ledger.ask("o1", "u1") is _State.GRANTED
+
+
 def test_owners_that_the_leader_does_not_see_do_not_count() -> None:
     ledger = make_ledger(floor_slots=6)
     unseen = (commands.ObservedSlots("o3", 0),)
@@ -168,7 +178,9 @@
 
 steps = st.lists(
     st.tuples(
-        st.sampled_from(["ask", "serving", "sick", "gone", "resend", "move"]),
+        st.sampled_from(
+            ["ask", "serving", "sick", "suspect", "gone", "resend", "move"]
+        ),
         st.integers(0, 3),
         st.integers(0, 1),
     ),
@@ -201,6 +213,8 @@
                 self.ledger.ask(owner, asked, sequence=sequence)
             case "sick":
                 self._report(upstream, _Report.NOT_SERVING)
+            case "suspect":
+                self._report(upstream, _Report.SUSPECTED)
             case "gone":
                 self._report(upstream, _Report.GONE)
             case "serving":
