--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -313,9 +313,7 @@
         request: types.OwnerRequest,
         slots: int,
     ) -> list[types.OwnerAction]:
-        wait_s = _placement.expected_wait_s(service, request.team, slots)
-        run_s = _placement.expected_run_s(service, request)
-        if now_s + wait_s + run_s > request.deadline_s:
+        if not _placement.can_wait(now_s, service, request, slots):
             return [self._refuse_overloaded(service, request, slots)]
         actions: list[types.OwnerAction] = []
         if len(service.queue) >= service.policy.max_queued:
@@ -347,7 +345,7 @@
                 case _placement.NoUpstream(code):
                     actions.append(self._refuse(request, code))
                 case _placement.Place(upstream, is_trial):
-                    if request.deadline_s <= now_s:
+                    if not _placement.has_time(now_s, service, request):
                         code = _Code.DEADLINE_EXCEEDED
                         actions.append(self._refuse(request, code))
                     else:
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -17,12 +17,16 @@
     "Place",
     "Wait",
     "backlog_s",
+    "can_wait",
     "choose",
     "expected_run_s",
     "expected_wait_s",
+    "has_time",
 ]
 
 _TRIAL_SHARE = 0.05
+_RUN_MARGIN = 3.0
+_MAX_WAIT_S = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -95,6 +99,33 @@
     return median.value
 
 
+def can_wait(
+    now_s: float,
+    service: state.ServiceState,
+    request: types.OwnerRequest,
+    slots: int,
+) -> bool:
+    """Return whether a request that queues now will end in time.
+
+    Half its time is kept for running it: what is cut at its deadline has
+    cost the slot and answers nobody. Nobody waits longer than the others
+    for having a later deadline, or bookings would push lookups out.
+    """
+    wait_s = expected_wait_s(service, request.team, slots)
+    left_s = request.deadline_s - now_s
+    if wait_s > min(_MAX_WAIT_S, left_s / 2.0):
+        return False
+    return has_time(now_s + wait_s, service, request)
+
+
+def has_time(
+    now_s: float, service: state.ServiceState, request: types.OwnerRequest
+) -> bool:
+    """Return whether a request that starts now will likely end in time."""
+    run_s = expected_run_s(service, request)
+    return now_s + _RUN_MARGIN * run_s < request.deadline_s
+
+
 def backlog_s(service: state.ServiceState, slots: int) -> float:
     """Return how long the work already accepted takes, seconds."""
     return (len(service.queue) + slots) * service.busy_s / max(1, slots)
