--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -7,11 +7,13 @@
 import sys
 import time
 import typing as t
+import urllib.parse
 
 import httpcore
 import orjson
 
 from papayastall import _control_client
+from papayastall import _histogram_report
 from papayastall import _tables
 from papayastall import exceptions
 
@@ -21,7 +23,9 @@
     "apply",
     "demo",
     "drain",
+    "histograms",
     "print_data",
+    "read_document",
     "show",
     "status",
     "undrain",
@@ -75,7 +79,7 @@
     """Apply documents; with ``--wait`` until every live node has them."""
     client = connect(arguments)
     documents = [
-        {"source": path, "text": _read_document(path)}
+        {"source": path, "text": read_document(path)}
         for path in arguments["<document>"]
     ]
     answer = client.post("/v1/documents", {"documents": documents})
@@ -150,19 +154,42 @@
     print_data(arguments, answer, f"{upstream} may serve again")
 
 
+def histograms(arguments: Arguments) -> None:
+    """Draw the histograms of one node."""
+    wanted = {
+        name: arguments[f"--{name}"]
+        for name in ("service", "team")
+        if arguments[f"--{name}"] is not None
+    }
+    query = f"?{urllib.parse.urlencode(wanted)}" if wanted else ""
+    answer = connect(arguments).get(f"/v1/histograms{query}")
+    text = _histogram_report.draw(answer["histograms"])
+    print_data(arguments, answer, text)
+
+
 def demo(arguments: Arguments) -> None:
-    """Send a lookup and a booking through a node and print the answers."""
+    """Send a lookup and a booking through a node and print the answers.
+
+    :raises papayastall.exceptions.RefusedError: one was not answered.
+    """
     address = arguments["<caller-address>"]
     requests = (
         ("GET", arguments["<lookup-path>"], None),
-        ("POST", arguments["<booking-path>"], b'{"demo": true}'),
+        ("POST", arguments["<booking-path>"], b'{"visit": 17}'),
     )
     answers = [
         _send_demo_request(address, method, path, body)
         for method, path, body in requests
     ]
-    columns = ("request", "status", "answer")
+    columns = ("request", "status", "owner", "answer")
     print_data(arguments, {"answers": answers}, _format(columns, answers))
+    if any(answer["status"] >= 300 for answer in answers):
+        raise exceptions.RefusedError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            "not both requests were answered; see the table",
+            step="demo",
+            peer=address,
+        )
 
 
 def _send_demo_request(
@@ -179,9 +206,11 @@
             step="demo",
             peer=address,
         ) from error
+    headers = {name.lower(): value for name, value in response.headers}
     return {
         "request": f"{method} {path}",
         "status": response.status,
+        "owner": headers.get(b"papayastall-owner", b"-").decode("latin-1"),
         "answer": response.content.decode(errors="replace").strip(),
     }
 
@@ -193,7 +222,11 @@
     return _tables.format_table(columns, values)
 
 
-def _read_document(path: str) -> str:
+def read_document(path: str) -> str:
+    """Return the text of a document.
+
+    :raises papayastall.exceptions.BadInputError: it can't be read.
+    """
     try:
         return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -208,12 +241,7 @@
     client: _control_client.ControlClient, index: int, arguments: Arguments
 ) -> None:
     def find_behind() -> list[str]:
-        nodes = client.get("/v1/status")["nodes"]
-        return [
-            node["node"]
-            for node in nodes
-            if node["state"] == "alive" and (node["index"] or 0) < index
-        ]
+        return list(client.get(f"/v1/missing?index={index}")["missing"])
 
     behind = _poll(find_behind, "nodes behind", arguments)
     if behind:
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -201,8 +201,9 @@
     def tick(self, now_s: float) -> _Actions:
         """Do what time alone brings about; call every 20 to 100 ms."""
         actions: _Actions = []
-        for service in self._services.values():
-            for view in service.owners.values():
+        busy = {pending.request.service for pending in self._pending.values()}
+        for name in sorted(busy):
+            for view in self._service(name).owners.values():
                 view.note_silence(now_s)
         for pending in list(self._pending.values()):
             if pending.chosen is not None:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections.abc as cabc
-import contextlib
 import dataclasses
 import enum
 import itertools
@@ -25,6 +24,7 @@
 from papayastall import _frames
 from papayastall import _peering
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["LinkEvent", "LinkSettings", "Links"]
 
@@ -35,6 +35,8 @@
 WATCH_INTERVAL_S = 0.1
 REDIAL_INTERVAL_S = 0.5
 IDLE_CLOSE_S = 60.0
+IDLE_ROUND_INTERVAL = 50
+"""Rounds of the watch between two looks at the links without work."""
 MAX_UNSENT_CAST_BYTES = 4 << 20
 HELLO_TIMEOUT_S = 2.0
 
@@ -55,6 +57,7 @@
     :param address: own link address, ``ip:port``.
     :param server_tls: context for accepted connections, or ``None``.
     :param client_tls: context for dialled connections, or ``None``.
+    :param listen_address: where to listen, if not at ``address``.
     """
 
     address: str
@@ -62,6 +65,7 @@
     failure_domain: str
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
+    listen_address: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,13 +96,16 @@
     def __init__(
         self,
         settings: LinkSettings,
+        counters: metrics.Metrics,
         get_config_index: cabc.Callable[[], int] = lambda: 0,
         see_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
     ) -> None:
         self.settings = settings
+        self._counters = counters
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
         self._peers: dict[str, _Peer] = {}
+        self._watched: dict[str, _Peer] = {}
         self._handlers: dict[type, FrameHandler] = {}
         self._event_handlers: list[EventHandler] = []
         self._cast_handlers: dict[int, _peering.CastHandler] = {}
@@ -108,12 +115,19 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._listener: anyio.abc.Listener[t.Any] | None = None
         self.rejected_connections = 0
-        self._beat_s = time.monotonic()
+
+    @property
+    def open_count(self) -> int:
+        """How many links stand."""
+        return sum(
+            peer.connection is not None for peer in self._peers.values()
+        )
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Listen and watch; runs in ``tasks`` until :meth:`close`."""
         self._tasks = tasks
-        host, _, port = self.settings.address.rpartition(":")
+        address = self.settings.listen_address or self.settings.address
+        host, _, port = address.rpartition(":")
         listener: anyio.abc.Listener[t.Any]
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port)
@@ -157,28 +171,34 @@
         """Register what answers each call of a channel."""
         self._call_handlers[int(channel)] = handler
 
-    async def connect(self, address: str) -> int:
-        """Wait for a link and return the peer's boot id.
+    async def connect(self, address: str) -> None:
+        """Wait for a link.
 
         :raises papayastall.exceptions.UnreachableError: no link in time;
             nothing was sent.
         """
-        if address == self.settings.address:
-            return self.settings.boot_id
         peer = self._peer(address)
-        if peer.connection is None or peer.connection.is_closed:
+        if not self.is_connected(address):
             peer.ready = anyio.Event()
             self._dial(peer)
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
                 await peer.ready.wait()
-            if peer.connection is None or peer.connection.is_closed:
+            if not self.is_connected(address):
                 raise exceptions.UnreachableError(
                     exceptions.ErrorCode.LINK_FAILED,
                     "no link can be made; check the node and the network",
                     step="connect",
                     peer=address,
                 )
-        return peer.boot_id
+
+    def is_connected(self, address: str) -> bool:
+        """Return whether a frame to the peer would be sent now."""
+        if address == self.settings.address:
+            return True
+        peer = self._peers.get(address)
+        if peer is None or peer.connection is None:
+            return False
+        return not peer.connection.is_closed
 
     def boot_id(self, address: str) -> int:
         """Return the boot id in the peer's last hello, 0 before one."""
@@ -199,6 +219,8 @@
         peer = self._peer(address)
         if peer.connection is not None:
             peer.used_s = time.monotonic()
+            if isinstance(frame, _frames.Open):
+                frame.sent_ms = _now_ms()
             peer.connection.send(frame, self._get_config_index())
 
     def watch(self, address: str) -> None:
@@ -208,6 +230,7 @@
         peer = self._peer(address)
         if peer.outstanding == 0:
             peer.watched_since_s = time.monotonic()
+            self._watched[address] = peer
         peer.outstanding += 1
 
     def unwatch(self, address: str) -> None:
@@ -217,6 +240,8 @@
         peer = self._peer(address)
         peer.outstanding -= 1
         assert peer.outstanding >= 0, address
+        if peer.outstanding == 0:
+            self._watched.pop(address, None)
 
     def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
         """Send without waiting; dropped where the link is down or full."""
@@ -272,23 +297,28 @@
         return peer
 
     async def _serve(self, listener: anyio.abc.Listener[t.Any]) -> None:
-        with contextlib.suppress(anyio.ClosedResourceError):
+        try:
             await listener.serve(self._accept)
+        except* anyio.ClosedResourceError:
+            pass
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(stream, self._receive)
-        self._greet(connection)
-        self._start_expiry(connection)
+        self._start_expiry(connection, HELLO_TIMEOUT_S)
         await self._run(connection)
 
-    def _start_expiry(self, connection: _connection.Connection) -> None:
+    def _start_expiry(
+        self, connection: _connection.Connection, timeout_s: float
+    ) -> None:
         assert self._tasks is not None
-        self._tasks.start_soon(self._expire_without_hello, connection)
+        self._tasks.start_soon(
+            self._expire_without_hello, connection, timeout_s
+        )
 
     async def _expire_without_hello(
-        self, connection: _connection.Connection
+        self, connection: _connection.Connection, timeout_s: float
     ) -> None:
-        await anyio.sleep(HELLO_TIMEOUT_S)
+        await anyio.sleep(timeout_s)
         if connection.peer is None:
             connection.close()
 
@@ -297,6 +327,7 @@
             self.settings.address,
             self.settings.boot_id,
             self.settings.failure_domain,
+            _now_ms(),
         )
         connection.send(hello, self._get_config_index())
 
@@ -316,17 +347,26 @@
                 stream = await self._open_stream(peer.address)
         except (OSError, anyio.BrokenResourceError, ssl.SSLError):
             pass
-        finally:
-            peer.is_dialling = False
         if stream is None:
-            peer.lost_connection = True
-            self._tell(peer.address, LinkEvent.DOWN)
+            self._note_dial_failed(peer)
             return
         connection = _connection.Connection(stream, self._receive)
         connection.address = peer.address
         self._greet(connection)
-        self._start_expiry(connection)
+        self._start_expiry(connection, DIAL_TIMEOUT_S)
         await self._run(connection)
+        if connection.peer is None:
+            # A stopped process, or a network cut one way, accepts
+            # connections as well but never greets.
+            self._note_dial_failed(peer)
+
+    def _note_dial_failed(self, peer: _Peer) -> None:
+        peer.is_dialling = False
+        if peer.connection is not None and not peer.connection.is_closed:
+            return
+        peer.lost_connection = True
+        peer.ready.set()
+        self._tell(peer.address, LinkEvent.DOWN)
 
     async def _open_stream(self, address: str) -> anyio.abc.ByteStream:
         host, _, port = address.rpartition(":")
@@ -359,10 +399,6 @@
                 if peer.outstanding:
                     self._dial(peer)
 
-    def seconds_since_beat(self) -> float:
-        """Return for how long this process may not have read frames."""
-        return max(0.0, time.monotonic() - self._beat_s - WATCH_INTERVAL_S)
-
     def _receive(
         self,
         connection: _connection.Connection,
@@ -397,6 +433,11 @@
                     pending.answer = frame
                     pending.event.set()
             case _:
+                if isinstance(frame, _frames.Open):
+                    late_s = connection.lateness.measure_s(
+                        time.monotonic(), frame.sent_ms
+                    )
+                    frame.remaining_ms -= int(late_s * 1000)
                 handler = self._handlers.get(type(frame))
                 if handler is not None:
                     handler(connection.address, sender.boot_id, frame)
@@ -404,9 +445,15 @@
     def _receive_hello(
         self, connection: _connection.Connection, hello: _frames.Hello
     ) -> None:
+        connection.lateness.measure_s(time.monotonic(), hello.sent_ms)
         connection.peer = hello
-        connection.address = connection.address or hello.node
+        if not connection.address:
+            # The dialler greets first, so that its link stands only once
+            # frames were seen to pass both ways.
+            connection.address = hello.node
+            self._greet(connection)
         peer = self._peer(connection.address)
+        peer.is_dialling = False
         if peer.connection is not None:
             # The peer opens a second link only where it lost the first.
             peer.lost_connection = True
@@ -442,9 +489,12 @@
             await anyio.sleep(WATCH_INTERVAL_S)
             now_s = time.monotonic()
             pause_s = now_s - last_s - WATCH_INTERVAL_S
-            last_s = self._beat_s = now_s
-            for peer in list(self._peers.values()):
-                self._watch_peer(peer, now_s, pause_s, next(numbers))
+            last_s = now_s
+            number = next(numbers)
+            is_idle_round = number % IDLE_ROUND_INTERVAL == 0
+            peers = self._peers if is_idle_round else self._watched
+            for peer in list(peers.values()):
+                self._watch_peer(peer, now_s, pause_s, number)
 
     def _watch_peer(
         self, peer: _Peer, now_s: float, pause_s: float, number: int
@@ -467,6 +517,7 @@
             connection.last_received_s, peer.watched_since_s
         )
         if silent_s > SILENT_AFTER_S:
+            self._counters.count(metrics.Counter.LINK_FAILURES)
             connection.close()
             peer.lost_connection = True
             peer.connection = None
@@ -485,6 +536,10 @@
     answer: _frames.CallAnswer | None = None
 
 
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
+
+
 def _read_answer(answer: _frames.CallAnswer, peer: str) -> bytes:
     if not answer.error_code:
         return answer.body
--- /dev/null
+++ b/src/papayastall/_node_calls.py
@@ -0,0 +1,223 @@
+"""The operators' calls of a node, and small messages between nodes."""
+
+from __future__ import annotations
+
+import time
+import typing as t
+import urllib.parse
+
+from papayastall import _config_service
+from papayastall import _control_app
+from papayastall import _control_commands as commands
+from papayastall import _decision_types
+from papayastall import _histogram_report
+from papayastall import _owner_state
+from papayastall import _thrift
+from papayastall import exceptions
+
+if t.TYPE_CHECKING:
+    from papayastall import node as nodes
+
+__all__ = ["decode_suspect", "encode_suspect", "make_calls"]
+
+wire = _thrift.load_module("wire")
+
+
+def make_calls(node: nodes.Node) -> dict[str, _control_app.Handler]:
+    """Return the handler of each operators' call."""
+    calls = _Calls(node)
+    return {
+        "POST /v1/documents": calls.apply_documents,
+        "GET /v1/documents": calls.list_documents,
+        "GET /v1/missing": calls.list_missing,
+        "GET /v1/status": calls.show_status,
+        "GET /v1/upstreams": calls.list_upstreams,
+        "POST /v1/drain": calls.drain,
+        "POST /v1/undrain": calls.undrain,
+        "GET /v1/histograms": calls.list_histograms,
+    }
+
+
+class _Calls:
+    def __init__(self, node: nodes.Node) -> None:
+        self._node = node
+
+    async def apply_documents(self, body: t.Any) -> object:
+        """Check and apply documents, all or none."""
+        items = body.get("documents") if isinstance(body, dict) else None
+        if not isinstance(items, list) or not all(
+            isinstance(item, dict)
+            and isinstance(item.get("text"), str)
+            and isinstance(item.get("source"), str)
+            for item in items
+        ):
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                "send documents: a list of objects with source and text",
+                step="apply",
+            )
+        outcome = await self._node.control.config.apply_documents(
+            [
+                _config_service.DocumentSource(item["source"], item["text"])
+                for item in items
+            ]
+        )
+        return {
+            "index": outcome.index,
+            "results": [
+                {
+                    "name": verdict.name,
+                    "revision": verdict.revision,
+                    "result": verdict.state.name.lower().replace("_", " "),
+                }
+                for verdict in outcome.verdicts
+            ],
+        }
+
+    async def list_missing(self, query: str) -> object:
+        """Return the live nodes that lack ``index=``."""
+        text = dict(urllib.parse.parse_qsl(query)).get("index", "")
+        if not text.isdigit():
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                "give index=N, the index that apply printed",
+                step="missing",
+            )
+        missing = await self._node.control.config.wait_for(int(text), 0)
+        return {"index": int(text), "missing": missing}
+
+    async def list_documents(self, _query: str) -> object:
+        """Return the documents in force on this node."""
+        return {
+            "index": self._node.blackboard.config_index,
+            "documents": [
+                {
+                    "name": text.name,
+                    "revision": text.revision,
+                    "digest": text.digest,
+                    "text": text.text,
+                }
+                for text in self._node.control.config.list_documents()
+            ],
+        }
+
+    async def show_status(self, _query: str) -> object:
+        """Return the members as this node sees them."""
+        node = self._node
+        own = node.settings.link_address
+        nodes_status = []
+        for member in node.membership.members():
+            index = member.config_index
+            if member.address == own:
+                index = node.blackboard.config_index
+            nodes_status.append(
+                {
+                    "node": member.address,
+                    "state": member.state.name.lower(),
+                    "failure_domain": member.failure_domain,
+                    "index": index,
+                }
+            )
+        return {
+            "node": own,
+            "index": node.blackboard.config_index,
+            "nodes": nodes_status,
+            "ready": node.control.config.is_ready(),
+            "control": {
+                "replicas": list(node.settings.control_replicas),
+                "leader": node.control.find_leader(),
+            },
+        }
+
+    async def list_upstreams(self, _query: str) -> object:
+        """Return the upstreams that this node owns."""
+        node = self._node
+        return {
+            "upstreams": [
+                {
+                    "upstream": view.upstream,
+                    "service": view.service,
+                    "owner": node.settings.link_address,
+                    "state": view.state.value,
+                    "standing": view.standing.value,
+                    "slots": view.slots,
+                    "in_flight": view.in_flight,
+                    "weight": round(view.weight, 3),
+                    "score": round(view.score, 1),
+                }
+                for view in node.owner_controller.upstreams(time.monotonic())
+            ]
+        }
+
+    async def drain(self, body: t.Any) -> object:
+        """Give an upstream of this node no new work."""
+        view = self._find_upstream(body)
+        node = self._node
+        result = await node.control.permits.request(
+            view.upstream, view.service, commands.PermitReason.LEAVING
+        )
+        if result.state is not commands.PermitState.GRANTED:
+            raise exceptions.RefusedError(
+                exceptions.ErrorCode.FLOOR,
+                f"{view.service} has {result.healthy_slots} healthy slots "
+                f"and a floor of {result.floor_slots}; add upstreams or "
+                "wait until others are back",
+                step="drain",
+                peer=view.upstream,
+            )
+        actions = node.owner_controller.leave(time.monotonic(), view.upstream)
+        node.owner.perform(actions)
+        return {"upstream": view.upstream, "state": "leaving"}
+
+    async def undrain(self, body: t.Any) -> object:
+        """Let a drained upstream serve again."""
+        upstream = self._find_upstream(body).upstream
+        self._node.owner_controller.undrain(time.monotonic(), upstream)
+        self._node.control.permits.release_upstream(upstream)
+        return {"upstream": upstream, "state": "ready"}
+
+    async def list_histograms(self, query: str) -> object:
+        """Return encoded histograms; ``service=`` and ``team=`` choose."""
+        wanted = dict(urllib.parse.parse_qsl(query))
+        rows = await _histogram_report.collect(
+            self._node.histograms,
+            time.monotonic(),
+            wanted.get("service"),
+            wanted.get("team"),
+        )
+        return {"histograms": rows}
+
+    def _find_upstream(self, body: t.Any) -> _owner_state.UpstreamView:
+        upstream = body.get("upstream") if isinstance(body, dict) else None
+        views = self._node.owner_controller.upstreams(time.monotonic())
+        for view in views:
+            if view.upstream == upstream:
+                return view
+        known = ", ".join(view.upstream for view in views)
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            f"this node does not own {upstream!r}; it owns {known or 'none'}",
+            step="drain",
+        )
+
+
+def encode_suspect(news: _decision_types.SuspectNews) -> bytes:
+    """Return the message that tells other nodes."""
+    return _thrift.encode(
+        wire.Suspect(
+            fingerprint=news.fingerprint,
+            upstream=news.upstream,
+            cleared=news.cleared,
+        )
+    )
+
+
+def decode_suspect(body: bytes) -> _decision_types.SuspectNews:
+    """Return what another node tells.
+
+    :raises papayastall.exceptions.ProtocolError: malformed.
+    """
+    value = _thrift.decode(wire.Suspect, body)
+    return _decision_types.SuspectNews(
+        value.fingerprint or 0, value.upstream or "", bool(value.cleared)
+    )
--- /dev/null
+++ b/src/papayastall/_replica.py
@@ -0,0 +1,371 @@
+"""Runs the replicas of several groups in one process.
+
+One task steps all groups. The blocking part of a turn, with one fsync for
+all groups, runs in a worker thread; what arrives meanwhile waits for the
+next turn, so that load makes the batches larger.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import random
+import typing as t
+
+import anyio
+import anyio.abc
+import anyio.to_thread
+
+from papayastall import _files
+from papayastall import _peering
+from papayastall import _proposals
+from papayastall import _raft_types as types
+from papayastall import _replica_links
+from papayastall import _replica_set
+from papayastall import _storage
+from papayastall import exceptions
+from papayastall import logs
+from papayastall import metrics
+
+__all__ = ["ReplicaHost", "ReplicaSettings", "StateMachine"]
+
+StateMachine = _replica_set.StateMachine
+
+_T = t.TypeVar("_T")
+
+MIN_IDLE_S = 0.001
+MAX_COMMAND_BYTES = 256 * 1024
+MAX_INBOX_BYTES = 8 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReplicaSettings:
+    """What a control replica is told at its start.
+
+    :param addresses: link addresses of all replicas, in the same order in
+        the settings of each of them.
+    :param own_address: its own link address, one of ``addresses``.
+    :param data_folder: folder made by ``papayastall init``.
+    """
+
+    addresses: tuple[str, ...]
+    own_address: str
+    data_folder: str
+    timings: types.Timings = types.Timings()
+    options: _replica_set.SetOptions = _replica_set.SetOptions()
+
+
+def _bug(error: Exception) -> exceptions.PapayastallError:
+    return exceptions.PapayastallError(
+        exceptions.ErrorCode.INTERNAL,
+        f"the replica stops after {error!r}; report this and start it again",
+        step="run-replicas",
+    )
+
+
+class ReplicaHost:
+    """The replicas of all groups on this node.
+
+    :param state_machines: one for each group, by its number; no fewer
+        than the data folder holds. More groups are founded once all
+        replicas were started with them.
+    :param on_failure: called once when the replicas stop for good.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        peering: _peering.Peering,
+        state_machines: cabc.Sequence[StateMachine],
+        *,
+        files: _files.FileLayer | None = None,
+        counters: metrics.Metrics | None = None,
+        on_failure: t.Callable[[exceptions.PapayastallError], None]
+        | None = None,
+        seed: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self._links = _replica_links.ReplicaLinks(peering, self._on_batch)
+        self._machines = state_machines
+        self._storage = _storage.Storage(settings.data_folder, files)
+        self._on_failure = on_failure
+        self._counters = counters or metrics.Metrics(
+            None, settings.own_address
+        )
+        self._elections = 0
+        self._syncs = 0
+        self._rng = random.Random(seed)
+        self._limiter = anyio.CapacityLimiter(1)
+        self._set: _replica_set.ReplicaSet | None = None
+        self._inbox: list[tuple[int, types.Message]] = []
+        self._inbox_bytes = 0
+        self._proposals = _proposals.Proposals()
+        self._wake = anyio.Event()
+        self._turn_done = anyio.Event()
+        self._closed = anyio.Event()
+        self._is_closing = False
+        self._leaders: dict[int, str | None] = {}
+        self.failure: exceptions.PapayastallError | None = None
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the data folder and take part in every group.
+
+        :param tasks: the replicas run in it until :meth:`close`.
+        :raises papayastall.exceptions.StorageError: the folder can't be
+            used.
+        """
+        folder = await self._in_thread(
+            lambda: self._storage.open(group_count=len(self._machines))
+        )
+        self._set = _replica_set.ReplicaSet(
+            folder,
+            self.settings.own_address,
+            self.settings.addresses,
+            self._machines,
+            self.settings.timings,
+            self.settings.options,
+            self._rng,
+            _replica_links.clock_s(),
+        )
+        self._links.start(tasks, self._set.identity)
+        tasks.start_soon(self._run)
+
+    async def close(self) -> None:
+        """Hand leadership over, stop, and close the data folder."""
+        if self._set is None:
+            return
+        self._is_closing = True
+        self._wake.set()
+        await self._closed.wait()
+
+    async def propose(
+        self, group: int, command: bytes, timeout_s: float
+    ) -> bytes:
+        """Commit a command and return the result of applying it.
+
+        :raises papayastall.exceptions.PapayastallError: ``NOT_LEADER``
+            with the leader's address as ``peer``, or ``NO_LEADER``; the
+            command was not and will not be committed.
+        :raises papayastall.exceptions.OutcomeUnknownError: it may or may
+            not be committed.
+        """
+        self._require_running()
+        if len(command) > MAX_COMMAND_BYTES:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BODY_TOO_LARGE,
+                f"a command holds {MAX_COMMAND_BYTES} bytes at most, this "
+                f"one has {len(command)}; split it",
+                step="propose",
+            )
+        chosen = self._group(group)
+        proposal = self._proposals.add(group, command)
+        self._wake.set()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await proposal.done.wait()
+        finally:
+            self._proposals.forget(proposal, chosen)
+        return proposal.outcome()
+
+    async def read_barrier(self, group: int, timeout_s: float) -> None:
+        """Return when the local state holds all that was committed.
+
+        Works on the leader only, under its lease; nothing is written.
+
+        :raises papayastall.exceptions.PapayastallError: ``NOT_LEADER``
+            with the leader's address as ``peer``, or ``NO_LEADER`` when
+            ``timeout_s`` passed first.
+        """
+        self._require_running()
+        chosen = self._group(group)
+        error = _proposals.not_taken("no lease in time; try again")
+        with anyio.move_on_after(timeout_s):
+            while True:
+                try:
+                    index = chosen.replica.read_index(_replica_links.clock_s())
+                    break
+                except exceptions.PapayastallError as found:
+                    if found.code is not exceptions.ErrorCode.NO_LEADER:
+                        raise
+                    error = found
+                await self._next_turn()
+            while chosen.applied_index < index:
+                await self._next_turn()
+            return
+        raise error
+
+    async def _next_turn(self) -> None:
+        await self._turn_done.wait()
+        self._require_running()
+
+    def leader(self, group: int) -> str | None:
+        """Return the address of the leader as far as it is known."""
+        return self._group(group).replica.leader
+
+    def applied_index(self, group: int) -> int:
+        """Return the index of the last entry applied here."""
+        return self._group(group).applied_index
+
+    def members(self, group: int) -> types.Members:
+        """Return the latest members of a group, committed or not."""
+        return self._group(group).replica.log.members
+
+    def add_member(self, group: int, address: str) -> None:
+        """Admit a replica to a group; call it on the group's leader.
+
+        It takes part once it is started with a fresh data folder. The
+        change is done when :meth:`members` shows it as a voter.
+
+        :raises papayastall.exceptions.PapayastallError: ``NOT_LEADER``,
+            ``NO_LEADER``, or ``NOT_READY`` during another change.
+        """
+        self._change(group, address, is_added=True)
+
+    def remove_member(self, group: int, address: str) -> None:
+        """Remove a replica from a group for good; see `add_member`."""
+        self._change(group, address, is_added=False)
+
+    def _change(self, group: int, address: str, is_added: bool) -> None:
+        self._require_running()
+        chosen = self._group(group)
+        replica = chosen.replica
+        change = replica.add_member if is_added else replica.remove_member
+        chosen.output.extend(change(_replica_links.clock_s(), address))
+        self._wake.set()
+
+    def _require_running(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+        if self._set is None or self._is_closing:
+            raise _proposals.not_taken(
+                "this replica is stopped; ask another one"
+            )
+
+    def _group(self, group: int) -> _replica_set.Group:
+        if self._set is None:
+            raise _proposals.not_taken("this replica is not started")
+        return self._set.groups[group]
+
+    async def _in_thread(self, call: t.Callable[[], _T]) -> _T:
+        return await anyio.to_thread.run_sync(call, limiter=self._limiter)
+
+    def _on_batch(
+        self, batch: list[tuple[int, types.Message]], size_bytes: int
+    ) -> None:
+        """Keep what arrives for the next turn; a slow disk loses some."""
+        if self._inbox_bytes < MAX_INBOX_BYTES:
+            self._inbox += batch
+            self._inbox_bytes += size_bytes
+            self._wake.set()
+
+    async def _run(self) -> None:
+        """Step all groups until closed, or until something fails."""
+        try:
+            while not self._is_closing:
+                await self._turn()
+                await self._wait()
+            await self._hand_over()
+        except exceptions.PapayastallError as error:
+            self._fail(error)
+        except Exception as error:
+            self._fail(_bug(error))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._in_thread(self._storage.close)
+            self._closed.set()
+
+    async def _wait(self) -> None:
+        if self._set is None or self._set.has_work():
+            return
+        if self._inbox or self._proposals:
+            return
+        idle_s = self._set.due_s - _replica_links.clock_s()
+        self._wake = anyio.Event()
+        if self._is_closing:
+            return
+        with anyio.move_on_after(max(idle_s, MIN_IDLE_S)):
+            await self._wake.wait()
+
+    async def _turn(self) -> None:
+        """Take what has arrived, make it durable, send, and apply."""
+        replicas = self._set
+        if replicas is None:
+            return
+        now_s = _replica_links.clock_s()
+        inbox, self._inbox, self._inbox_bytes = self._inbox, [], 0
+        for number, message in inbox:
+            replicas.step(now_s, number, message)
+        self._proposals.append(now_s, replicas)
+        replicas.tick(now_s)
+        await self._finish_turn(replicas)
+
+    async def _finish_turn(self, replicas: _replica_set.ReplicaSet) -> None:
+        stale = replicas.stale
+        turn = replicas.prepare(self._storage.wal_bytes)
+        self._links.send(turn.early)
+        if stale is not None:
+            raise exceptions.StorageError(
+                exceptions.ErrorCode.STORAGE_DAMAGED,
+                f"{stale}; move the data folder away, run `papayastall "
+                "init` and start again: the replica recovers from the "
+                "others",
+                step="raft",
+            )
+        if turn.blocks:
+            await self._in_thread(lambda: turn.run(self._storage))
+        for resolved in replicas.finish(_replica_links.clock_s(), turn):
+            self._proposals.resolve(resolved)
+        self._links.send(turn.messages)
+        self._count_work(replicas)
+        self._note_leaders(replicas)
+        self._turn_done.set()
+        self._turn_done = anyio.Event()
+
+    def _count_work(self, replicas: _replica_set.ReplicaSet) -> None:
+        elections = sum(
+            group.replica.election_count for group in replicas.groups
+        )
+        syncs = self._storage.sync_count
+        for counter, total, counted in (
+            (metrics.Counter.ELECTIONS, elections, self._elections),
+            (metrics.Counter.FSYNCS, syncs, self._syncs),
+        ):
+            if total > counted:
+                self._counters.count(counter, total - counted)
+        self._elections, self._syncs = elections, syncs
+
+    def _note_leaders(self, replicas: _replica_set.ReplicaSet) -> None:
+        for group in replicas.groups:
+            leader = group.replica.leader
+            before = self._leaders.get(group.number)
+            if before == leader:
+                continue
+            self._leaders[group.number] = leader
+            logs.log_change(
+                logs.StateChange(
+                    logs.ChangeKind.CONTROL,
+                    f"group {group.number}",
+                    before or "no leader",
+                    leader or "no leader",
+                    f"term {group.replica.term}",
+                )
+            )
+
+    async def _hand_over(self) -> None:
+        """Give up all leadership and send the last messages."""
+        replicas = self._set
+        if replicas is None:
+            return
+        now_s = _replica_links.clock_s()
+        for group in replicas.groups:
+            group.output.extend(group.replica.transfer(now_s))
+        await self._finish_turn(replicas)
+        self._proposals.fail_all()
+
+    def _fail(self, error: exceptions.PapayastallError) -> None:
+        """Stop for good; what is on the disk may be unknown."""
+        self.failure = error
+        self._proposals.fail_all()
+        self._turn_done.set()
+        if self._on_failure is not None:
+            self._on_failure(error)
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -17,10 +17,12 @@
 from papayastall import _owner_runs
 from papayastall import _upstream_client
 from papayastall import exceptions
+from papayastall import metrics
 
 __all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
 
 TICK_INTERVAL_S = 0.02
+IDLE_TICK_INTERVAL_S = 0.1
 WINDOW_BYTES = 256 << 10
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
@@ -74,6 +76,7 @@
         links: _links.Links,
         controller: _owner_controller.OwnerController,
         permits: PermitAsker,
+        counters: metrics.Metrics,
         claims: ClaimRecorder | None = None,
         spread_suspect: cabc.Callable[
             [_decision_types.SuspectNews], None
@@ -82,6 +85,7 @@
         self.controller = controller
         self._links = links
         self._permits = permits
+        self._counters = counters
         self._claims = claims
         self._spread_suspect = spread_suspect
         self._runs = _owner_runs.RunTable()
@@ -135,15 +139,13 @@
     def _receive_open(
         self, ingress: str, boot_id: int, frame: _frames.Open
     ) -> None:
-        # Frames that lay unread while this process was stopped are older
-        # than they look.
         remaining_s = frame.remaining_ms / 1000
-        remaining_s -= self._links.seconds_since_beat()
         key = (ingress, boot_id, frame.request_id)
         deadline_s = time.monotonic() + remaining_s
         run = self._runs.add(key, frame, deadline_s)
         if run is None:
             return
+        run.arrived_s = time.monotonic()
         run.body += frame.body
         if not frame.body_follows:
             self._submit(run)
@@ -242,6 +244,7 @@
         assert run is not None, "dispatch of an unknown request"
         assert not run.dispatched, "a request is dispatched once"
         run.dispatched = True
+        self._count(metrics.Counter.DISPATCHES, run)
         run.scope = anyio.CancelScope()
         assert self._tasks is not None
         self._tasks.start_soon(self._execute, run, action.upstream)
@@ -250,6 +253,8 @@
         run = self._runs.find_local(action.request_id)
         if run is None or run.ended_s is not None:
             return
+        if not run.dispatched:
+            self._count(metrics.Counter.QUEUE_DROPS, run)
         retry_after_ms = -1
         if action.retry_after_s is not None:
             retry_after_ms = int(action.retry_after_s * 1000)
@@ -293,10 +298,16 @@
             idempotent=run.open.idempotent,
         )
         outcome = Outcome.CANCELLED
-        timeout_s = run.deadline_s - time.monotonic()
+        started_s = time.monotonic()
+        run.waiting_ms = (started_s - run.arrived_s) * 1000
+        timeout_s = run.deadline_s - started_s
         assert run.scope is not None
         with run.scope:
             outcome = await self._client.run(request, timeout_s, sink)
+        if outcome is Outcome.SHED:
+            self._count(metrics.Counter.SHEDS, run)
+        elif outcome not in (Outcome.ANSWERED, Outcome.CANCELLED):
+            self._count(metrics.Counter.UPSTREAM_FAILURES, run)
         whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
         if run.open.claim_token and self._claims is not None:
             await self._record(sink, run, outcome, self._claims)
@@ -304,12 +315,16 @@
             time.monotonic(), run.local_id, outcome
         )
         if whole:
-            self.send_chunk(run, b"", last=True)
             run.ended_s = time.monotonic()
+            upstream_ms = (run.ended_s - started_s) * 1000
+            self.send_chunk(run, b"", last=True, upstream_ms=upstream_ms)
         elif outcome is Outcome.CANCELLED:
             self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=True)
         self.perform(actions)
 
+    def _count(self, counter: metrics.Counter, run: _owner_runs.Run) -> None:
+        self._counters.count(counter, service=run.open.service_name)
+
     async def _record(
         self,
         sink: _RunSink,
@@ -350,11 +365,21 @@
         self._links.send(run.ingress, run.head)
 
     def send_chunk(
-        self, run: _owner_runs.Run, data: bytes, *, last: bool
+        self,
+        run: _owner_runs.Run,
+        data: bytes,
+        *,
+        last: bool,
+        upstream_ms: float = 0.0,
     ) -> None:
         """Send a part of an answer and keep it until acknowledged."""
         chunk = _frames.AnswerChunk(
-            run.open.request_id, run.sent_bytes, data, last
+            run.open.request_id,
+            run.sent_bytes,
+            data,
+            last,
+            run.waiting_ms,
+            upstream_ms,
         )
         run.sent_bytes += len(data)
         run.unacknowledged.append(chunk)
@@ -363,7 +388,10 @@
     async def _tick(self) -> None:
         expire_s = 0.0
         while True:
-            await anyio.sleep(TICK_INTERVAL_S)
+            idle = not len(self._runs)
+            await anyio.sleep(
+                IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
+            )
             now_s = time.monotonic()
             self.perform(self.controller.tick(now_s))
             if now_s > expire_s:
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -21,6 +21,7 @@
   1: string node,
   2: i64 boot_id,
   3: string failure_domain,
+  4: i64 sent_ms,
 }
 
 struct Open {
@@ -42,6 +43,7 @@
   16: double reference_error_ratio,
   17: double healthy_share,
   18: bool last_resort,
+  19: i64 sent_ms,
 }
 
 struct BodyChunk {
@@ -78,6 +80,8 @@
   2: i64 offset_bytes,
   3: binary data,
   4: bool last,
+  5: double waiting_ms,
+  6: double upstream_ms,
 }
 
 struct Refuse {
@@ -119,3 +123,9 @@
   3: string error_code,
   4: string error_message,
 }
+
+struct Suspect {
+  1: i64 fingerprint,
+  2: string upstream,
+  3: bool cleared,
+}
