Hold lookups that test health to the service's own time

Cause: a new test showed an upstream five times slower than its service returning after three lookups: their limit was half the stall age (250 ms) where the service takes 50 ms. Change: the limit is 2.7 times the slack median alone. Tests of evidence, steering, return and of requests that crash upstreams.

--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -32,6 +32,7 @@
 _FAILED_TRIALS = 2
 _NO_LOOKUPS_S = 30.0
 _TRIAL_LIMIT_FACTOR = 2.7
+_MIN_TRIAL_LIMIT_S = 0.02
 
 _Tuning = _service_policy.HealthTuning
 
@@ -133,9 +134,9 @@
     return not any(run.is_trial for run in upstream.running.values())
 
 
-def trial_limit_s(reference_s: float, tuning: _Tuning) -> float:
+def trial_limit_s(reference_s: float) -> float:
     """Return the time within which a lookup shows good health, seconds."""
-    return max(0.5 * tuning.stall_age_s, _TRIAL_LIMIT_FACTOR * reference_s)
+    return max(_MIN_TRIAL_LIMIT_S, _TRIAL_LIMIT_FACTOR * reference_s)
 
 
 def note_trial(
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -126,7 +126,7 @@
         if not run.is_trial or run.trial_failed:
             continue
         base_s = reference_s(now_s, service, upstream, run.request)
-        limit_s = _ejection.trial_limit_s(base_s, tuning)
+        limit_s = _ejection.trial_limit_s(base_s)
         if now_s - run.started_s > limit_s:
             run.trial_failed = True
             _ejection.note_trial(upstream, now_s, False, tuning)
@@ -240,7 +240,7 @@
         return []
     tuning = service.policy.thresholds()
     base_s = reference_s(now_s, service, upstream, run.request)
-    limit_s = _ejection.trial_limit_s(base_s, tuning)
+    limit_s = _ejection.trial_limit_s(base_s)
     match outcome:
         case types.Outcome.ANSWERED:
             passed = now_s - run.started_s <= limit_s
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,214 @@
+"""Requests that crash upstreams, over several owners and ingresses."""
+
+from __future__ import annotations
+
+import random
+
+from papayastall import _decision_types as types
+from papayastall import _ingress_controller
+from papayastall import _owner_controller
+from papayastall import _suspects
+from papayastall import exceptions
+from tests import decision_helpers as helpers
+
+POISON = 666
+NODES = 6
+
+
+class Fleet:
+    """Nodes that are each ingress and owner; messages arrive at once."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.names = [f"10.0.0.{number}:7000" for number in range(NODES)]
+        self.owners: dict[str, _owner_controller.OwnerController] = {}
+        self.ingresses: list[_ingress_controller.IngressController] = []
+        self.lost: list[str] = []
+        self.told: dict[int, types.RefuseRequest | None] = {}
+        self.attempts: dict[int, tuple[int, int, int, str]] = {}
+        self.fingerprints: dict[int, int] = {}
+        self.kinds: dict[int, types.RequestKind] = {}
+        self.next_id = 1
+        for number, name in enumerate(self.names):
+            owner = _owner_controller.OwnerController(
+                name, "domain-1", random.Random(number)
+            )
+            owner.configure(helpers.SERVICE, helpers.DETECTION)
+            owner.announce(-100.0, helpers.announcement(f"up-{number}"))
+            self.owners[name] = owner
+            self.ingresses.append(helpers.ingress(0))
+        for ingress in self.ingresses:
+            for name in self.names:
+                advert = types.OwnerAdvert(
+                    name, helpers.SERVICE, "domain-1", 3
+                )
+                ingress.set_owner(0.0, advert)
+
+    def send(
+        self, ingress: int, fingerprint: int, kind: types.RequestKind
+    ) -> int:
+        """Send a caller's request through one node."""
+        self.now_s += 0.01
+        request_id = self.next_id
+        self.next_id += 1
+        self.fingerprints[request_id] = fingerprint
+        self.kinds[request_id] = kind
+        request = helpers.ingress_request(
+            request_id, kind, self.now_s + 5.0, fingerprint
+        )
+        self._ingress(
+            ingress, self.ingresses[ingress].begin(self.now_s, request)
+        )
+        return request_id
+
+    def finish_all(self) -> None:
+        """End what runs: poison loses its upstream, the rest is answered."""
+        while running := sorted(self.running):
+            victims = {
+                self.running[local_id]
+                for local_id in running
+                if self.attempts[local_id][2] == POISON
+            }
+            for local_id in running:
+                name = self.running.pop(local_id)
+                outcome = types.Outcome.ANSWERED
+                if name in victims:
+                    outcome = types.Outcome.BROKEN
+                ingress, number, _, _ = self.attempts[local_id]
+                actions = self.owners[name].finished(
+                    self.now_s, local_id, outcome
+                )
+                if outcome is types.Outcome.ANSWERED:
+                    self._answer(local_id)
+                self._owner(name, actions)
+            self.lost += sorted(victims)
+
+    running: dict[int, str]
+
+    def _ingress(self, index: int, actions: list[types.IngressAction]) -> None:
+        for action in actions:
+            match action:
+                case types.ForwardAttempt(request_id, number, owner):
+                    local_id = 1000 * request_id + number
+                    fingerprint = self.fingerprints[request_id]
+                    self.attempts[local_id] = (
+                        index,
+                        number,
+                        fingerprint,
+                        owner,
+                    )
+                    request = helpers.owner_request(
+                        local_id,
+                        self.kinds[request_id],
+                        self.now_s + 5.0,
+                        fingerprint=fingerprint,
+                        hints=action.hints,
+                    )
+                    self._owner(
+                        owner,
+                        self.owners[owner].submit(self.now_s, request),
+                    )
+                case types.RefuseRequest():
+                    self.told[action.request_id] = action
+                case types.AnswerChosen(request_id, _):
+                    self.told[request_id] = None
+
+    def _owner(self, name: str, actions: list[types.OwnerAction]) -> None:
+        for action in actions:
+            match action:
+                case types.Dispatch(local_id, _):
+                    self.running[local_id] = name
+                case types.RefuseRequest():
+                    self._refuse(action)
+                case types.SuspectNews():
+                    for other, owner in self.owners.items():
+                        if other != name:
+                            self._owner(
+                                other, owner.suspect(self.now_s, action)
+                            )
+                    for ingress in self.ingresses:
+                        ingress.suspect(self.now_s, action)
+
+    def _refuse(self, action: types.RefuseRequest) -> None:
+        ingress, number, _, _ = self.attempts[action.request_id]
+        result = types.AttemptResult.UNKNOWN
+        if action.ran is exceptions.RanState.NO:
+            result = types.AttemptResult.NOT_RUN
+        self._end(action.request_id, result, action.code, None)
+
+    def _answer(self, local_id: int) -> None:
+        self._end(local_id, types.AttemptResult.ANSWERED, None, 200)
+
+    def _end(
+        self,
+        local_id: int,
+        result: types.AttemptResult,
+        code: exceptions.ErrorCode | None,
+        status: int | None,
+    ) -> None:
+        ingress, number, _, _ = self.attempts[local_id]
+        outcome = types.AttemptOutcome(
+            local_id // 1000, number, result, status, code, None, None
+        )
+        actions = self.ingresses[ingress].attempt_ended(self.now_s, outcome)
+        self._ingress(ingress, actions)
+
+
+def _fleet() -> Fleet:
+    fleet = Fleet()
+    fleet.running = {}
+    return fleet
+
+
+def test_a_lookup_resent_through_every_node_costs_two_upstreams() -> None:
+    fleet = _fleet()
+    for index in list(range(NODES)) * 3:
+        last = fleet.send(index, POISON, helpers.LOOKUP)
+        fleet.finish_all()
+    assert len(fleet.lost) == _suspects.MAX_LOSSES
+    told = fleet.told[last]
+    assert told is not None
+    assert told.code is exceptions.ErrorCode.CRASHING_REQUEST
+    assert told.final
+
+
+def test_a_booking_resent_through_every_node_costs_two_upstreams() -> None:
+    fleet = _fleet()
+    for index in list(range(NODES)) * 3:
+        fleet.send(index, POISON, helpers.BOOKING)
+        fleet.finish_all()
+    assert len(fleet.lost) == _suspects.MAX_LOSSES
+
+
+def test_requests_beside_the_crashing_one_are_not_punished() -> None:
+    fleet = _fleet()
+    for index in range(NODES):
+        for innocent in range(1, 3):
+            fleet.send(index, innocent, helpers.LOOKUP)
+        fleet.send(index, POISON, helpers.BOOKING)
+        fleet.finish_all()
+    for innocent in range(1, 3):
+        for index in range(NODES):
+            request_id = fleet.send(index, innocent, helpers.LOOKUP)
+            fleet.finish_all()
+            assert fleet.told[request_id] is None
+
+
+def test_a_suspect_waits_while_the_same_request_runs() -> None:
+    owner = helpers.owner(upstreams=2)
+    news = types.SuspectNews(7, "10.0.0.9:8000", cleared=False)
+    owner.suspect(0.0, news)
+    [first] = owner.submit(0.0, helpers.owner_request(1, fingerprint=7))
+    assert isinstance(first, types.Dispatch)
+    assert owner.submit(0.0, helpers.owner_request(2, fingerprint=7)) == []
+    actions = owner.finished(0.1, 1, types.Outcome.ANSWERED)
+    dispatched = [a for a in actions if isinstance(a, types.Dispatch)]
+    assert [action.request_id for action in dispatched] == [2]
+
+
+def test_entries_expire() -> None:
+    registry = _suspects.SuspectRegistry()
+    for upstream in ("a", "b"):
+        registry.note(0.0, types.SuspectNews(7, upstream, cleared=False))
+    assert registry.is_blocked(1.0, 7)
+    assert not registry.is_blocked(_suspects.SUSPECT_TTL_S + 1.0, 7)
