--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -95,8 +95,6 @@
         if self._suspects.is_blocked(now_s, request.fingerprint):
             return [_refuse_crashing(request, _Ran.NO)]
         service.budget.deposit(now_s)
-        if service.quiet_since_s is None:
-            service.quiet_since_s = now_s
         pending = state.PendingRequest(request)
         self._pending[request.request_id] = pending
         return self._forward_or_end(now_s, pending)
@@ -122,7 +120,6 @@
         self._note_heard(now_s, pending, attempt, load)
         failed = status is not None and status >= 500
         _service_view.note_answer(
-            now_s,
             self._service(pending.request.service),
             pending.request.route,
             load,
@@ -480,12 +477,9 @@
         del self._pending[request.request_id]
         if code is _Code.CRASHING_REQUEST:
             return [*actions, _refuse_crashing(request, ran)]
-        service = self._service(request.service)
-        retry_after_s: float | None = _retry.jittered_retry_after_s(
-            _service_view.quiet_s(now_s, service), self._rng
-        )
-        if pending.retry_after_s is not None and retry_after_s is not None:
-            retry_after_s = max(pending.retry_after_s, retry_after_s)
+        retry_after_s = pending.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
         if ran is _Ran.UNKNOWN and (
             request.kind is types.RequestKind.NON_IDEMPOTENT
         ):
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -58,18 +58,13 @@
 
 @dataclasses.dataclass(slots=True)
 class ServiceView:
-    """One service as an ingress sees it.
-
-    :param quiet_since_s: when it last answered, or began to be asked;
-        ``None`` before the first request.
-    """
+    """One service as an ingress sees it."""
 
     policy: _service_policy.ServicePolicy
     budget: _retry.RetryBudget
     owners: dict[str, _routing.OwnerView] = dataclasses.field(
         default_factory=dict
     )
-    quiet_since_s: float | None = None
     references: dict[str, RouteReference] = dataclasses.field(
         default_factory=dict
     )
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -19,7 +19,6 @@
     "note_answer",
     "note_refusal",
     "patience_s",
-    "quiet_s",
     "reference_ms",
 ]
 
@@ -31,7 +30,6 @@
 _LEAVING_PAUSE_S = 2.0
 _UNKNOWN_HEDGE_S = 0.5
 _UNKNOWN_PATIENCE_S = 2.0
-_MAX_QUIET_S = 10.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -148,27 +146,13 @@
     return now_s + max(tuning.min_hedge_s, delay_s)
 
 
-def quiet_s(now_s: float, service: state.ServiceView) -> float:
-    """Return for how long the service has answered nothing, bounded.
-
-    Callers that are told to come back after this long leave a service that
-    recovers its time.
-    """
-    if service.quiet_since_s is None:
-        return 0.0
-    return min(_MAX_QUIET_S, now_s - service.quiet_since_s)
-
-
 def note_answer(
-    now_s: float,
     service: state.ServiceView,
     route: str,
     load: types.OwnerLoad | None,
     failed: bool,
 ) -> None:
     """Take in an answer of any owner for the route's reference."""
-    if not failed:
-        service.quiet_since_s = now_s
     known = service.references.get(route)
     if known is None:
         if len(service.references) >= _MAX_ROUTES:
