--- a/bench/_decision_policies.py
+++ b/bench/_decision_policies.py
@@ -106,12 +106,17 @@
     Policy(
         "random, no ejection",
         _OFF,
-        {"choices": 1, "hedges": False, "silence_s": math.inf},
+        {
+            "choices": 1,
+            "hedges": False,
+            "silence_s": math.inf,
+            "silent_hedges": False,
+        },
     ),
     Policy(
         "round robin, 5 errors in a row",
         _OFF,
-        {"hedges": False, "silence_s": math.inf},
+        {"hedges": False, "silence_s": math.inf, "silent_hedges": False},
         make_ingress=ConsecutiveErrors,
     ),
 ]
@@ -145,7 +150,11 @@
     Policy("no hedges", {}, {"hedges": False}),
     Policy("no retries or hedges", {}, {"hedges": False}, 0.0),
     Policy("one random choice", {}, {"choices": 1}),
-    Policy("silent owners not avoided", {}, {"silence_s": math.inf}),
+    Policy(
+        "silent owners not avoided",
+        {},
+        {"silence_s": math.inf, "silent_hedges": False},
+    ),
     Policy("no lookups on steered owners", {}, {"trial_ratio": 0.0}),
 ]
 
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from papayastall import _decision_types as types
 from papayastall import _ingress_state as state
+from papayastall import _open_attempts
+from papayastall import _refusals
 from papayastall import _retry
 from papayastall import _routing
 from papayastall import _service_policy
@@ -93,7 +94,8 @@
         if request.deadline_s <= now_s:
             return [_refuse(request, _Code.DEADLINE_EXCEEDED, _Ran.NO)]
         if self._suspects.is_blocked(now_s, request.fingerprint):
-            return [_refuse_crashing(request, _Ran.NO)]
+            refusal = _refusals.refuse_crashing(request.request_id, _Ran.NO)
+            return [refusal]
         service.budget.deposit(now_s)
         pending = state.PendingRequest(request)
         self._pending[request.request_id] = pending
@@ -117,14 +119,10 @@
             return [types.CancelAttempt(request_id, attempt)]
         if pending.chosen is not None:
             return []
-        self._note_heard(now_s, pending, attempt, load)
+        service = self._service(pending.request.service)
+        _open_attempts.note_heard(now_s, service, pending, attempt, load)
         failed = status is not None and status >= 500
-        _service_view.note_answer(
-            self._service(pending.request.service),
-            pending.request.route,
-            load,
-            failed,
-        )
+        _service_view.note_answer(service, pending.request.route, load, failed)
         if failed and self._may_replace(pending):
             replaced = self._replace(now_s, pending, attempt)
             if replaced:
@@ -138,7 +136,10 @@
         pending = self._pending.get(outcome.request_id)
         if pending is None or outcome.attempt not in pending.open:
             return []
-        self._note_heard(now_s, pending, outcome.attempt, outcome.load)
+        service = self._service(pending.request.service)
+        _open_attempts.note_heard(
+            now_s, service, pending, outcome.attempt, outcome.load
+        )
         actions: _Actions = []
         if outcome.result is types.AttemptResult.ANSWERED:
             if pending.chosen is None:
@@ -149,12 +150,12 @@
                     outcome.load,
                     outcome.status,
                 )
-            self._close(now_s, pending, outcome.attempt)
+            _open_attempts.close(service, pending, outcome.attempt)
             if pending.chosen == outcome.attempt:
                 del self._pending[outcome.request_id]
             return actions
-        attempt = self._close(now_s, pending, outcome.attempt)
-        assert attempt is not None
+        attempt = pending.open[outcome.attempt]
+        _open_attempts.close(service, pending, outcome.attempt)
         if pending.chosen == outcome.attempt:
             del self._pending[outcome.request_id]
             return []
@@ -245,15 +246,8 @@
         choice = self._select(now_s, service, pending)
         if choice is None:
             return None
-        owner = choice.view.advert.owner
-        attempt = state.Attempt(pending.next_number, owner, now_s)
-        pending.next_number += 1
-        pending.open[attempt.number] = attempt
-        pending.tried.add(owner)
-        choice.view.in_flight += 1
-        key = (request.request_id, attempt.number)
-        choice.view.outstanding[key] = _routing.Outstanding(
-            now_s, _service_view.patience_s(service, request.route)
+        attempt = _open_attempts.open_attempt(
+            now_s, service, pending, choice.view
         )
         pending.hedge_due_s = _service_view.hedge_due_s(
             now_s, service, request
@@ -261,7 +255,7 @@
         return types.ForwardAttempt(
             request.request_id,
             attempt.number,
-            owner,
+            attempt.owner,
             _service_view.reference_ms(service, request.route),
             _service_view.hints(
                 now_s, service, request.route, choice.is_last_resort
@@ -292,20 +286,6 @@
         code = pending.last_code or _Code.NO_UPSTREAM
         return self._end(now_s, pending, code)
 
-    def _note_heard(
-        self,
-        now_s: float,
-        pending: state.PendingRequest,
-        number: int,
-        load: types.OwnerLoad | None,
-    ) -> None:
-        service = self._service(pending.request.service)
-        view = service.owners.get(pending.open[number].owner)
-        if view is None or load is None:
-            return
-        view.note_heard(now_s)
-        view.note_load(now_s, load)
-
     def _note_failure(
         self,
         now_s: float,
@@ -372,18 +352,19 @@
     def _replace(
         self, now_s: float, pending: state.PendingRequest, number: int
     ) -> _Actions:
+        service = self._service(pending.request.service)
         others = [num for num in pending.open if num != number]
         cancel = types.CancelAttempt(pending.request.request_id, number)
         if others:
-            self._close(now_s, pending, number)
+            _open_attempts.close(service, pending, number)
             pending.has_unknown = True
             return [cancel]
-        if not self._service(pending.request.service).budget.take(now_s):
+        if not service.budget.take(now_s):
             return []
         forward = self._forward(now_s, pending)
         if forward is None:
             return []
-        self._close(now_s, pending, number)
+        _open_attempts.close(service, pending, number)
         pending.has_unknown = True
         return [cancel, forward]
 
@@ -397,51 +378,22 @@
         actions += self._cancel_open(now_s, pending, keep=number)
         return actions
 
-    def _note_given_up(
-        self, now_s: float, pending: state.PendingRequest, number: int
-    ) -> None:
-        service = self._service(pending.request.service)
-        if math.isinf(service.policy.routing.silence_s):
-            return
-        view = service.owners.get(pending.open[number].owner)
-        if view is None:
-            return
-        key = (pending.request.request_id, number)
-        attempt = view.outstanding.get(key)
-        if attempt is not None:
-            view.note_given_up(now_s, attempt)
-
     def _cancel_open(
         self, now_s: float, pending: state.PendingRequest, keep: int | None
     ) -> _Actions:
+        service = self._service(pending.request.service)
         actions: _Actions = []
         for number in list(pending.open):
             if number == keep:
                 continue
             if keep is not None:
-                self._note_given_up(now_s, pending, number)
-            self._close(now_s, pending, number)
+                _open_attempts.note_given_up(now_s, service, pending, number)
+            _open_attempts.close(service, pending, number)
             actions.append(
                 types.CancelAttempt(pending.request.request_id, number)
             )
         return actions
 
-    def _close(
-        self, now_s: float, pending: state.PendingRequest, number: int
-    ) -> state.Attempt | None:
-        attempt = pending.open.pop(number, None)
-        if attempt is None:
-            return None
-        service = self._service(pending.request.service)
-        view = service.owners.get(attempt.owner)
-        if view is None:
-            return attempt
-        key = (pending.request.request_id, number)
-        if view.outstanding.pop(key, None) is not None:
-            view.in_flight -= 1
-            assert view.in_flight >= 0
-        return attempt
-
     def _is_hedge_due(
         self, now_s: float, pending: state.PendingRequest
     ) -> bool:
@@ -476,7 +428,8 @@
         actions = self._cancel_open(now_s, pending, keep=None)
         del self._pending[request.request_id]
         if code is _Code.CRASHING_REQUEST:
-            return [*actions, _refuse_crashing(request, ran)]
+            refusal = _refusals.refuse_crashing(request.request_id, ran)
+            return [*actions, refusal]
         retry_after_s = pending.retry_after_s
         if retry_after_s is None:
             retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
@@ -496,11 +449,3 @@
     return types.RefuseRequest(
         request.request_id, code, ran, retry_after_s, final=False
     )
-
-
-def _refuse_crashing(
-    request: types.IngressRequest, ran: exceptions.RanState
-) -> types.RefuseRequest:
-    return types.RefuseRequest(
-        request.request_id, _Code.CRASHING_REQUEST, ran, None, final=True
-    )
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections.abc as cabc
 import random
 
 from papayastall import _admission
@@ -11,8 +10,9 @@
 from papayastall import _leaving
 from papayastall import _owner_evidence
 from papayastall import _owner_state as state
+from papayastall import _owner_views
 from papayastall import _placement
-from papayastall import _retry
+from papayastall import _refusals
 from papayastall import _service_policy
 from papayastall import _suspects
 from papayastall import _upstream_registry
@@ -81,7 +81,10 @@
             return [self._refuse(request, _Code.DEADLINE_EXCEEDED)]
         losses = self._suspects.losses(now_s, request.fingerprint)
         if losses >= _suspects.MAX_LOSSES:
-            return [self._refuse_crashing(request)]
+            refusal = _refusals.refuse_crashing(
+                request.request_id, exceptions.RanState.NO
+            )
+            return [refusal]
         if losses:
             return self._place_suspect(now_s, request)
         return self._place(now_s, request)
@@ -112,7 +115,11 @@
             now_s, service, upstream, run, outcome
         )
         actions += self._note_suspect(now_s, run, outcome)
-        actions += self._final_answer(run.request, outcome, retry_after_s)
+        refusal = _refusals.refuse_ended(
+            request_id, outcome, self._rng, retry_after_s
+        )
+        if refusal is not None:
+            actions.append(refusal)
         actions += self._evaluate(now_s, upstream)
         actions += self._drain(now_s, run.request.service)
         return actions
@@ -191,45 +198,25 @@
 
         :param route: route of that answer.
         """
-        known = self._service(service)
-        tuning = known.policy.thresholds()
-        upstreams = self._registry.of_service(service)
-        present = [up for up in upstreams if not _leaving.is_leaving(up)]
-        median = known.medians.get(route) if route is not None else None
-        return types.OwnerLoad(
-            owner=self._owner,
-            service=service,
-            slots=sum(up.slots for up in present),
-            weight=sum(
-                up.slots * _ejection.weight(up, now_s, tuning)
-                for up in present
-            ),
-            in_flight=sum(
-                min(up.slots, up.slots - up.free_slots(now_s))
-                for up in upstreams
-            ),
-            queued=len(known.queue),
-            latency_ms=_owner_evidence.median_ms(median),
+        return _owner_views.make_load(
+            now_s,
+            self._owner,
+            self._service(service),
+            self._registry.of_service(service),
+            service,
+            route,
         )
 
     def adverts(self, now_s: float) -> list[types.OwnerAdvert]:
         """Return what membership should tell of this owner."""
-        slots: dict[str, int] = {}
-        for upstream in self._registry.all():
-            if not _leaving.is_leaving(upstream):
-                known = slots.get(upstream.service, 0)
-                slots[upstream.service] = known + upstream.slots
-        return [
-            types.OwnerAdvert(
-                self._owner, service, self._failure_domain, count
-            )
-            for service, count in sorted(slots.items())
-        ]
+        return _owner_views.make_adverts(
+            self._owner, self._failure_domain, self._registry.all()
+        )
 
     def upstreams(self, now_s: float) -> list[state.UpstreamView]:
         """Return every upstream as operators see it."""
         return [
-            _owner_evidence.view(now_s, self._service(up.service), up)
+            _owner_views.make_view(now_s, self._service(up.service), up)
             for up in self._registry.all()
         ]
 
@@ -424,64 +411,21 @@
         self._suspects.note(now_s, news)
         return [news, *self._retry_parked(now_s)]
 
-    def _final_answer(
-        self,
-        request: types.OwnerRequest,
-        outcome: types.Outcome,
-        retry_after_s: float | None,
-    ) -> cabc.Sequence[types.OwnerAction]:
-        unknown = exceptions.RanState.UNKNOWN
-        match outcome:
-            case types.Outcome.SHED:
-                return [self._refuse(request, _Code.OVERLOADED, retry_after_s)]
-            case types.Outcome.CONNECT_FAILED:
-                return [self._refuse(request, _Code.UPSTREAM_FAILED)]
-            case types.Outcome.BROKEN:
-                code = _Code.UPSTREAM_FAILED
-            case types.Outcome.TIMED_OUT:
-                code = _Code.DEADLINE_EXCEEDED
-            case _:
-                return []
-        return [
-            types.RefuseRequest(
-                request.request_id, code, unknown, None, final=False
-            )
-        ]
-
     def _refuse_overloaded(
         self,
         service: state.ServiceState,
         request: types.OwnerRequest,
         slots: int,
     ) -> types.RefuseRequest:
-        backlog_s = _placement.backlog_s(service, slots)
-        retry_after_s = _retry.jittered_retry_after_s(backlog_s, self._rng)
-        return self._refuse(request, _Code.OVERLOADED, retry_after_s)
-
-    def _refuse_crashing(
-        self, request: types.OwnerRequest
-    ) -> types.RefuseRequest:
-        return types.RefuseRequest(
+        return _refusals.refuse_not_run(
             request.request_id,
-            _Code.CRASHING_REQUEST,
-            exceptions.RanState.NO,
-            None,
-            final=True,
+            _Code.OVERLOADED,
+            self._rng,
+            backlog_s=_placement.backlog_s(service, slots),
         )
 
     def _refuse(
-        self,
-        request: types.OwnerRequest,
-        code: exceptions.ErrorCode,
-        retry_after_s: float | None = None,
+        self, request: types.OwnerRequest, code: exceptions.ErrorCode
     ) -> types.RefuseRequest:
         assert request.request_id not in self._running, "it did run"
-        if retry_after_s is None:
-            retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
-        return types.RefuseRequest(
-            request.request_id,
-            code,
-            exceptions.RanState.NO,
-            retry_after_s,
-            final=False,
-        )
+        return _refusals.refuse_not_run(request.request_id, code, self._rng)
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -15,7 +15,6 @@
     "note_start",
     "reference_s",
     "update_doubt",
-    "view",
 ]
 
 _UNKNOWN_REFERENCE_S = 1.0
@@ -132,26 +131,6 @@
             _ejection.note_trial(upstream, now_s, False, tuning)
 
 
-def view(
-    now_s: float, service: state.ServiceState, upstream: state.Upstream
-) -> state.UpstreamView:
-    """Return the upstream as operators see it."""
-    tuning = service.policy.thresholds()
-    is_out = _ejection.is_out(upstream)
-    return state.UpstreamView(
-        upstream=upstream.name,
-        service=upstream.service,
-        slots=upstream.slots,
-        in_flight=len(upstream.running),
-        weight=_ejection.weight(upstream, now_s, tuning),
-        score=upstream.evidence.score(now_s, 0.0),
-        state=upstream.state,
-        standing=upstream.standing,
-        out_until_s=upstream.out_until_s if is_out else None,
-        leaving=upstream.leaving_since_s is not None,
-    )
-
-
 def _warm_reference_s(
     service: state.ServiceState, request: types.OwnerRequest
 ) -> float | None:
--- /dev/null
+++ b/src/papayastall/_owner_views.py
@@ -0,0 +1,79 @@
+"""What an owner tells others of itself: load, adverts, upstreams."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+
+from papayastall import _decision_types as types
+from papayastall import _ejection
+from papayastall import _leaving
+from papayastall import _owner_evidence
+from papayastall import _owner_state as state
+
+__all__ = ["make_adverts", "make_load", "make_view"]
+
+
+def make_load(
+    now_s: float,
+    owner: str,
+    service: state.ServiceState,
+    upstreams: cabc.Sequence[state.Upstream],
+    name: str,
+    route: str | None,
+) -> types.OwnerLoad:
+    """Return the load of an owner for one service.
+
+    :param name: of the service.
+    :param route: of the answer that carries the load.
+    """
+    tuning = service.policy.thresholds()
+    present = [up for up in upstreams if not _leaving.is_leaving(up)]
+    median = service.medians.get(route) if route is not None else None
+    return types.OwnerLoad(
+        owner=owner,
+        service=name,
+        slots=sum(up.slots for up in present),
+        weight=sum(
+            up.slots * _ejection.weight(up, now_s, tuning) for up in present
+        ),
+        in_flight=sum(
+            min(up.slots, up.slots - up.free_slots(now_s)) for up in upstreams
+        ),
+        queued=len(service.queue),
+        latency_ms=_owner_evidence.median_ms(median),
+    )
+
+
+def make_adverts(
+    owner: str, failure_domain: str, upstreams: cabc.Iterable[state.Upstream]
+) -> list[types.OwnerAdvert]:
+    """Return one advert for each service that the owner can serve."""
+    slots: dict[str, int] = {}
+    for upstream in upstreams:
+        if not _leaving.is_leaving(upstream):
+            known = slots.get(upstream.service, 0)
+            slots[upstream.service] = known + upstream.slots
+    return [
+        types.OwnerAdvert(owner, service, failure_domain, count)
+        for service, count in sorted(slots.items())
+    ]
+
+
+def make_view(
+    now_s: float, service: state.ServiceState, upstream: state.Upstream
+) -> state.UpstreamView:
+    """Return the upstream as operators see it."""
+    tuning = service.policy.thresholds()
+    is_out = _ejection.is_out(upstream)
+    return state.UpstreamView(
+        upstream=upstream.name,
+        service=upstream.service,
+        slots=upstream.slots,
+        in_flight=len(upstream.running),
+        weight=_ejection.weight(upstream, now_s, tuning),
+        score=upstream.evidence.score(now_s, 0.0),
+        state=upstream.state,
+        standing=upstream.standing,
+        out_until_s=upstream.out_until_s if is_out else None,
+        leaving=upstream.leaving_since_s is not None,
+    )
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -79,6 +79,8 @@
     :param hedge_factor: a lookup is hedged at this multiple of the median.
     :param silence_factor: an owner that sends nothing for this multiple of
         the median, and ``silence_s`` at least, is given no bookings.
+    :param silent_hedges: so is one that sent nothing before another owner
+        answered its lookup.
     """
 
     choices: int = 2
@@ -89,6 +91,7 @@
     max_refusals: int = 3
     silence_s: float = 0.3
     silence_factor: float = 5.0
+    silent_hedges: bool = True
     load_decay_s: float = 1.0
 
 
