Never call a forgotten request not run; end requests with half a body

Found by reading: the owner answered a query for a request that it had run and forgotten 60 s after its end with "not run", and kept a request whose body was cut off for ever, running it if the rest came after all; a planned stop then waited for its whole time.

--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -74,6 +74,7 @@
         self._runs: dict[RunKey, Run] = {}
         self._by_local_id: dict[int, Run] = {}
         self._fences_s: dict[RunKey, float] = {}
+        self._forgotten: set[RunKey] = set()
         self._next_id = 0
 
     def __len__(self) -> int:
@@ -109,17 +110,36 @@
         self._runs.pop(run.key, None)
         self._by_local_id.pop(run.local_id, None)
         self._fences_s[run.key] = now_s + FENCE_S
+        self._forgotten.add(run.key)
+
+    def was_forgotten(self, key: RunKey) -> bool:
+        """Tell whether this number may have run and is kept no more."""
+        return key in self._forgotten
+
+    def unfinished_bodies(self, now_s: float) -> list[Run]:
+        """Return the runs whose body did not arrive before the deadline."""
+        return [
+            run
+            for run in self._runs.values()
+            if not run.submitted
+            and run.ended_s is None
+            and now_s > run.deadline_s
+        ]
 
     def expire(self, now_s: float) -> None:
-        """Drop ended runs that no ingress asked for, and old fences."""
+        """Drop ended runs that no ingress asks for, and old fences."""
         for run in list(self._runs.values()):
-            if run.ended_s is not None and now_s > run.ended_s + KEEP_ENDED_S:
+            if run.ended_s is None:
+                continue
+            # Until its deadline an ingress may ask for it on a new link.
+            if now_s > max(run.ended_s, run.deadline_s) + KEEP_ENDED_S:
                 self.forget(run, now_s)
         while self._fences_s:
             key = next(iter(self._fences_s))
             if self._fences_s[key] > now_s:
                 break
             del self._fences_s[key]
+            self._forgotten.discard(key)
 
     def running(self) -> int:
         """Return how many runs have not ended."""
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -234,9 +234,11 @@
         timeout_s = self.settings.shutdown_timeout_ms / 1000
         with anyio.move_on_after(timeout_s):
             await anyio.sleep(LEAVE_SPREAD_S)
-            while self.owner.running() or self.ingress.open_requests:
+            # Callers that do not heed "Connection: close" would otherwise
+            # keep this node busy for as long as they like.
+            await self.caller_server.close()
+            while self.owner.running():
                 await anyio.sleep(DRAIN_POLL_S)
-        await self.caller_server.close()
         await self.control_server.close()
         await self.control.close()
         await self.gossiper.close()
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -154,7 +154,7 @@
         self, ingress: str, boot_id: int, frame: _frames.BodyChunk
     ) -> None:
         run = self._runs.find((ingress, boot_id, frame.request_id))
-        if run is None or run.submitted:
+        if run is None or run.submitted or run.ended_s is not None:
             return
         run.body += frame.data
         if frame.last:
@@ -215,21 +215,39 @@
         key = (ingress, boot_id, frame.request_id)
         run = self._runs.find(key)
         if run is None:
-            self._runs.fence(key, time.monotonic())
-            refusal = _frames.Refuse(
-                request_id=frame.request_id,
-                code=exceptions.ErrorCode.LINK_FAILED.value,
+            self._answer_unknown_query(key)
+            return
+        if not run.submitted and run.ended_s is None:
+            # The rest of its body was lost with the former link.
+            self._end(
+                run,
+                exceptions.ErrorCode.LINK_FAILED,
                 ran_unknown=False,
                 retry_after_ms=0,
-                final=False,
-                load=None,
-                message="the request was lost on its way and did not run",
             )
-            self._links.send(ingress, refusal)
             return
         run.acknowledge(frame.received_bytes)
         self._send_again(run, frame)
 
+    def _answer_unknown_query(self, key: _owner_runs.RunKey) -> None:
+        forgotten = self._runs.was_forgotten(key)
+        if not forgotten:
+            self._runs.fence(key, time.monotonic())
+        message = "the request was lost on its way and did not run"
+        if forgotten:
+            message = "the request has ended and its answer is not kept"
+        ingress, _, request_id = key
+        refusal = _frames.Refuse(
+            request_id=request_id,
+            code=exceptions.ErrorCode.LINK_FAILED.value,
+            ran_unknown=forgotten,
+            retry_after_ms=-1 if forgotten else 0,
+            final=False,
+            load=None,
+            message=message,
+        )
+        self._links.send(ingress, refusal)
+
     def _send_again(self, run: _owner_runs.Run, frame: _frames.Query) -> None:
         self._links.send(run.ingress, _frames.Running(frame.request_id))
         if run.head is not None and not frame.has_head:
@@ -385,6 +403,14 @@
         run.unacknowledged.append(chunk)
         self._links.send(run.ingress, chunk)
 
+    def _end_unfinished_bodies(self, now_s: float) -> None:
+        for run in self._runs.unfinished_bodies(now_s):
+            self._end(
+                run,
+                exceptions.ErrorCode.DEADLINE_EXCEEDED,
+                ran_unknown=False,
+            )
+
     async def _tick(self) -> None:
         expire_s = 0.0
         while True:
@@ -395,6 +421,7 @@
             now_s = time.monotonic()
             self.perform(self.controller.tick(now_s))
             if now_s > expire_s:
+                self._end_unfinished_bodies(now_s)
                 self._runs.expire(now_s)
                 expire_s = now_s + EXPIRE_INTERVAL_S
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -272,7 +272,8 @@
                     if told.status == 200
                 )
                 if time.monotonic() > deadline_s:
-                    raise TimeoutError(f"node {number}: {burst[0]}")
+                    missing = wanted - seen
+                    raise TimeoutError(f"{number}: {missing}, {burst[0]}")
 
     async def send(self, number: int, method: str, name: str) -> Told:
         """Send one request to a node; return what the caller was told."""
