--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -18,7 +18,14 @@
 
 from tests import relays
 
-__all__ = ["Fleet", "Load", "Told", "check_history"]
+__all__ = [
+    "Fleet",
+    "Load",
+    "Told",
+    "check_history",
+    "free_address",
+    "request",
+]
 
 DOMAINS = ("a", "b", "c")
 START_TIMEOUT_S = 15.0
@@ -115,6 +122,8 @@
     """Three nodes behind relays, and upstreams announced to them.
 
     :param service_ms: time that the upstreams take for a request.
+    :param slots: of each upstream.
+    :param with_relays: whether the links pass relays that can fail.
     """
 
     def __init__(
@@ -122,18 +131,22 @@
         folder: pathlib.Path,
         announce: t.Sequence[t.Sequence[int]],
         service_ms: int = 20,
+        slots: int = 7,
+        with_relays: bool = True,
     ) -> None:
         self.folder = folder
         self.nodes: list[Node] = []
         self.relays: list[relays.Relay] = []
         self.upstreams = [
             Upstream(
-                _free_address(), folder / f"upstream-{number}", list(owners)
+                free_address(), folder / f"upstream-{number}", list(owners)
             )
             for number, owners in enumerate(announce)
         ]
         self.names = itertools.count()
         self._service_ms = service_ms
+        self._slots = slots
+        self._with_relays = with_relays
         self._output = open(folder / "output", "wb")
 
     async def __aenter__(self) -> t.Self:
@@ -151,18 +164,20 @@
 
     async def _start(self) -> None:
         for domain in DOMAINS:
-            listen = _free_address()
-            relay = relays.Relay(listen)
-            await relay.start()
-            self.relays.append(relay)
+            listen = link = free_address()
+            if self._with_relays:
+                relay = relays.Relay(listen)
+                await relay.start()
+                self.relays.append(relay)
+                link = relay.address
             self.nodes.append(
                 Node(
                     domain,
-                    _free_address(),
-                    _free_address(),
-                    relay.address,
+                    free_address(),
+                    free_address(),
+                    link,
                     listen,
-                    _free_address(socket.SOCK_DGRAM),
+                    free_address(socket.SOCK_DGRAM),
                 )
             )
         for relay in self.relays:
@@ -204,12 +219,15 @@
         owners = ",".join(
             self.nodes[owner].control for owner in upstream.announce
         )
+        # One that announces itself nowhere takes direct requests only.
+        owners = owners or free_address()
         upstream.process = self._run(
             "papayastall.emulator",
             f"--address={upstream.address}",
             "--service=visits",
             f"--announce={owners}",
             f"--service-ms={self._service_ms}",
+            f"--slots={self._slots}",
             "--lease-ms=1500",
             f"--record={upstream.record}",
         )
@@ -232,7 +250,7 @@
 
     async def behave(self, number: int, **behaviour: object) -> None:
         """Tell an upstream how to treat requests."""
-        await _request(
+        await request(
             "POST",
             f"http://{self.upstreams[number].address}/emulator/behaviour",
             orjson.dumps(behaviour),
@@ -244,7 +262,7 @@
         deadline_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline_s:
             try:
-                _, content = await _request("GET", url, b"")
+                _, content = await request("GET", url, b"")
                 if len(orjson.loads(content)["nodes"]) == len(self.nodes):
                     return
             except (httpcore.NetworkError, httpcore.TimeoutException):
@@ -255,7 +273,11 @@
     async def wait_until_ready(self) -> None:
         """Wait until every node gets lookups answered by every upstream."""
         deadline_s = time.monotonic() + START_TIMEOUT_S
-        wanted = {upstream.address for upstream in self.upstreams}
+        wanted = {
+            upstream.address
+            for upstream in self.upstreams
+            if upstream.announce
+        }
         for number in range(len(self.nodes)):
             seen: set[str] = set()
             while seen != wanted:
@@ -286,7 +308,7 @@
             body = orjson.dumps({"visit": name})
         started_s = time.monotonic()
         try:
-            status, content = await _request(method, url, body, name)
+            status, content = await request(method, url, body, name)
         except httpcore.ConnectError as error:
             told.error = f"not sent: {error}"
             return told
@@ -415,9 +437,10 @@
         assert orjson.loads(body["body"]) == {"visit": told.name}, told
 
 
-async def _request(
+async def request(
     method: str, url: str, body: bytes, name: str = ""
 ) -> tuple[int, bytes]:
+    """Send one request on its own connection; return status and body."""
     timeouts = dict.fromkeys(
         ("connect", "read", "write", "pool"), CALLER_TIMEOUT_S
     )
@@ -432,7 +455,8 @@
     return response.status, response.content
 
 
-def _free_address(kind: int = socket.SOCK_STREAM) -> str:
+def free_address(kind: int = socket.SOCK_STREAM) -> str:
+    """Return a loopback address that nothing listens at."""
     with socket.socket(socket.AF_INET, kind) as probe:
         probe.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{probe.getsockname()[1]}"
