Close connections that were replaced once they stay silent

Found by reading: the side that was dialled anew kept the former connection for ever, since a network that lost track of it tells nobody. Closed after the idle time now (tests/test_links.py, failing before); not at once, as the peer may still send on it.

--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -79,6 +79,9 @@
     is_dialling: bool = False
     dialled_s: float = -REDIAL_INTERVAL_S
     lost_connection: bool = False
+    former: list[_connection.Connection] = dataclasses.field(
+        default_factory=list
+    )
     ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
@@ -381,6 +384,9 @@
 
     def _adopt(self, peer: _Peer, connection: _connection.Connection) -> None:
         replaced = peer.lost_connection
+        if peer.connection is not None:
+            # The peer may still send on it, or it has gone silent.
+            peer.former.append(peer.connection)
         peer.connection = connection
         peer.lost_connection = False
         peer.used_s = time.monotonic()
@@ -499,6 +505,7 @@
     def _watch_peer(
         self, peer: _Peer, now_s: float, pause_s: float, number: int
     ) -> None:
+        self._close_former(peer, now_s)
         connection = peer.connection
         if connection is None:
             if peer.outstanding:
@@ -525,6 +532,17 @@
         elif silent_s > PING_AFTER_S:
             connection.send(_frames.Ping(number), self._get_config_index())
 
+    def _close_former(self, peer: _Peer, now_s: float) -> None:
+        for connection in peer.former:
+            if now_s - connection.last_received_s > IDLE_CLOSE_S:
+                connection.close()
+        if peer.former:
+            peer.former = [
+                connection
+                for connection in peer.former
+                if not connection.is_closed
+            ]
+
     def _tell(self, address: str, event: LinkEvent) -> None:
         for handler in self._event_handlers:
             handler(address, event)
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,75 @@
+"""Links between nodes over real sockets."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from papayastall import _frames
+from papayastall import _links
+from papayastall import metrics
+from tests import fleet
+
+STRANGER = "127.0.0.1:1"
+
+
+def make_links(address: str) -> _links.Links:
+    settings = _links.LinkSettings(address, 1, "a")
+    return _links.Links(settings, metrics.Metrics(None, address))
+
+
+async def wait_for_end(stream: anyio.abc.ByteStream) -> None:
+    with anyio.fail_after(10):
+        try:
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+
+
+@pytest.mark.anyio
+async def test_a_replaced_connection_that_stays_silent_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_links, "IDLE_CLOSE_S", 0.3)
+    address = fleet.free_address()
+    links = make_links(address)
+    host, _, port = address.rpartition(":")
+    hello = _frames.encode(_frames.Hello(STRANGER, 1, "a", 0), 0)
+    async with anyio.create_task_group() as tasks:
+        await links.start(tasks)
+        streams = [await anyio.connect_tcp(host, int(port)) for _ in range(2)]
+        for stream in streams:
+            await stream.send(hello)
+            await stream.receive()
+        for stream in streams:
+            await wait_for_end(stream)
+            await stream.aclose()
+        await links.close()
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_a_peer_that_accepts_and_never_greets_is_down() -> None:
+    links = make_links(fleet.free_address())
+    events: list[tuple[str, _links.LinkEvent]] = []
+    links.handle_events(lambda peer, event: events.append((peer, event)))
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    silent = f"127.0.0.1:{port}"
+
+    async def accept(stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, accept)
+        await links.start(tasks)
+        links.watch(silent)
+        with anyio.fail_after(10):
+            while (silent, _links.LinkEvent.DOWN) not in events:
+                await anyio.sleep(0.05)
+        assert not links.is_connected(silent)
+        links.unwatch(silent)
+        await links.close()
+        tasks.cancel_scope.cancel()
