--- a/bench/node_process.py
+++ b/bench/node_process.py
@@ -56,11 +56,12 @@
     return int(text.split()[1]) * resource.getpagesize()
 
 
-def write_settings(folder: pathlib.Path, count: int) -> list[pathlib.Path]:
+def write_settings(
+    folder: pathlib.Path, count: int, replica_count: int
+) -> list[pathlib.Path]:
     """Write the settings of a fleet; return the files."""
     ports = demo.find_free_addresses(count * demo.PORTS_PER_NODE)
     nodes = [ports[number * 4 : number * 4 + 4] for number in range(count)]
-    replica_count = min(count, REPLICA_COUNT)
     replicas = ", ".join(f'"{node[2]}"' for node in nodes[:replica_count])
     paths = []
     for number, (caller, control, link, gossip) in enumerate(nodes):
@@ -95,7 +96,9 @@
         command = [sys.executable, "-m", "papayastall", "node", "--settings"]
         processes = [
             subprocess.Popen([*command, str(path)])
-            for path in write_settings(pathlib.Path(name), count)
+            for path in write_settings(
+                pathlib.Path(name), count, REPLICA_COUNT
+            )
         ]
         try:
             time.sleep(SETTLE_S)
