List and drain the upstreams of all nodes from any node

Operators had to know the owner: drain at another node was refused. Adverts were ruled out as the source: they name owners and slots, not upstreams.

--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -42,6 +42,7 @@
     "service",
     "owner",
     "state",
+    "standing",
     "slots",
     "in_flight",
     "weight",
@@ -124,7 +125,7 @@
 
 
 def upstreams(arguments: Arguments) -> None:
-    """Print the upstreams that the node knows of."""
+    """Print the upstreams of all nodes that answer."""
     answer = connect(arguments).get("/v1/upstreams")
     wanted = arguments["--service"]
     if wanted is not None:
@@ -134,6 +135,9 @@
             if upstream["service"] == wanted
         ]
     text = _format(UPSTREAM_COLUMNS, answer["upstreams"])
+    unreachable = answer.get("unreachable")
+    if unreachable:
+        text += f"\nno answer from: {', '.join(unreachable)}"
     print_data(arguments, answer, text)
 
 
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -10,6 +10,7 @@
 from papayastall import _control_app
 from papayastall import _control_commands as commands
 from papayastall import _decision_types
+from papayastall import _fleet_calls
 from papayastall import _histogram_report
 from papayastall import _owner_state
 from papayastall import _thrift
@@ -41,6 +42,12 @@
 class _Calls:
     def __init__(self, node: nodes.Node) -> None:
         self._node = node
+        self._fleet = _fleet_calls.FleetCalls(
+            node.links,
+            node.list_others,
+            self._list_own,
+            {"drain": self._drain_own, "undrain": self._undrain_own},
+        )
 
     async def apply_documents(self, body: t.Any) -> object:
         """Check and apply documents, all or none."""
@@ -129,29 +136,40 @@
             },
         }
 
-    async def list_upstreams(self, _query: str) -> object:
-        """Return the upstreams that this node owns."""
-        node = self._node
-        return {
-            "upstreams": [
-                {
-                    "upstream": view.upstream,
-                    "service": view.service,
-                    "owner": node.settings.link_address,
-                    "state": view.state.value,
-                    "standing": view.standing.value,
-                    "slots": view.slots,
-                    "in_flight": view.in_flight,
-                    "weight": round(view.weight, 3),
-                    "score": round(view.score, 1),
-                }
-                for view in node.owner_controller.upstreams(time.monotonic())
-            ]
-        }
+    async def list_upstreams(self, query: str) -> object:
+        """Return the upstreams of all nodes, or ``scope=node`` its own."""
+        if dict(urllib.parse.parse_qsl(query)).get("scope") == "node":
+            return {"upstreams": self._list_own(), "unreachable": []}
+        rows, unreachable = await self._fleet.list_all()
+        return {"upstreams": rows, "unreachable": unreachable}
 
     async def drain(self, body: t.Any) -> object:
-        """Give an upstream of this node no new work."""
-        view = self._find_upstream(body)
+        """Give an upstream no new work, wherever its owner is."""
+        return await self._fleet.change("drain", _read_upstream(body))
+
+    async def undrain(self, body: t.Any) -> object:
+        """Let a drained upstream serve again, wherever its owner is."""
+        return await self._fleet.change("undrain", _read_upstream(body))
+
+    def _list_own(self) -> list[_fleet_calls.Row]:
+        node = self._node
+        return [
+            {
+                "upstream": view.upstream,
+                "service": view.service,
+                "owner": node.settings.link_address,
+                "state": "leaving" if view.leaving else view.state.value,
+                "standing": view.standing.value,
+                "slots": view.slots,
+                "in_flight": view.in_flight,
+                "weight": round(view.weight, 3),
+                "score": round(view.score, 1),
+            }
+            for view in node.owner_controller.upstreams(time.monotonic())
+        ]
+
+    async def _drain_own(self, upstream: str) -> object:
+        view = self._find_upstream(upstream)
         node = self._node
         result = await node.control.permits.request(
             view.upstream, view.service, commands.PermitReason.LEAVING
@@ -169,9 +187,8 @@
         node.owner.perform(actions)
         return {"upstream": view.upstream, "state": "leaving"}
 
-    async def undrain(self, body: t.Any) -> object:
-        """Let a drained upstream serve again."""
-        upstream = self._find_upstream(body).upstream
+    async def _undrain_own(self, upstream: str) -> object:
+        self._find_upstream(upstream)
         self._node.owner_controller.undrain(time.monotonic(), upstream)
         self._node.control.permits.release_upstream(upstream)
         return {"upstream": upstream, "state": "ready"}
@@ -187,20 +204,21 @@
         )
         return {"histograms": rows}
 
-    def _find_upstream(self, body: t.Any) -> _owner_state.UpstreamView:
-        upstream = body.get("upstream") if isinstance(body, dict) else None
-        views = self._node.owner_controller.upstreams(time.monotonic())
-        for view in views:
+    def _find_upstream(self, upstream: str) -> _owner_state.UpstreamView:
+        for view in self._node.owner_controller.upstreams(time.monotonic()):
             if view.upstream == upstream:
                 return view
-        known = ", ".join(view.upstream for view in views)
         raise exceptions.BadInputError(
             exceptions.ErrorCode.BAD_REQUEST,
-            f"this node does not own {upstream!r}; it owns {known or 'none'}",
-            step="drain",
+            f"{upstream} has moved away from this node; repeat the command",
+            step="find upstream",
         )
 
 
+def _read_upstream(body: t.Any) -> object:
+    return body.get("upstream") if isinstance(body, dict) else None
+
+
 def encode_suspect(news: _decision_types.SuspectNews) -> bytes:
     """Return the message that tells other nodes."""
     return _thrift.encode(
--- a/src/papayastall/_peering.py
+++ b/src/papayastall/_peering.py
@@ -22,6 +22,7 @@
     CLAIM = 5
     PERMIT = 6
     HISTOGRAM = 7
+    OPERATOR = 8
 
 
 CastHandler = cabc.Callable[[str, bytes], cabc.Coroutine[t.Any, t.Any, None]]
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -129,3 +129,8 @@
   2: string upstream,
   3: bool cleared,
 }
+
+struct OperatorCall {
+  1: string name,
+  2: string upstream,
+}
