--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -47,7 +47,9 @@
     """Node processes by number; :meth:`close` kills those that live."""
 
     def __init__(self, folder: pathlib.Path, count: int) -> None:
-        self._paths = node_process.write_settings(folder, count)
+        self._paths = node_process.write_settings(
+            folder, count, node_process.REPLICA_COUNT
+        )
         self._settings = [
             tomllib.loads(path.read_text()) for path in self._paths
         ]
