--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import enum
-import typing as t
 
 from papayastall import _thrift
 from papayastall import _thrift_codec
@@ -397,16 +396,3 @@
             step="apply",
         )
     return entry
-
-
-def _check_structs() -> None:
-    """Fail at import when a data class and its struct differ."""
-    for name in __all__:
-        target = globals()[name]
-        if not (isinstance(target, type) and dataclasses.is_dataclass(target)):
-            continue
-        fields = {field.name for field in dataclasses.fields(target)}
-        assert fields == codec.list_fields(t.cast(type, target)), name
-
-
-_check_structs()
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -27,7 +27,7 @@
 from papayastall import histograms
 from papayastall import metrics
 
-__all__ = ["ClaimGate", "Ingress", "KeptAnswer"]
+__all__ = ["ClaimGate", "Ingress", "KeptAnswer", "scope_key"]
 
 BODY_TIMEOUT_S = 10.0
 MAX_TEAM_LENGTH = 64
@@ -70,6 +70,14 @@
         """Free the key of a request that did not run."""
 
 
+def scope_key(service: str, team: str, key: str) -> str:
+    """Return an idempotency key that is one team's of one service only.
+
+    A line feed can be in none of the parts.
+    """
+    return "\n".join((service, team, key))
+
+
 class Ingress:
     """Answers callers; one instance per node.
 
@@ -204,7 +212,7 @@
                 retry_after_s=NOT_READY_RETRY_S,
             )
         request = exchange.request
-        scoped_key = f"{request.service}/{key}"
+        scoped_key = scope_key(request.service, request.team, key)
         result = await self._claims.claim(
             scoped_key, request.fingerprint, request.deadline_s
         )
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -12,6 +12,7 @@
 from papayastall import _claims
 from papayastall import _control_commands as commands
 from papayastall import _control_state
+from papayastall import ingress
 from tests import state_helpers
 
 _State = commands.ClaimState
@@ -173,6 +174,16 @@
     assert names == commands.codec.list_fields(_claim_state.StoredClaim)
 
 
+def test_one_key_of_two_teams_is_two_keys() -> None:
+    keys = {
+        ingress.scope_key("visits", "a/b", "c"),
+        ingress.scope_key("visits", "a", "b/c"),
+        ingress.scope_key("visits", "a", "c"),
+        ingress.scope_key("intake", "a", "c"),
+    }
+    assert len(keys) == 4
+
+
 def test_keys_spread_over_all_groups() -> None:
     keys = [_claims.make_claim_key(f"visits/{n}") for n in range(400)]
     groups = [_claims.claim_group(key, 4) for key in keys]
--- a/tests/test_document_state.py
+++ b/tests/test_document_state.py
@@ -6,10 +6,14 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
+from papayastall import _config
 from papayastall import _control_commands as commands
 from papayastall import _control_state
 from papayastall import _document_state
+from papayastall import _permit_state
+from papayastall import exceptions
 from tests import state_helpers
 
 _State = commands.DocumentState
@@ -129,12 +133,30 @@
     assert not apply(log, too_old).accepted
 
 
-def test_structs_and_snapshot_classes_have_the_same_fields() -> None:
-    for target in (
+def test_structs_and_data_classes_have_the_same_fields() -> None:
+    targets: list[type] = [
+        _config.FetchDocuments,
+        _config.FetchedDocuments,
+        _config.IndexedDocument,
+        _config.IndexNotice,
         _control_state.ControlSnapshot,
         _control_state.ClaimSnapshot,
         _document_state.StoredDocument,
         _document_state.StoredRevision,
-    ):
-        names = {field.name for field in dataclasses.fields(target)}
-        assert names == commands.codec.list_fields(target)
+        _permit_state.StoredOwner,
+        _permit_state.StoredUpstream,
+    ]
+    exported = [getattr(commands, name) for name in commands.__all__]
+    targets += [item for item in exported if isinstance(item, type)]
+    for target in targets:
+        if dataclasses.is_dataclass(target):
+            names = {field.name for field in dataclasses.fields(target)}
+            assert names == commands.codec.list_fields(target), target
+
+
+def test_a_command_of_a_later_version_stops_the_replica() -> None:
+    entry = commands.LogEntry(
+        commands.COMMAND_VERSION + 1, 0, commands.Command()
+    )
+    with pytest.raises(exceptions.ProtocolError):
+        _control_state.ControlState().apply(1, commands.codec.encode(entry))
