--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -12,6 +12,7 @@
 from papayastall import _claims
 from papayastall import _control_commands as commands
 from papayastall import _control_state
+from papayastall import ingress
 from tests import state_helpers
 
 _State = commands.ClaimState
@@ -155,11 +156,34 @@
     assert table.claim(0, first).state is _State.GRANTED
 
 
+def test_a_snapshot_holds_what_changed_since_the_one_before() -> None:
+    claims = Claims()
+    claims.claim(b"a")
+    claims.claim(b"a", key=b"2" * 16)
+    machine = claims.log.machine
+    machine.snapshot()
+    claims.record(b"a")
+    claims.release(b"a", key=b"2" * 16)
+    other = _control_state.ClaimGroupState()
+    other.restore(machine.snapshot())
+    assert other.claims.list_claims() == claims.table.list_claims()
+
+
 def test_stored_claims_have_the_fields_of_their_struct() -> None:
     names = {f.name for f in dataclasses.fields(_claim_state.StoredClaim)}
     assert names == commands.codec.list_fields(_claim_state.StoredClaim)
 
 
+def test_one_key_of_two_teams_is_two_keys() -> None:
+    keys = {
+        ingress.scope_key("visits", "a/b", "c"),
+        ingress.scope_key("visits", "a", "b/c"),
+        ingress.scope_key("visits", "a", "c"),
+        ingress.scope_key("intake", "a", "c"),
+    }
+    assert len(keys) == 4
+
+
 def test_keys_spread_over_all_groups() -> None:
     keys = [_claims.make_claim_key(f"visits/{n}") for n in range(400)]
     groups = [_claims.claim_group(key, 4) for key in keys]
