--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -9,6 +9,7 @@
 from papayastall import _open_attempts
 from papayastall import _refusals
 from papayastall import _retry
+from papayastall import _retry_rules
 from papayastall import _routing
 from papayastall import _service_policy
 from papayastall import _service_view
@@ -21,21 +22,6 @@
 _Ran = exceptions.RanState
 _Actions = list[types.IngressAction]
 
-_FINAL_CODES = frozenset(
-    {
-        _Code.CRASHING_REQUEST,
-        _Code.DEADLINE_EXCEEDED,
-        _Code.KEY_REUSED,
-        _Code.STILL_RUNNING,
-        _Code.CLAIM_UNAVAILABLE,
-        _Code.BAD_REQUEST,
-        _Code.BODY_TOO_LARGE,
-        _Code.CANCELLED,
-    }
-)
-"""Refusals that another owner would repeat."""
-_MAX_LOSSES = 2
-
 
 class IngressController:
     """Decides which owner runs a caller's request, and what comes next.
@@ -123,7 +109,7 @@
         _open_attempts.note_heard(now_s, service, pending, attempt, load)
         failed = status is not None and status >= 500
         _service_view.note_answer(service, pending.request.route, load, failed)
-        if failed and self._may_replace(pending):
+        if failed and pending.request.kind is types.RequestKind.LOOKUP:
             replaced = self._replace(now_s, pending, attempt)
             if replaced:
                 return replaced
@@ -310,44 +296,16 @@
         pending: state.PendingRequest,
         outcome: types.AttemptOutcome,
     ) -> _Actions:
-        request = pending.request
-        code = outcome.code or _Code.UPSTREAM_FAILED
         if pending.open:
             return []
+        request = pending.request
+        service = self._service(request.service)
+        code = outcome.code or _Code.UPSTREAM_FAILED
         if self._suspects.is_blocked(now_s, request.fingerprint):
             return self._end(now_s, pending, _Code.CRASHING_REQUEST)
-        if code in _FINAL_CODES or request.deadline_s <= now_s:
-            return self._end(now_s, pending, code)
-        if outcome.result is types.AttemptResult.NOT_RUN:
-            if self._may_try_again(now_s, pending, code):
-                return self._forward_or_end(now_s, pending)
-            return self._end(now_s, pending, code)
-        if request.kind is types.RequestKind.NON_IDEMPOTENT:
-            return self._end(now_s, pending, code)
-        if pending.losses >= _MAX_LOSSES:
-            return self._end(now_s, pending, code)
-        if not self._service(request.service).budget.take(now_s):
-            return self._end(now_s, pending, code)
-        return self._forward_or_end(now_s, pending)
-
-    def _may_try_again(
-        self,
-        now_s: float,
-        pending: state.PendingRequest,
-        code: exceptions.ErrorCode,
-    ) -> bool:
-        service = self._service(pending.request.service)
-        if pending.has_unknown:
-            if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
-                return False
-        if pending.refusals > service.policy.routing.max_refusals:
-            return False
-        if code is not _Code.OVERLOADED:
-            return True
-        return _service_view.has_room(now_s, service, pending)
-
-    def _may_replace(self, pending: state.PendingRequest) -> bool:
-        return pending.request.kind is types.RequestKind.LOOKUP
+        if _retry_rules.may_try_again(now_s, service, pending, outcome):
+            return self._forward_or_end(now_s, pending)
+        return self._end(now_s, pending, code)
 
     def _replace(
         self, now_s: float, pending: state.PendingRequest, number: int
@@ -397,11 +355,7 @@
     def _is_hedge_due(
         self, now_s: float, pending: state.PendingRequest
     ) -> bool:
-        if pending.hedge_due_s is None or now_s < pending.hedge_due_s:
-            return False
-        if pending.request.kind is not types.RequestKind.LOOKUP:
-            return False
-        if len(pending.open) != 1 or pending.losses:
+        if not _retry_rules.is_hedge_due(now_s, pending):
             return False
         fingerprint = pending.request.fingerprint
         return not self._suspects.losses(now_s, fingerprint)
--- /dev/null
+++ b/src/papayastall/_retry_rules.py
@@ -0,0 +1,72 @@
+"""When a request of a caller gets another attempt."""
+
+from __future__ import annotations
+
+from papayastall import _decision_types as types
+from papayastall import _ingress_state as state
+from papayastall import _service_view
+from papayastall import exceptions
+
+__all__ = ["is_hedge_due", "may_try_again"]
+
+_Code = exceptions.ErrorCode
+
+_FINAL_CODES = frozenset(
+    {
+        _Code.CRASHING_REQUEST,
+        _Code.DEADLINE_EXCEEDED,
+        _Code.KEY_REUSED,
+        _Code.STILL_RUNNING,
+        _Code.CLAIM_UNAVAILABLE,
+        _Code.BAD_REQUEST,
+        _Code.BODY_TOO_LARGE,
+        _Code.CANCELLED,
+    }
+)
+"""Refusals that another owner would repeat."""
+_MAX_LOSSES = 2
+
+
+def is_hedge_due(now_s: float, pending: state.PendingRequest) -> bool:
+    """Return whether a lookup has waited long enough for a second attempt."""
+    if pending.hedge_due_s is None or now_s < pending.hedge_due_s:
+        return False
+    if pending.request.kind is not types.RequestKind.LOOKUP:
+        return False
+    return len(pending.open) == 1 and not pending.losses
+
+
+def may_try_again(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    outcome: types.AttemptOutcome,
+) -> bool:
+    """Return whether another owner may get the request after a failure.
+
+    Takes the attempt out of the budget where it needs one.
+    """
+    code = outcome.code or _Code.UPSTREAM_FAILED
+    if code in _FINAL_CODES or pending.request.deadline_s <= now_s:
+        return False
+    if pending.has_unknown:
+        if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
+            return False
+    if outcome.result is types.AttemptResult.NOT_RUN:
+        return _may_follow_refusal(now_s, service, pending, code)
+    if pending.losses >= _MAX_LOSSES:
+        return False
+    return service.budget.take(now_s)
+
+
+def _may_follow_refusal(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    code: exceptions.ErrorCode,
+) -> bool:
+    if pending.refusals > service.policy.routing.max_refusals:
+        return False
+    if code is not _Code.OVERLOADED:
+        return True
+    return _service_view.has_room(now_s, service, pending)
