--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -7,7 +7,7 @@
 
 __all__ = ["RetryBudget", "jittered_retry_after_s"]
 
-MIN_RETRY_AFTER_S = 0.5
+MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 30.0
 _BURST_TOKENS = 10.0
 _IDLE_TOKENS_PER_S = 0.2
