Send no body after the deadline has passed

The deadline was checked before the headers only. It is checked before the body as well; the headers may have begun something, so the outcome stays unknown. What is left is the moment between a check and its write.

--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -27,6 +27,7 @@
 TIMEOUT_HEADER = b"papayastall-timeout-ms"
 NOT_RUN_HEADER = b"papayastall-ran"
 HAND_OVER_EVENT = "http11.send_request_headers.started"
+BODY_EVENT = "http11.send_request_body.started"
 MAX_IDLE_CONNECTIONS = 16
 CONNECT_TIMEOUT_S = 1.0
 
@@ -66,6 +67,10 @@
     """The deadline passed before anything was handed over."""
 
 
+class _BodyHeldBack(Exception):
+    """The deadline passed before the body followed the headers."""
+
+
 class AnswerSink:
     """Takes an answer as it arrives; the owner overrides both methods.
 
@@ -168,7 +173,7 @@
             return Outcome.CONNECT_FAILED
         except (httpcore.NetworkError, httpcore.ProtocolError):
             return Outcome.BROKEN
-        except httpcore.TimeoutException:
+        except (httpcore.TimeoutException, _BodyHeldBack):
             return Outcome.TIMED_OUT
         finally:
             await self._give_back(connection, request)
@@ -209,8 +214,14 @@
     async def check_deadline(event: str, _info: object) -> None:
         # A process that was stopped while it connected must not hand over
         # a request whose caller has long been answered.
-        if event == HAND_OVER_EVENT and anyio.current_time() > deadline_s:
+        if event not in (HAND_OVER_EVENT, BODY_EVENT):
+            return
+        if anyio.current_time() <= deadline_s:
+            return
+        if event == HAND_OVER_EVENT:
             raise _DeadlinePassed
+        if request.body:
+            raise _BodyHeldBack
 
     extensions = {
         "timeout": {"connect": CONNECT_TIMEOUT_S},
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -31,6 +31,7 @@
     def __init__(self, script: list[bytes | None]) -> None:
         self.script = script
         self.requests = 0
+        self.received = bytearray()
         self.address = ""
         self._listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = (
             None
@@ -57,7 +58,7 @@
         async with stream:
             with contextlib.suppress(anyio.EndOfStream):
                 while True:
-                    await stream.receive()
+                    self.received += await stream.receive()
                     self.requests += 1
                     answer = self.script.pop(0)
                     if answer is None:
@@ -148,3 +149,23 @@
         outcome = await client.run(request, 0.0, sink)
         assert outcome is Outcome.CONNECT_FAILED
         assert upstream.requests == 0
+
+
+async def test_no_body_follows_the_headers_after_the_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A process stopped between the two must not complete the request."""
+    now_s = anyio.current_time()
+    times_s = iter([now_s, now_s, now_s + 100.0])
+    async with run_upstream([ANSWER]) as upstream:
+        client = _upstream_client.UpstreamClient()
+        request = _upstream_client.UpstreamRequest(
+            upstream.address, b"POST", b"/", [], b"body", False
+        )
+        monkeypatch.setattr(anyio, "current_time", lambda: next(times_s))
+        outcome = await client.run(
+            request, TIMEOUT_S, _upstream_client.AnswerSink()
+        )
+        monkeypatch.undo()
+        assert outcome is Outcome.TIMED_OUT
+        assert b"body" not in upstream.received
