--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -15,7 +15,6 @@
     "note_start",
     "reference_s",
     "update_doubt",
-    "view",
 ]
 
 _UNKNOWN_REFERENCE_S = 1.0
@@ -126,32 +125,12 @@
         if not run.is_trial or run.trial_failed:
             continue
         base_s = reference_s(now_s, service, upstream, run.request)
-        limit_s = _ejection.trial_limit_s(base_s, tuning)
+        limit_s = _ejection.trial_limit_s(base_s)
         if now_s - run.started_s > limit_s:
             run.trial_failed = True
             _ejection.note_trial(upstream, now_s, False, tuning)
 
 
-def view(
-    now_s: float, service: state.ServiceState, upstream: state.Upstream
-) -> state.UpstreamView:
-    """Return the upstream as operators see it."""
-    tuning = service.policy.thresholds()
-    is_out = _ejection.is_out(upstream)
-    return state.UpstreamView(
-        upstream=upstream.name,
-        service=upstream.service,
-        slots=upstream.slots,
-        in_flight=len(upstream.running),
-        weight=_ejection.weight(upstream, now_s, tuning),
-        score=upstream.evidence.score(now_s, 0.0),
-        state=upstream.state,
-        standing=upstream.standing,
-        out_until_s=upstream.out_until_s if is_out else None,
-        leaving=upstream.leaving_since_s is not None,
-    )
-
-
 def _warm_reference_s(
     service: state.ServiceState, request: types.OwnerRequest
 ) -> float | None:
@@ -240,7 +219,7 @@
         return []
     tuning = service.policy.thresholds()
     base_s = reference_s(now_s, service, upstream, run.request)
-    limit_s = _ejection.trial_limit_s(base_s, tuning)
+    limit_s = _ejection.trial_limit_s(base_s)
     match outcome:
         case types.Outcome.ANSWERED:
             passed = now_s - run.started_s <= limit_s
