Relay an answer from its first part on, not from its head

The head waits for the first part of the body now, so that the lookup is tried again and a booking is told that it may have run (tests/test_attempts.py, failing before).

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -188,14 +188,20 @@
         attempt = self._find(owner, frame.request_id)
         if attempt is None or attempt.head is not None:
             return
+        # A head alone is not relayed: an upstream that dies right after it
+        # leaves a lookup that can still be answered by another one.
         attempt.head = frame
+
+    def _start_answer(self, attempt: _exchange.Attempt) -> None:
+        assert attempt.head is not None
+        attempt.started = True
         self.perform(
             self.controller.answer_started(
                 time.monotonic(),
                 attempt.exchange.request.request_id,
                 attempt.number,
-                frame.load,
-                frame.status,
+                attempt.head.load,
+                attempt.head.status,
             )
         )
 
@@ -213,6 +219,11 @@
             return
         if frame.offset_bytes < attempt.received_bytes:
             return
+        if not attempt.started:
+            self._start_answer(attempt)
+            if attempt.wire_id not in self._attempts:
+                # Another attempt was preferred to this one.
+                return
         if frame.data:
             attempt.received_bytes += len(frame.data)
             attempt.chunks.append(frame.data)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,105 @@
+"""What an ingress makes of the frames that answer its attempts."""
+
+from __future__ import annotations
+
+import random
+import time
+import typing as t
+
+from papayastall import _attempts
+from papayastall import _decision_types
+from papayastall import _exchange
+from papayastall import _frames
+from papayastall import _ingress_controller
+from papayastall import exceptions
+from papayastall import metrics
+
+OWNERS = ["127.0.0.1:1", "127.0.0.1:2"]
+
+
+class FakeLinks:
+    """Takes what is sent; every peer is connected."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, t.Any]] = []
+
+    def send(self, address: str, frame: t.Any) -> None:
+        self.sent.append((address, frame))
+
+    def is_connected(self, address: str) -> bool:
+        return True
+
+    def boot_id(self, address: str) -> int:
+        return 1
+
+    def watch(self, address: str) -> None:
+        """Ignore."""
+
+    def unwatch(self, address: str) -> None:
+        """Ignore."""
+
+    def opens(self) -> list[tuple[str, int]]:
+        """Return owner and number of each request sent."""
+        return [
+            (address, frame.request_id)
+            for address, frame in self.sent
+            if isinstance(frame, _frames.Open)
+        ]
+
+
+def start_lookup() -> tuple[t.Any, FakeLinks, _exchange.Exchange]:
+    links = FakeLinks()
+    controller = _ingress_controller.IngressController(
+        "127.0.0.1:9", random.Random(1)
+    )
+    now_s = time.monotonic()
+    for owner in OWNERS:
+        advert = _decision_types.OwnerAdvert(owner, "visits", "a", 7)
+        controller.set_owner(now_s, advert)
+    sender = _attempts.AttemptSender(
+        t.cast(t.Any, links),
+        controller,
+        random.Random(1),
+        metrics.Metrics(None, "127.0.0.1:9"),
+    )
+    request = _decision_types.IngressRequest(
+        1,
+        "visits",
+        "status",
+        "",
+        _decision_types.RequestKind.LOOKUP,
+        now_s + 10.0,
+        1,
+    )
+    exchange = _exchange.Exchange(request, b"GET", b"/", [], b"")
+    sender.open(exchange)
+    return sender, links, exchange
+
+
+def test_a_lookup_whose_answer_broke_after_its_head_is_tried_again() -> None:
+    sender, links, exchange = start_lookup()
+    [(owner, number)] = links.opens()
+    sender._receive_head(owner, 1, _frames.AnswerHead(number, 200, [], None))
+    assert exchange.chosen is None
+    refusal = _frames.Refuse(
+        number,
+        exceptions.ErrorCode.UPSTREAM_FAILED.value,
+        True,
+        -1,
+        False,
+        None,
+        "",
+    )
+    sender._receive_refuse(owner, 1, refusal)
+    assert exchange.refusal is None
+    assert {address for address, _ in links.opens()} == set(OWNERS)
+
+
+def test_an_answer_without_a_body_is_whole() -> None:
+    sender, links, exchange = start_lookup()
+    [(owner, number)] = links.opens()
+    sender._receive_head(owner, 1, _frames.AnswerHead(number, 204, [], None))
+    last = _frames.AnswerChunk(number, 0, b"", True, 0.0, 0.0)
+    sender._receive_chunk(owner, 1, last)
+    assert exchange.chosen is not None
+    assert exchange.chosen.complete
