--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -256,9 +256,11 @@
         timeout_s = self.settings.shutdown_timeout_ms / 1000
         with anyio.move_on_after(timeout_s):
             await anyio.sleep(LEAVE_SPREAD_S)
-            while self.owner.running() or self.ingress.open_requests:
+            # Callers that do not heed "Connection: close" would otherwise
+            # keep this node busy for as long as they like.
+            await self.caller_server.close()
+            while self.owner.running():
                 await anyio.sleep(DRAIN_POLL_S)
-        await self.caller_server.close()
         await self.control_server.close()
         await self.control.close()
         await self.gossiper.close()
@@ -454,6 +456,10 @@
         _owner_state.Standing.RETURNING,
     )
     ready = view.state is _decision_types.UpstreamState.READY
-    if healthy and ready and not view.leaving:
-        return commands.UpstreamReportState.SERVING
+    if view.standing is _owner_state.Standing.EJECTED:
+        return commands.UpstreamReportState.NOT_SERVING
+    if ready and not view.leaving:
+        if healthy:
+            return commands.UpstreamReportState.SERVING
+        return commands.UpstreamReportState.SUSPECTED
     return commands.UpstreamReportState.NOT_SERVING
