--- a/demo/run.py
+++ b/demo/run.py
@@ -13,8 +13,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -29,6 +31,7 @@
 DOMAINS = ("atlanta-1", "atlanta-2", "atlanta-3")
 UPSTREAM_COUNT = 6
 PORTS_PER_NODE = 4
+PORTS = range(20_000, 32_000)
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 POLL_INTERVAL_S = 0.2
@@ -156,23 +159,27 @@
 
 
 def find_free_addresses(count: int) -> list[str]:
-    """Return addresses whose ports are free for TCP and UDP."""
+    """Return addresses whose ports are free for TCP and UDP.
+
+    The ports lie below those that the system gives to connections, so that
+    none is taken between now and its use.
+    """
     addresses: list[str] = []
-    held: list[socket.socket] = []
-    while len(addresses) < count:
-        stream = socket.socket()
-        datagram = socket.socket(type=socket.SOCK_DGRAM)
-        held += [stream, datagram]
-        stream.bind((HOST, 0))
-        port = stream.getsockname()[1]
-        try:
-            datagram.bind((HOST, port))
-        except OSError:
-            continue
-        addresses.append(f"{HOST}:{port}")
-    for holder in held:
-        holder.close()
-    return addresses
+    with contextlib.ExitStack() as held:
+        for port in random.SystemRandom().sample(PORTS, len(PORTS)):
+            stream = held.enter_context(socket.socket())
+            datagram = held.enter_context(
+                socket.socket(type=socket.SOCK_DGRAM)
+            )
+            try:
+                stream.bind((HOST, port))
+                datagram.bind((HOST, port))
+            except OSError:
+                continue
+            addresses.append(f"{HOST}:{port}")
+            if len(addresses) == count:
+                return addresses
+    raise OSError(f"only {len(addresses)} of {count} ports are free")
 
 
 def wait_for_status(address: str, path: str) -> None:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -388,6 +388,7 @@
 
     def _adopt(self, peer: _Peer, connection: _connection.Connection) -> None:
         replaced = peer.lost_connection
+        self._counters.count(metrics.Counter.LINK_OPENS)
         if peer.connection is not None:
             # The peer may still send on it, or it has gone silent.
             peer.former.append(peer.connection)
