Make the failure tests give one verdict

Ports below the ephemeral range: a node did not start because another process's connection had taken its free port (address in use in its output). The test of late answers silenced the links to both owners at once, where a request lost on both is rightly refused as not run; one owner stays in reach now, and every request must be answered.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -35,6 +36,7 @@
 LATE_S = 0.5
 CALLER_TIMEOUT_S = 10.0
 READY_BURST = 16
+FIRST_EPHEMERAL_PORT = 32_768
 
 SETTINGS = """\
 version = 1
@@ -456,7 +458,16 @@
 
 
 def free_address(kind: int = socket.SOCK_STREAM) -> str:
-    """Return a loopback address that nothing listens at."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens at.
+
+    Its port is below those that the system gives to connections, so that
+    none takes it before the process that is told to listen there.
+    """
+    while True:
+        port = random.randrange(10_000, FIRST_EPHEMERAL_PORT)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -72,9 +72,20 @@
             if link.source == source:
                 self._apply(link)
 
-    def silence(self, *, to_node: bool = True, from_node: bool = True) -> None:
-        """Hold back all bytes of the connections that stand now."""
+    def silence(
+        self,
+        source: str | None = None,
+        *,
+        to_node: bool = True,
+        from_node: bool = True,
+    ) -> None:
+        """Hold back all bytes of the connections that stand now.
+
+        :param source: only of connections from this node.
+        """
         for link in self._links:
+            if source not in (None, link.source):
+                continue
             if to_node:
                 link.to_node.is_open.clear()
             if from_node:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -133,8 +133,9 @@
         load = fleets.Load(fleet, [0], callers=10)
         for _ in range(3):
             await asyncio.sleep(0.5)
-            for relay in fleet.relays:
-                relay.silence(to_node=False)
+            # The other owner stays within reach of what is lost here.
+            fleet.relays[1].silence(to_node=False)
+            fleet.relays[0].silence(fleet.nodes[1].link, to_node=False)
             await asyncio.sleep(1.2)
             for relay in fleet.relays:
                 relay.heal()
