--- a/bench/log_idle.py
+++ b/bench/log_idle.py
@@ -1,4 +1,7 @@
-"""What replicas cost while nothing is proposed, by number of groups."""
+"""What replicas cost while nothing is proposed, by number of groups.
+
+Measured once the leaders are spread over the replicas.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +12,7 @@
 from bench import replica_fleet
 
 SECONDS = 10.0
+SETTLE_S = 13.0
 GROUP_COUNTS = (1, 4, 8, 16)
 TARGET_CPU = 0.016
 TARGET_BYTES_PER_S = 7_000
@@ -20,7 +24,7 @@
         fleet = replica_fleet.Fleet(pathlib.Path(name), groups)
         for group in range(groups):
             fleet.leader(group)
-        time.sleep(1.0)
+        time.sleep(SETTLE_S)
         replicas = fleet.replicas.values()
         before = [each.ask(op="costs") for each in replicas]
         time.sleep(SECONDS)
