Grant no ejection where the others are under the floor

Cause: an owner reports an upstream that it steers away as out, and the ledger granted the ejection of whatever was out without a look at the floor. If a fault of judgement steered a whole service away, all of it could be ejected. Ruled out: the ledger's count of healthy slots, which was right. Change: an ejection needs the floor in healthy slots besides the upstream itself, in whatever state it is reported; planned leaving of one that is out stays granted, since it takes nothing away.

--- a/src/papayastall/_permit_state.py
+++ b/src/papayastall/_permit_state.py
@@ -198,8 +198,10 @@
             return _State.UNKNOWN_SERVICE
         if command.config_index < config_index:
             return _State.OLD_CONFIG
+        if entry.granted_index:
+            return _State.GRANTED
         is_out = entry.report.state is _Report.NOT_SERVING
-        if is_out or entry.granted_index:
+        if is_out and command.reason is not commands.PermitReason.EJECTION:
             return _State.GRANTED
         return self._judge_floor(entry, floor_slots, observed)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -123,6 +123,7 @@
 
     :param service_ms: time that the upstreams take for a request.
     :param slots: of each upstream.
+    :param floor_slots: of the service that the upstreams serve.
     :param with_relays: whether the links pass relays that can fail.
     """
 
@@ -133,7 +134,9 @@
         service_ms: int = 20,
         slots: int = 7,
         with_relays: bool = True,
+        floor_slots: int = 1,
     ) -> None:
+        self._floor_slots = floor_slots
         self.folder = folder
         self.nodes: list[Node] = []
         self.relays: list[relays.Relay] = []
@@ -297,7 +300,9 @@
                     missing = wanted - seen
                     raise TimeoutError(f"{number}: {missing}, {burst[0]}")
 
-    async def send(self, number: int, method: str, name: str) -> Told:
+    async def send(
+        self, number: int, method: str, name: str, key: str = ""
+    ) -> Told:
         """Send one request to a node; return what the caller was told."""
         told = Told(name, method, number, time.time())
         host = f"http://{self.nodes[number].caller}"
@@ -308,7 +313,7 @@
             body = orjson.dumps({"visit": name})
         started_s = time.monotonic()
         try:
-            status, content = await request(method, url, body, name)
+            status, content = await request(method, url, body, name, key)
         except httpcore.ConnectError as error:
             told.error = f"not sent: {error}"
             return told
@@ -349,7 +354,8 @@
 
     async def _apply(self) -> None:
         path = self.folder / "visits.toml"
-        path.write_text(DOCUMENT)
+        floor = f"floor_slots = {self._floor_slots}"
+        path.write_text(DOCUMENT.replace("floor_slots = 1", floor))
         process = self._run(
             "papayastall",
             "apply",
@@ -438,17 +444,20 @@
 
 
 async def request(
-    method: str, url: str, body: bytes, name: str = ""
+    method: str, url: str, body: bytes, name: str = "", key: str = ""
 ) -> tuple[int, bytes]:
     """Send one request on its own connection; return status and body."""
     timeouts = dict.fromkeys(
         ("connect", "read", "write", "pool"), CALLER_TIMEOUT_S
     )
+    headers = [("x-request-id", name)]
+    if key:
+        headers.append(("idempotency-key", key))
     async with httpcore.AsyncConnectionPool() as pool:
         response = await pool.request(
             method,
             url,
-            headers={"x-request-id": name},
+            headers=headers,
             content=body,
             extensions={"timeout": timeouts},
         )
--- a/tests/test_permit_state.py
+++ b/tests/test_permit_state.py
@@ -96,6 +96,15 @@
     assert ledger.permits.count_healthy_slots("visits") == 6
 
 
+def test_upstreams_steered_away_at_once_are_not_all_ejected() -> None:
+    ledger = make_ledger(floor_slots=6)
+    for number in "123":
+        report = (f"u{number}", 3, _Report.NOT_SERVING)
+        ledger.report(f"o{number}", report, full=False)
+    for number in "123":
+        assert ledger.ask(f"o{number}", f"u{number}") is _State.FLOOR
+
+
 def test_a_permit_ends_when_its_upstream_is_reported_again() -> None:
     ledger = make_ledger(floor_slots=6)
     ledger.ask("o1", "u1")
