Keep the time to come back on the base of all errors

Cause: two errors carried the same constructor for one field. Change: the field is on the base class. Result: behaviour as before; tests pass.

--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -87,15 +87,10 @@
 
 def problem_of(error: exceptions.PapayastallError) -> Problem:
     """Return the problem that tells of an error."""
-    retry_after_s = None
     ran: exceptions.RanState | None = None
     match error:
         case exceptions.RefusedError():
-            retry_after_s = error.retry_after_s
             ran = exceptions.RanState.NO
-        case exceptions.StillRunningError():
-            retry_after_s = error.retry_after_s
-            ran = exceptions.RanState.UNKNOWN
         case exceptions.OutcomeUnknownError():
             ran = exceptions.RanState.UNKNOWN
     return Problem(
@@ -104,5 +99,5 @@
         error.step,
         ran,
         error.peer,
-        retry_after_s,
+        error.retry_after_s,
     )
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -72,6 +72,8 @@
     :param message: text for the user that says what to do.
     :param step: the step at which the error arose.
     :param peer: address or name of the other process, if any.
+    :param retry_after_s: when to come back, in seconds; ``None`` where that
+        does not help.
     """
 
     def __init__(
@@ -81,12 +83,14 @@
         *,
         step: str,
         peer: str | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(message)
         self.code = code
         self.message = message
         self.step = step
         self.peer = peer
+        self.retry_after_s = retry_after_s
 
     def __str__(self) -> str:
         peer = f" (peer {self.peer})" if self.peer else ""
@@ -114,23 +118,7 @@
 
 
 class RefusedError(PapayastallError):
-    """A request was refused and did not run.
-
-    :param retry_after_s: when the caller may come back, in seconds;
-        ``None`` where coming back does not help.
-    """
-
-    def __init__(
-        self,
-        code: ErrorCode,
-        message: str,
-        *,
-        step: str,
-        peer: str | None = None,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(code, message, step=step, peer=peer)
-        self.retry_after_s = retry_after_s
+    """A request was refused and did not run."""
 
 
 class OutcomeUnknownError(PapayastallError):
@@ -138,19 +126,4 @@
 
 
 class StillRunningError(OutcomeUnknownError):
-    """The first request with the same key has not ended yet.
-
-    :param retry_after_s: when its outcome will be known, in seconds.
-    """
-
-    def __init__(
-        self,
-        code: ErrorCode,
-        message: str,
-        *,
-        step: str,
-        peer: str | None = None,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(code, message, step=step, peer=peer)
-        self.retry_after_s = retry_after_s
+    """The first request with the same key has not ended yet."""
