--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -172,9 +172,8 @@
     """Measure without faults, with restarts, and without the leader."""
     started_s = time.monotonic()
     bench.start()
-    print(
-        f"{len(bench.nodes)} nodes ready after {time.monotonic() - started_s:.0f} s"
-    )
+    ready_s = time.monotonic() - started_s
+    print(f"{len(bench.nodes)} nodes ready after {ready_s:.0f} s")
     print_times(
         "quiet", [s for _ in range(QUIET_CHANGES) for s in bench.change()]
     )
