Refuse callers at a node that can't read a document of a later release

The error went up through the config service and ended the node, or the replica that applied the change (test failed before with that error). The node now refuses callers until it is upgraded; going on by the former document was left out, since it would take the config back.

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -6,7 +6,6 @@
 import dataclasses
 import random
 import time
-import typing as t
 
 import anyio
 import anyio.abc
@@ -100,6 +99,7 @@
         self._put_in_force = put_in_force
         self._rng = rng
         self._host: _control_calls.GroupHost | None = None
+        self._unreadable: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
             node, control, time.monotonic()
@@ -114,6 +114,8 @@
 
     def is_ready(self) -> bool:
         """Return whether this node may serve by its config."""
+        if self._unreadable:
+            return False
         return self._controller.is_ready(time.monotonic())
 
     def list_documents(self) -> list[commands.DocumentText]:
@@ -276,7 +278,9 @@
     def _take(self, update: _config.ConfigUpdate | None) -> None:
         if update is None:
             return
-        self._put_in_force(update.index, _parse_all(update.documents))
+        parsed = [self._parse(text) for text in update.documents]
+        readable = [document for document in parsed if document is not None]
+        self._put_in_force(update.index, readable)
         logs.log_change(
             logs.StateChange(
                 logs.ChangeKind.CONFIG,
@@ -288,6 +292,27 @@
         )
         self._spread(update.index)
 
+    def _parse(self, text: commands.DocumentText) -> documents.Document | None:
+        """Parse a document; one for a later release stops the serving.
+
+        Going on by the former document would be going back.
+        """
+        self._unreadable.discard(text.name)
+        try:
+            return documents.parse_document(text.text, text.name)
+        except exceptions.BadInputError as error:
+            self._unreadable.add(text.name)
+            logs.log_change(
+                logs.StateChange(
+                    logs.ChangeKind.CONFIG,
+                    text.name,
+                    "",
+                    "unreadable",
+                    f"{error.message}; upgrade this node",
+                )
+            )
+            return None
+
     def _spread(self, index: int) -> None:
         """Tell a few members, who tell others in turn."""
         notice = _config.IndexNotice(_config.MESSAGE_VERSION, index)
@@ -370,9 +395,3 @@
         f"{verdict.current_revision} is in force, read it and send "
         f"{next_revision}"
     )
-
-
-def _parse_all(
-    texts: t.Iterable[commands.DocumentText],
-) -> list[documents.Document]:
-    return [documents.parse_document(text.text, text.name) for text in texts]
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 import pathlib
 import random
@@ -12,6 +13,7 @@
 import pytest
 
 from papayastall import _claim_state
+from papayastall import _config
 from papayastall import _config_service
 from papayastall import _control_commands as commands
 from papayastall import _decision_types
@@ -110,6 +112,23 @@
     await control_fleet.run_fleet(tmp_path, 3, body)
 
 
+async def test_a_node_that_can_not_read_a_document_does_not_serve(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def body(fleet: control_fleet.Fleet) -> None:
+        node = fleet.nodes[NODES[0]]
+        later = state_helpers.make_document("visits", 1)
+        later = dataclasses.replace(later, text="version = 99")
+        stored = [_config.IndexedDocument(1, later)]
+        node.config.note_applied(1, stored)
+        assert not node.config.is_ready()
+        mended = state_helpers.make_document("visits", 2)
+        node.config.note_applied(2, [_config.IndexedDocument(2, mended)])
+        assert node.config.is_ready()
+
+    await control_fleet.run_fleet(tmp_path, 1, body)
+
+
 async def test_bad_documents_are_reported_together_and_none_applied(
     tmp_path: pathlib.Path,
 ) -> None:
