Lose no lookup in a rolling restart

Change: two refusals for overload are followed whatever the views say; a hedge that finds no room waits for it, and from half of the time left goes out anyway, within the budget; a slow start is no longer overrun when others are full.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -361,10 +361,11 @@
         return not self._suspects.losses(now_s, fingerprint)
 
     def _hedge(self, now_s: float, pending: state.PendingRequest) -> _Actions:
-        pending.hedge_due_s = None
         service = self._service(pending.request.service)
-        if not _service_view.has_room(now_s, service, pending):
-            return []
+        if not _retry_rules.is_late(now_s, pending):
+            if not _service_view.has_room(now_s, service, pending):
+                return []
+        pending.hedge_due_s = None
         if not service.budget.take(now_s):
             return []
         forward = self._forward(now_s, pending)
--- a/src/papayastall/_retry_rules.py
+++ b/src/papayastall/_retry_rules.py
@@ -7,9 +7,11 @@
 from papayastall import _service_view
 from papayastall import exceptions
 
-__all__ = ["is_hedge_due", "may_try_again"]
+__all__ = ["is_hedge_due", "is_late", "may_try_again"]
 
 _Code = exceptions.ErrorCode
+_FREE_REFUSALS = 2
+"""Refusals for overload that are followed whatever the others' load."""
 
 _FINAL_CODES = frozenset(
     {
@@ -36,6 +38,12 @@
     return len(pending.open) == 1 and not pending.losses
 
 
+def is_late(now_s: float, pending: state.PendingRequest) -> bool:
+    """Return whether half the time of an open attempt has gone by."""
+    sent_s = min(attempt.sent_s for attempt in pending.open.values())
+    return now_s >= (sent_s + pending.request.deadline_s) / 2.0
+
+
 def may_try_again(
     now_s: float,
     service: state.ServiceView,
@@ -67,6 +75,6 @@
 ) -> bool:
     if pending.refusals > service.policy.routing.max_refusals:
         return False
-    if code is not _Code.OVERLOADED:
+    if code is not _Code.OVERLOADED or pending.refusals <= _FREE_REFUSALS:
         return True
     return _service_view.has_room(now_s, service, pending)
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -133,10 +133,9 @@
     failure_domain: str,
     tuning: _service_policy.RoutingTuning,
 ) -> OwnerView:
-    def rank(view: OwnerView) -> tuple[bool, float, bool]:
+    def rank(view: OwnerView) -> tuple[float, bool]:
         in_flight = expected_in_flight(view, now_s, tuning.load_decay_s)
         return (
-            in_flight > view.slots - 1,
             (in_flight + 1.0) / max(_MIN_WEIGHT, view.weight),
             view.advert.failure_domain != failure_domain,
         )
