--- a/tests/test_ingress_controller.py
+++ b/tests/test_ingress_controller.py
@@ -61,3 +61,60 @@
     ingress.begin(0.0, helpers.ingress_request(1, helpers.BOOKING))
     for tenth in range(100):
         assert ingress.tick(tenth / 10) == []
+
+
+def test_an_owner_that_was_silent_gets_no_booking_until_it_is_heard() -> None:
+    ingress = helpers.ingress(owners=2)
+    first = _forward(ingress.begin(0.0, helpers.ingress_request(1)))
+    second = _forward(ingress.tick(1.0))
+    ingress.answer_started(
+        1.1, 1, second.attempt, helpers.load(second.owner), 200
+    )
+    assert ingress.peers_to_ping(1.1) == {first.owner}
+    for number in range(10, 30):
+        request = helpers.ingress_request(number, helpers.BOOKING)
+        assert _forward(ingress.begin(1.2, request)).owner == second.owner
+    ingress.peer_heard(1.3, first.owner)
+    request = helpers.ingress_request(30, helpers.BOOKING)
+    assert _forward(ingress.begin(1.4, request)).owner == first.owner
+
+
+def test_two_refusals_for_overload_are_followed_whatever_the_load() -> None:
+    ingress = helpers.ingress(owners=4)
+    actions = ingress.begin(0.0, helpers.ingress_request(1))
+    tried = set()
+    for _ in range(3):
+        forward = _forward(actions)
+        tried.add(forward.owner)
+        full = helpers.load(forward.owner, in_flight=30)
+        outcome = types.AttemptOutcome(
+            1,
+            forward.attempt,
+            types.AttemptResult.NOT_RUN,
+            None,
+            exceptions.ErrorCode.OVERLOADED,
+            1.5,
+            full,
+        )
+        actions = ingress.attempt_ended(0.0, outcome)
+    assert len(tried) == 3
+
+
+def test_retries_of_lookups_stay_within_their_budget() -> None:
+    ingress = helpers.ingress()
+    attempts = 0
+    for number in range(1, 501):
+        now_s = number * 0.001
+        actions = ingress.begin(now_s, helpers.ingress_request(number))
+        while forwards := [
+            a for a in actions if isinstance(a, types.ForwardAttempt)
+        ]:
+            attempts += 1
+            failed = _ended(
+                forwards[0],
+                types.AttemptResult.UNKNOWN,
+                exceptions.ErrorCode.LINK_FAILED,
+            )
+            actions = ingress.attempt_ended(now_s, failed)
+        assert any(isinstance(a, types.RefuseRequest) for a in actions)
+    assert attempts <= 500 * 1.1 + 10
--- a/tests/test_owner_controller.py
+++ b/tests/test_owner_controller.py
@@ -64,3 +64,35 @@
     assert not owner.drained(helpers.UPSTREAM)
     owner.finished(0.1, 1, types.Outcome.ANSWERED)
     assert owner.drained(helpers.UPSTREAM)
+
+
+def _count_admitted(kind: types.RequestKind, life_s: float) -> int:
+    owner = helpers.owner(slots=1)
+    owner.submit(0.0, helpers.owner_request(0))
+    for number in range(1, 200):
+        request = helpers.owner_request(number, kind, deadline_s=life_s)
+        if owner.submit(0.0, request):
+            return number
+    raise AssertionError("nothing was refused")
+
+
+def test_a_later_deadline_buys_no_longer_queue() -> None:
+    lookups = _count_admitted(helpers.LOOKUP, 2.5)
+    bookings = _count_admitted(helpers.BOOKING, 60.0)
+    assert lookups == bookings
+
+
+def test_a_flooding_team_waits_behind_the_others() -> None:
+    owner = helpers.owner(slots=1)
+    owner.submit(0.0, helpers.owner_request(0))
+    for number in range(1, 8):
+        owner.submit(0.0, helpers.owner_request(number, team="flood"))
+    assert owner.submit(0.0, helpers.owner_request(50, team="desk")) == []
+    order = []
+    running = 0
+    for step in range(1, 4):
+        actions = owner.finished(step / 20, running, types.Outcome.ANSWERED)
+        [dispatch] = [a for a in actions if isinstance(a, types.Dispatch)]
+        running = dispatch.request_id
+        order.append(running)
+    assert 50 in order[:2]
