--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -14,6 +14,7 @@
 from papayastall import _placement
 from papayastall import _refusals
 from papayastall import _service_policy
+from papayastall import _suspect_gate
 from papayastall import _suspects
 from papayastall import _upstream_registry
 from papayastall import exceptions
@@ -21,7 +22,6 @@
 __all__ = ["OwnerController"]
 
 _Code = exceptions.ErrorCode
-_MAX_PARKED = 100
 _SHED_PAUSE_S = 0.2
 _MAX_SHED_PAUSE_S = 5.0
 
@@ -44,8 +44,7 @@
         self._registry = _upstream_registry.UpstreamRegistry()
         self._running: dict[int, state.RunningRequest] = {}
         self._queued: set[int] = set()
-        self._parked: dict[int, types.OwnerRequest] = {}
-        self._suspects = _suspects.SuspectRegistry()
+        self._gate = _suspect_gate.SuspectGate()
 
     def configure(
         self, service: str, policy: _service_policy.ServicePolicy
@@ -74,12 +73,12 @@
         request_id = request.request_id
         assert request_id not in self._running, "request submitted twice"
         assert request_id not in self._queued, "request submitted twice"
-        assert request_id not in self._parked, "request submitted twice"
+        assert request_id not in self._gate, "request submitted twice"
         service = self._service(request.service)
         service.healthy_share = request.hints.healthy_share
         if request.deadline_s <= now_s:
             return [self._refuse(request, _Code.DEADLINE_EXCEEDED)]
-        losses = self._suspects.losses(now_s, request.fingerprint)
+        losses = self._gate.registry.losses(now_s, request.fingerprint)
         if losses >= _suspects.MAX_LOSSES:
             refusal = _refusals.refuse_crashing(
                 request.request_id, exceptions.RanState.NO
@@ -114,7 +113,9 @@
         actions = _owner_evidence.note_end(
             now_s, service, upstream, run, outcome
         )
-        actions += self._note_suspect(now_s, run, outcome)
+        news = self._gate.note_end(now_s, run, outcome)
+        if news is not None:
+            actions += [news, *self._retry_parked(now_s)]
         refusal = _refusals.refuse_ended(
             request_id, outcome, self._rng, retry_after_s
         )
@@ -135,7 +136,7 @@
 
     def cancel(self, now_s: float, request_id: int) -> list[types.OwnerAction]:
         """Forget a request that waits; a running one ends by `finished`."""
-        self._parked.pop(request_id, None)
+        self._gate.forget(request_id)
         if request_id in self._queued:
             self._queued.remove(request_id)
             for service in self._services.values():
@@ -188,7 +189,7 @@
         self, now_s: float, news: types.SuspectNews
     ) -> list[types.OwnerAction]:
         """Take in what another node says of a request."""
-        self._suspects.note(now_s, news)
+        self._gate.registry.note(now_s, news)
         return self._retry_parked(now_s)
 
     def load(
@@ -222,7 +223,7 @@
 
     def has_work(self) -> bool:
         """Return whether anything runs or waits, so that ticks matter."""
-        return bool(self._running or self._queued or self._parked)
+        return bool(self._running or self._queued or len(self._gate))
 
     def is_trusted(self, upstream: str) -> bool:
         """Return whether an upstream takes ordinary work."""
@@ -382,35 +383,16 @@
         return self._park(request)
 
     def _park(self, request: types.OwnerRequest) -> list[types.OwnerAction]:
-        if len(self._parked) >= _MAX_PARKED:
-            return [self._refuse(request, _Code.OVERLOADED)]
-        self._parked[request.request_id] = request
-        return []
+        if self._gate.park(request):
+            return []
+        return [self._refuse(request, _Code.OVERLOADED)]
 
     def _retry_parked(self, now_s: float) -> list[types.OwnerAction]:
         actions: list[types.OwnerAction] = []
-        for request in list(self._parked.values()):
-            del self._parked[request.request_id]
+        for request in self._gate.take_all():
             actions += self.submit(now_s, request)
         return actions
 
-    def _note_suspect(
-        self, now_s: float, run: state.RunningRequest, outcome: types.Outcome
-    ) -> list[types.OwnerAction]:
-        fingerprint = run.request.fingerprint
-        match outcome:
-            case types.Outcome.BROKEN:
-                cleared = False
-            case types.Outcome.ANSWERED | types.Outcome.FAILED:
-                if not self._suspects.losses(now_s, fingerprint):
-                    return []
-                cleared = True
-            case _:
-                return []
-        news = types.SuspectNews(fingerprint, run.upstream, cleared)
-        self._suspects.note(now_s, news)
-        return [news, *self._retry_parked(now_s)]
-
     def _refuse_overloaded(
         self,
         service: state.ServiceState,
