--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -125,6 +125,14 @@
     LINKS = Description("links", "links", "open to other nodes")
     MEMBERS_ALIVE = Description("members_alive", "nodes", "alive as seen here")
     CONFIG_INDEX = Description("config_index", "index", "in force here")
+    GOSSIP_SENT = Description(
+        "gossip_sent_bytes", "bytes", "sent as datagrams since the start"
+    )
+    GOSSIP_REFUSED = Description(
+        "gossip_refused",
+        "datagrams",
+        "with another key or a wrong form since the start",
+    )
     LOOP_DELAY = Description(
         "loop_delay_ms", "ms", "by which the event loop is late"
     )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -237,11 +237,14 @@
 
     def _read_gauges(self) -> dict[metrics.Gauge, float]:
         in_flight = self.ingress.open_requests + self.owner.running()
+        gossip = self.gossiper.counters
         return {
             metrics.Gauge.IN_FLIGHT: in_flight,
             metrics.Gauge.LINKS: self.links.open_count,
             metrics.Gauge.MEMBERS_ALIVE: len(self.membership.members()),
             metrics.Gauge.CONFIG_INDEX: self.blackboard.config_index,
+            metrics.Gauge.GOSSIP_SENT: gossip.sent_bytes,
+            metrics.Gauge.GOSSIP_REFUSED: gossip.bad_key + gossip.bad_format,
         }
 
     async def close(self) -> None:
