--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -18,7 +18,9 @@
 
 POST /emulator/behaviour with {"mode": "answer" | "stall" | "slow" | "fail" |
 "shed" | "break" | "die", "share": 0..1, "path": "..."} changes what it does
-to that share of the requests, under that path.
+to that share of the requests, under that path. "period_ms" makes it flap: on
+and off for so long in turn. "load" is the load that it reports, whatever it
+does; "mute": true ends its announcements.
 GET /emulator/runs lists what it ran.
 """
 
@@ -27,6 +29,7 @@
 import dataclasses
 import enum
 import os
+import pathlib
 import random
 import signal
 import sys
@@ -39,10 +42,19 @@
 import httpcore
 import orjson
 
+from papayastall import _checking
 from papayastall import _http_server
 from papayastall import _upstream_client
+from papayastall import exceptions
 
-__all__ = ["Behaviour", "Emulator", "EmulatorSettings", "Mode", "main"]
+__all__ = [
+    "Behaviour",
+    "Emulator",
+    "EmulatorSettings",
+    "Mode",
+    "main",
+    "parse_behaviour",
+]
 
 CLOSE_TIMEOUT_S = 10.0
 ANNOUNCE_TIMEOUT_S = 1.0
@@ -68,11 +80,43 @@
 
     :param share: of the requests, 0 to 1.
     :param path: only requests whose path starts with this.
+    :param period_ms: on and off for so long in turn.
+    :param load: reported instead of the true load.
+    :param mute: announce nothing any more.
     """
 
     mode: Mode = Mode.ANSWER
     share: float = 1.0
     path: str = "/"
+    period_ms: _checking.Milliseconds | None = None
+    load: float | None = None
+    mute: bool = False
+
+    def is_on(self, elapsed_s: float) -> bool:
+        """Return whether it applies so long after it was set."""
+        if self.period_ms is None:
+            return True
+        return int(elapsed_s * 1000 / self.period_ms) % 2 == 0
+
+
+def parse_behaviour(body: bytes) -> Behaviour:
+    """Read the JSON of a behaviour.
+
+    :raises papayastall.exceptions.BadInputError: lists all problems.
+    """
+    try:
+        raw = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        raw = None
+    if not isinstance(raw, dict):
+        raw = {"body": None}
+    converter = _checking.make_converter(pathlib.Path())
+    behaviour, problems = _checking.structure(converter, raw, Behaviour)
+    _checking.raise_problems(
+        exceptions.ErrorCode.BAD_REQUEST, "the behaviour", problems
+    )
+    assert behaviour is not None
+    return behaviour
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,6 +141,7 @@
     def __init__(self, settings: EmulatorSettings) -> None:
         self.settings = settings
         self.behaviour = Behaviour()
+        self._behaves_since_s = time.monotonic()
         self.runs: list[dict[str, t.Any]] = []
         self.leaving = False
         self._started_s = time.monotonic()
@@ -129,18 +174,21 @@
         body = await _read_body(receive)
         path = scope["path"]
         if path == "/emulator/behaviour":
-            value = orjson.loads(body)
-            self.behaviour = Behaviour(
-                Mode(value.get("mode", "answer")),
-                value.get("share", 1.0),
-                value.get("path", "/"),
-            )
-            await _reply(send, 200, b"{}")
+            await self._set_behaviour(body, send)
         elif path == "/emulator/runs":
             await _reply(send, 200, orjson.dumps(self.runs))
         else:
             await self._run(scope, body, send)
 
+    async def _set_behaviour(self, body: bytes, send: t.Any) -> None:
+        try:
+            self.behaviour = parse_behaviour(body)
+        except exceptions.BadInputError as error:
+            await _reply(send, 400, error.message.encode())
+            return
+        self._behaves_since_s = time.monotonic()
+        await _reply(send, 200, b"{}")
+
     async def _run(
         self, scope: dict[str, t.Any], body: bytes, send: t.Any
     ) -> None:
@@ -172,6 +220,9 @@
 
     def _choose_mode(self, path: str) -> Mode:
         behaviour = self.behaviour
+        elapsed_s = time.monotonic() - self._behaves_since_s
+        if not behaviour.is_on(elapsed_s):
+            return Mode.ANSWER
         if not path.startswith(behaviour.path):
             return Mode.ANSWER
         if self._rng.random() >= behaviour.share:
@@ -204,7 +255,8 @@
         while True:
             wait_s = self.settings.lease_ms / 3000
             try:
-                wait_s = min(wait_s, await self._announce_once())
+                if not self.behaviour.mute:
+                    wait_s = min(wait_s, await self._announce_once())
             except (httpcore.NetworkError, httpcore.TimeoutException):
                 self._announce_next()
                 wait_s = 0.1
@@ -222,7 +274,7 @@
                 "connections": settings.connections,
                 "lease_ms": settings.lease_ms,
                 "state": self._state(),
-                "load": min(1.0, self._in_flight / settings.slots),
+                "load": self._report_load(),
             }
         )
         headers = [("content-type", "application/json")]
@@ -248,6 +300,11 @@
             return 0.1
         return 0.2 if self.leaving else answer["renew_ms"] / 1000
 
+    def _report_load(self) -> float:
+        if self.behaviour.load is not None:
+            return self.behaviour.load
+        return min(1.0, self._in_flight / self.settings.slots)
+
     def _announce_next(self) -> None:
         count = len(self.settings.announce)
         self._announce_to = (self._announce_to + 1) % count
