--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -14,6 +14,7 @@
   --lease-ms=N        Lease of its announcements [default: 3000].
   --cold-ms=N         How long it is cold after its start [default: 0].
   --token-file=FILE   File with the secret that upstreams show.
+  --authority=FILE    Announce by HTTPS, trusting this authority.
   --record=FILE       File that gets a JSON line per request run.
 
 POST /emulator/behaviour with {"mode": "answer" | "stall" | "slow" | "fail" |
@@ -32,6 +33,7 @@
 import pathlib
 import random
 import signal
+import ssl
 import sys
 import time
 import typing as t
@@ -132,6 +134,7 @@
     lease_ms: int = 3000
     cold_ms: int = 0
     token: str = ""
+    authority: str = ""
     record: str = ""
 
 
@@ -151,6 +154,7 @@
             self, settings.address, CLOSE_TIMEOUT_S
         )
         self._announce_to = 0
+        self._tls = _make_context(settings.authority)
         self._drained = anyio.Event()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -281,10 +285,11 @@
         if settings.token:
             headers.append(("authorization", f"Bearer {settings.token}"))
         node = settings.announce[self._announce_to]
-        async with httpcore.AsyncConnectionPool() as pool:
+        scheme = "http" if self._tls is None else "https"
+        async with httpcore.AsyncConnectionPool(self._tls) as pool:
             response = await pool.request(
                 "POST",
-                f"http://{node}/v1/announce",
+                f"{scheme}://{node}/v1/announce",
                 headers=headers,
                 content=body,
                 extensions={"timeout": {"connect": ANNOUNCE_TIMEOUT_S}},
@@ -316,6 +321,14 @@
         return "cold" if age_ms < self.settings.cold_ms else "ready"
 
 
+def _make_context(authority: str) -> ssl.SSLContext | None:
+    if not authority:
+        return None
+    context = ssl.create_default_context(cafile=authority)
+    context.check_hostname = False
+    return context
+
+
 async def _read_body(receive: t.Any) -> bytes:
     body = bytearray()
     while True:
@@ -375,6 +388,7 @@
         lease_ms=int(options["--lease-ms"]),
         cold_ms=int(options["--cold-ms"]),
         token=token,
+        authority=options["--authority"] or "",
         record=options["--record"] or "",
     )
     anyio.run(_main, settings)
--- a/tests/test_secure_nodes.py
+++ b/tests/test_secure_nodes.py
@@ -88,6 +88,22 @@
             stack.callback(process.wait)
             stack.callback(process.terminate)
 
+    def start_upstream(self, stack: contextlib.ExitStack) -> None:
+        """Start a stand-in upstream that the second node owns."""
+        (address,) = demo.find_free_addresses(1)
+        folder = self.paths[0].parent
+        process = subprocess.Popen(
+            [
+                *(sys.executable, "-m", "papayastall.emulator"),
+                *(f"--address={address}", "--service=visits"),
+                f"--announce={self.nodes[1].control_address}",
+                f"--token-file={folder / 'upstream.token'}",
+                f"--authority={folder / 'fleet.pem'}",
+            ]
+        )
+        stack.callback(process.wait)
+        stack.callback(process.terminate)
+
 
 def read_status(
     node: settings.NodeSettings, authority: pathlib.Path, secret: str
@@ -128,6 +144,13 @@
     assert code == cli.ExitCode.DONE, capsys.readouterr().err
     assert cli.main(["status", f"--settings={fleet.paths[1]}"]) == 0
     assert fleet.nodes[0].link_address in capsys.readouterr().out
+    with contextlib.ExitStack() as stack:
+        fleet.start_upstream(stack)
+        ingress = fleet.nodes[0].caller_address
+        demo.wait_for_status(ingress, demo.LOOKUP_PATH)
+        argv = ["demo", ingress, demo.LOOKUP_PATH, demo.BOOKING_PATH]
+        assert cli.main(argv) == cli.ExitCode.DONE
+    assert fleet.nodes[1].link_address in capsys.readouterr().out
 
 
 def test_operators_need_the_operators_secret(fleet: SecureFleet) -> None:
