Show operators why a replica has stopped; steady the tests of links

Cause: a node runs on without its replica when the data folder is empty or damaged, and only the log said so. Change: status carries the failure and prints it; the tests' silent peer is a listening socket that nobody accepts on, the late one an asyncio server, neither of which has that race; what they assert is unchanged.

--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -118,12 +118,18 @@
         f"node {answer['node']}, configuration index {answer['index']}",
         f"control leader {control.get('leader') or 'not known'}, "
         f"replicas {', '.join(control.get('replicas', ())) or 'none'}",
+        *_describe_failure(control),
         "",
         _format(NODE_COLUMNS, answer["nodes"]),
     ]
     print_data(arguments, answer, "\n".join(lines))
 
 
+def _describe_failure(control: dict[str, t.Any]) -> list[str]:
+    failure = control.get("failure")
+    return [f"the replica here has stopped: {failure}"] if failure else []
+
+
 def upstreams(arguments: Arguments) -> None:
     """Print the upstreams of all nodes that answer."""
     answer = connect(arguments).get("/v1/upstreams")
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -134,6 +134,12 @@
             return None
         return self.host.leader(commands.CONTROL_GROUP)
 
+    def find_failure(self) -> str | None:
+        """Return why the replica on this node stopped, if it did."""
+        if self.host is None or self.host.failure is None:
+            return None
+        return str(self.host.failure)
+
     async def close(self) -> None:
         """Finish what is to be recorded, then stop the replicas."""
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -133,6 +133,7 @@
             "control": {
                 "replicas": list(node.settings.control_replicas),
                 "leader": node.control.find_leader(),
+                "failure": node.control.find_failure(),
             },
         }
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -223,3 +223,13 @@
     text = capsys.readouterr().out
     assert "<= 5 ms   25.0%" in text
     assert "added, visits, lookup, team (all)" in text
+
+
+def test_status_tells_why_the_replica_has_stopped(
+    node: FakeNode, capsys: pytest.CaptureFixture[str]
+) -> None:
+    control = {"leader": None, "replicas": [], "failure": "folder is empty"}
+    answer = {"node": "a", "index": 1, "nodes": [], "control": control}
+    node.answers["/v1/status"] = [(200, answer)]
+    assert cli.main(["status", f"--node={node.address}"]) == cli.ExitCode.DONE
+    assert "has stopped: folder is empty" in capsys.readouterr().out
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
+import asyncio
+import socket
 
 import anyio
 import pytest
@@ -56,16 +57,11 @@
     links = make_links(fleet.free_address())
     events: list[tuple[str, _links.LinkEvent]] = []
     links.handle_events(lambda peer, event: events.append((peer, event)))
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    silent = f"127.0.0.1:{port}"
-
-    async def accept(stream: anyio.abc.ByteStream) -> None:
-        async with stream:
-            await anyio.sleep_forever()
+    # The system completes connections to a listening socket by itself.
+    listener = socket.create_server(("127.0.0.1", 0))
+    silent = f"127.0.0.1:{listener.getsockname()[1]}"
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, accept)
         await links.start(tasks)
         links.watch(silent)
         with anyio.fail_after(10):
@@ -75,25 +71,25 @@
         links.unwatch(silent)
         await links.close()
         tasks.cancel_scope.cancel()
+    listener.close()
 
 
 @pytest.mark.anyio
 async def test_a_peer_that_greets_late_is_reached_in_the_end() -> None:
     links = make_links(fleet.free_address())
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    slow = f"127.0.0.1:{port}"
-    hello = _frames.encode(_frames.Hello(slow, 1, "a", 0), 0)
+    streams: list[asyncio.StreamWriter] = []
 
-    async def greet_late(stream: anyio.abc.ByteStream) -> None:
-        async with stream:
-            await anyio.sleep(1.2)
-            with contextlib.suppress(anyio.BrokenResourceError):
-                await stream.send(hello)
-                await anyio.sleep_forever()
+    async def greet_late(
+        _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        streams.append(writer)
+        await asyncio.sleep(1.2)
+        writer.write(hello)
 
+    server = await asyncio.start_server(greet_late, "127.0.0.1", 0)
+    slow = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    hello = _frames.encode(_frames.Hello(slow, 1, "a", 0), 0)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, greet_late)
         await links.start(tasks)
         links.watch(slow)
         with anyio.fail_after(20):
@@ -101,3 +97,6 @@
                 await anyio.sleep(0.05)
         await links.close()
         tasks.cancel_scope.cancel()
+    server.close()
+    for stream in streams:
+        stream.close()
