Ask an owner again when all were tried and none ran it

Cause: a process test under load (test_answers_that_arrive_late_and_twice) showed a lookup refused 'not run' after 1 s with most of its time left and Retry-After 0: all owners had been tried once; a lone owner that steers away was never asked as last resort. Change: when all were tried, those without an open attempt are candidates again, within the same three refusals; a Retry-After of 0 is replaced.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -386,7 +386,7 @@
             refusal = _refusals.refuse_crashing(request.request_id, ran)
             return [*actions, refusal]
         retry_after_s = pending.retry_after_s
-        if retry_after_s is None:
+        if not retry_after_s:
             retry_after_s = _retry.jittered_retry_after_s(0.0, self._rng)
         if ran is _Ran.UNKNOWN and (
             request.kind is types.RequestKind.NON_IDEMPOTENT
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -54,11 +54,7 @@
     """
     policy = service.policy
     tuning = policy.routing
-    untried = [
-        view
-        for name, view in service.owners.items()
-        if name not in pending.tried
-    ]
+    untried = _candidates(service, pending)
     usable = [view for view in untried if not view.is_avoided(now_s)]
     if is_suspect and usable:
         home = max(
@@ -90,6 +86,21 @@
     return OwnerChoice(view, True) if view is not None else None
 
 
+def _candidates(
+    service: state.ServiceView, pending: state.PendingRequest
+) -> list[_routing.OwnerView]:
+    """Return the owners not tried yet, or all without an open attempt."""
+    untried = [
+        view
+        for name, view in service.owners.items()
+        if name not in pending.tried
+    ]
+    if untried:
+        return untried
+    busy = {attempt.owner for attempt in pending.open.values()}
+    return [view for name, view in service.owners.items() if name not in busy]
+
+
 def has_room(
     now_s: float, service: state.ServiceView, pending: state.PendingRequest
 ) -> bool:
--- a/tests/test_ingress_controller.py
+++ b/tests/test_ingress_controller.py
@@ -118,3 +118,20 @@
             actions = ingress.attempt_ended(now_s, failed)
         assert any(isinstance(a, types.RefuseRequest) for a in actions)
     assert attempts <= 500 * 1.1 + 10
+
+
+def test_a_lone_owner_that_steers_away_is_asked_again_as_last_resort() -> None:
+    ingress = helpers.ingress(owners=1)
+    first = _forward(ingress.begin(0.0, helpers.ingress_request(1)))
+    outcome = types.AttemptOutcome(
+        1,
+        first.attempt,
+        types.AttemptResult.NOT_RUN,
+        None,
+        exceptions.ErrorCode.STEERED_AWAY,
+        0.0,
+        helpers.load(first.owner, weight=0.0),
+    )
+    second = _forward(ingress.attempt_ended(0.0, outcome))
+    assert second.owner == first.owner
+    assert second.hints.last_resort
