--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -35,6 +36,7 @@
 LATE_S = 0.5
 CALLER_TIMEOUT_S = 10.0
 READY_BURST = 16
+FIRST_EPHEMERAL_PORT = 32_768
 
 SETTINGS = """\
 version = 1
@@ -123,6 +125,7 @@
 
     :param service_ms: time that the upstreams take for a request.
     :param slots: of each upstream.
+    :param floor_slots: of the service that the upstreams serve.
     :param with_relays: whether the links pass relays that can fail.
     """
 
@@ -133,7 +136,9 @@
         service_ms: int = 20,
         slots: int = 7,
         with_relays: bool = True,
+        floor_slots: int = 1,
     ) -> None:
+        self._floor_slots = floor_slots
         self.folder = folder
         self.nodes: list[Node] = []
         self.relays: list[relays.Relay] = []
@@ -297,7 +302,9 @@
                     missing = wanted - seen
                     raise TimeoutError(f"{number}: {missing}, {burst[0]}")
 
-    async def send(self, number: int, method: str, name: str) -> Told:
+    async def send(
+        self, number: int, method: str, name: str, key: str = ""
+    ) -> Told:
         """Send one request to a node; return what the caller was told."""
         told = Told(name, method, number, time.time())
         host = f"http://{self.nodes[number].caller}"
@@ -308,7 +315,7 @@
             body = orjson.dumps({"visit": name})
         started_s = time.monotonic()
         try:
-            status, content = await request(method, url, body, name)
+            status, content = await request(method, url, body, name, key)
         except httpcore.ConnectError as error:
             told.error = f"not sent: {error}"
             return told
@@ -349,7 +356,8 @@
 
     async def _apply(self) -> None:
         path = self.folder / "visits.toml"
-        path.write_text(DOCUMENT)
+        floor = f"floor_slots = {self._floor_slots}"
+        path.write_text(DOCUMENT.replace("floor_slots = 1", floor))
         process = self._run(
             "papayastall",
             "apply",
@@ -438,17 +446,20 @@
 
 
 async def request(
-    method: str, url: str, body: bytes, name: str = ""
+    method: str, url: str, body: bytes, name: str = "", key: str = ""
 ) -> tuple[int, bytes]:
     """Send one request on its own connection; return status and body."""
     timeouts = dict.fromkeys(
         ("connect", "read", "write", "pool"), CALLER_TIMEOUT_S
     )
+    headers = [("x-request-id", name)]
+    if key:
+        headers.append(("idempotency-key", key))
     async with httpcore.AsyncConnectionPool() as pool:
         response = await pool.request(
             method,
             url,
-            headers={"x-request-id": name},
+            headers=headers,
             content=body,
             extensions={"timeout": timeouts},
         )
@@ -456,7 +467,16 @@
 
 
 def free_address(kind: int = socket.SOCK_STREAM) -> str:
-    """Return a loopback address that nothing listens at."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens at.
+
+    Its port is below those that the system gives to connections, so that
+    none takes it before the process that is told to listen there.
+    """
+    while True:
+        port = random.randrange(10_000, FIRST_EPHEMERAL_PORT)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
