Let a silent owner come back by its answer to a ping

Cause: an owner that left requests without a word is avoided until its next answer with load, which nobody asks it for. Change: the ingress pings such owners four times a second; the links tell of answered pings.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -24,6 +24,7 @@
 IDLE_TICK_INTERVAL_S = 0.1
 REDIAL_INTERVAL_S = 1.0
 LATE_GRACE_S = 1.0
+PING_INTERVAL_S = 0.25
 BODY_PART_BYTES = 256 << 10
 CREDIT_INTERVAL_BYTES = 64 << 10
 
@@ -49,6 +50,7 @@
         self._exchanges: dict[int, _exchange.Exchange] = {}
         self._attempts: dict[int, _exchange.Attempt] = {}
         self._down_peers: dict[str, float] = {}
+        self._pinged_s = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -318,6 +320,8 @@
             case _links.LinkEvent.DOWN:
                 self._note_down(peer)
                 self._give_up_lookups(peer)
+            case _links.LinkEvent.ALIVE:
+                self.controller.peer_heard(time.monotonic(), peer)
             case _links.LinkEvent.REPLACED:
                 self._note_up(peer)
                 self._query(peer)
@@ -366,6 +370,10 @@
             now_s = time.monotonic()
             self.perform(self.controller.tick(now_s))
             self._end_late(now_s)
+            if now_s - self._pinged_s > PING_INTERVAL_S:
+                self._pinged_s = now_s
+                for peer in self.controller.peers_to_ping(now_s):
+                    self._links.send(peer, _frames.Ping(0))
             for peer, tried_s in list(self._down_peers.items()):
                 if now_s - tried_s > REDIAL_INTERVAL_S:
                     self._down_peers[peer] = now_s
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -47,6 +47,8 @@
 
     REPLACED = "replaced"
     """A new connection stands; answers to older frames may be lost."""
+    ALIVE = "alive"
+    """The peer answered a ping."""
     DOWN = "down"
     """No connection can be made at present."""
 
@@ -433,7 +435,7 @@
                 pong = _frames.Pong(frame.number)
                 connection.send(pong, self._get_config_index())
             case _frames.Pong():
-                pass
+                self._tell(connection.address, LinkEvent.ALIVE)
             case _frames.Cast():
                 self._receive_cast(connection.address, frame)
             case _frames.Call():
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -100,3 +100,22 @@
     server.close()
     for stream in streams:
         stream.close()
+
+
+@pytest.mark.anyio
+async def test_the_answer_to_a_ping_is_told() -> None:
+    here, there = [make_links(fleet.free_address()) for _ in range(2)]
+    events: list[tuple[str, _links.LinkEvent]] = []
+    here.handle_events(lambda peer, event: events.append((peer, event)))
+    address = there.settings.address
+    async with anyio.create_task_group() as tasks:
+        await here.start(tasks)
+        await there.start(tasks)
+        await here.connect(address)
+        here.send(address, _frames.Ping(1))
+        with anyio.fail_after(10):
+            while (address, _links.LinkEvent.ALIVE) not in events:
+                await anyio.sleep(0.01)
+        await here.close()
+        await there.close()
+        tasks.cancel_scope.cancel()
