Answer a ping of a node to itself

Cause: an ingress that owns an upstream which is silent pinged itself, no handler took the frame, and the error ended the node. Seen in the second stalled upstream's test: the node with that upstream was gone. Change: a ping to oneself is told as answered. Result: the new test in tests/test_links.py failed before with the same KeyError and passes now.

--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -219,8 +219,11 @@
         Frames to this node itself go to its own handlers.
         """
         if address == self.settings.address:
-            handler = self._handlers[type(frame)]
             loop = asyncio.get_running_loop()
+            if isinstance(frame, _frames.Ping):
+                loop.call_soon(self._tell, address, LinkEvent.ALIVE)
+                return
+            handler = self._handlers[type(frame)]
             loop.call_soon(handler, address, self.settings.boot_id, frame)
             return
         peer = self._peer(address)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -119,3 +119,13 @@
         await here.close()
         await there.close()
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_a_node_answers_its_own_ping() -> None:
+    links = make_links(fleet.free_address())
+    events: list[tuple[str, _links.LinkEvent]] = []
+    links.handle_events(lambda peer, event: events.append((peer, event)))
+    links.send(links.settings.address, _frames.Ping(1))
+    await anyio.sleep(0)
+    assert events == [(links.settings.address, _links.LinkEvent.ALIVE)]
