Ask an owner again whose low weight is old news

Cause: an ingress knew the weight of an owner in slow start from one answer, sent it nothing since others ranked better, and so never heard that the weight had grown: an owner back after a restart got no lookup from one node for 15 s (test_kills), and an upstream that stalled just then got no work, so there was no evidence and no ejection in 60 s (test_a_second_stalled_upstream_is_not_ejected_under_the_floor). Ruled out: the link (connected) and silence (none noted). Change: a weight that was last heard long ago fades to the full weight within 10 s.

--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -17,6 +17,8 @@
 _STEERED_WORD_S = 5.0
 _SILENCE_WORD_S = 10.0
 _MIN_WEIGHT = 0.01
+_WEIGHT_WORD_S = 10.0
+"""After this time without news an owner counts with all its slots again."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -88,6 +90,15 @@
             return False
         return self.weight <= _STEERED_SHARE * self.slots
 
+    def current_weight(self, now_s: float) -> float:
+        """Return its weight, old news of a low one fading.
+
+        An owner in slow start that gets no request sends no news, and would
+        never be asked again.
+        """
+        faded = min(1.0, (now_s - self.load_s) / _WEIGHT_WORD_S)
+        return self.weight + (self.slots - self.weight) * faded
+
     def is_avoided(self, now_s: float) -> bool:
         """Return whether ordinary work goes elsewhere."""
         if self.is_link_down or self.is_silent(now_s):
@@ -136,7 +147,7 @@
     def rank(view: OwnerView) -> tuple[float, bool]:
         in_flight = expected_in_flight(view, now_s, tuning.load_decay_s)
         return (
-            (in_flight + 1.0) / max(_MIN_WEIGHT, view.weight),
+            (in_flight + 1.0) / max(_MIN_WEIGHT, view.current_weight(now_s)),
             view.advert.failure_domain != failure_domain,
         )
 
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,51 @@
+"""Tests of the choice among owners."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from papayastall import _decision_types
+from papayastall import _routing
+from papayastall import _service_policy
+
+NOW_S = 1000.0
+SLOTS = 7
+
+
+def make_view(owner: str, weight: float, age_s: float) -> _routing.OwnerView:
+    """Return an owner whose last word on its load is ``age_s`` old."""
+    advert = _decision_types.OwnerAdvert(owner, "visits", "a", SLOTS)
+    return _routing.OwnerView(advert, SLOTS, weight, load_s=NOW_S - age_s)
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.1, 0.7])
+def test_an_owner_last_heard_with_little_weight_is_asked_again(
+    weight: float,
+) -> None:
+    busy = make_view("busy", SLOTS, 0.0)
+    busy.in_flight = 1
+    forgotten = make_view("forgotten", weight, 60.0)
+    chosen = _routing.choose_owner(
+        NOW_S,
+        [busy, forgotten],
+        "a",
+        _service_policy.RoutingTuning(),
+        random.Random(1),
+    )
+    assert chosen is forgotten
+
+
+def test_fresh_word_of_little_weight_is_followed() -> None:
+    busy = make_view("busy", SLOTS, 0.0)
+    busy.in_flight = 1
+    returning = make_view("returning", 0.7, 0.1)
+    chosen = _routing.choose_owner(
+        NOW_S,
+        [busy, returning],
+        "a",
+        _service_policy.RoutingTuning(),
+        random.Random(1),
+    )
+    assert chosen is busy
