--- /dev/null
+++ b/src/papayastall/_channel_calls.py
@@ -0,0 +1,135 @@
+"""Calls and one-way messages of a node's subsystems, by channel."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import anyio
+
+from papayastall import _frames
+from papayastall import _peering
+from papayastall import exceptions
+
+__all__ = ["ChannelCalls", "PendingCall"]
+
+
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call that waits for its answer."""
+
+    frame: _frames.Call
+    answered: anyio.Event
+    answer: _frames.CallAnswer | None = None
+
+    def read_answer(self, peer: str) -> bytes:
+        """Return the body of the answer.
+
+        :raises papayastall.exceptions.UnreachableError: there is none.
+        :raises papayastall.exceptions.PapayastallError: the peer's error.
+        """
+        answer = self.answer
+        if answer is None:
+            raise exceptions.UnreachableError(
+                exceptions.ErrorCode.LINK_FAILED,
+                "no answer in time; check the node",
+                step="call",
+                peer=peer,
+            )
+        if not answer.error_code:
+            return answer.body
+        raise exceptions.PapayastallError(
+            _read_code(answer.error_code),
+            answer.error_message,
+            step="call",
+            peer=peer,
+        )
+
+
+class ChannelCalls:
+    """Knows the handlers of each channel and the calls that wait."""
+
+    def __init__(self) -> None:
+        self._cast_handlers: dict[int, _peering.CastHandler] = {}
+        self._call_handlers: dict[int, _peering.CallHandler] = {}
+        self._call_ids = itertools.count(1)
+        self._pending: dict[int, PendingCall] = {}
+        self.rejected_casts = 0
+
+    def handle_casts(
+        self, channel: _peering.Channel, handler: _peering.CastHandler
+    ) -> None:
+        """Register what runs for each one-way message of a channel."""
+        self._cast_handlers[int(channel)] = handler
+
+    def handle_calls(
+        self, channel: _peering.Channel, handler: _peering.CallHandler
+    ) -> None:
+        """Register what answers each call of a channel."""
+        self._call_handlers[int(channel)] = handler
+
+    def begin(self, channel: _peering.Channel, body: bytes) -> PendingCall:
+        """Return a new call; :meth:`end` must follow."""
+        frame = _frames.Call(next(self._call_ids), int(channel), body)
+        pending = PendingCall(frame, anyio.Event())
+        self._pending[frame.call_id] = pending
+        return pending
+
+    def end(self, pending: PendingCall) -> None:
+        """Take no answer to a call any more."""
+        del self._pending[pending.frame.call_id]
+
+    def take_answer(self, frame: _frames.CallAnswer) -> None:
+        """Hand an answer to the call that waits for it, if any."""
+        pending = self._pending.get(frame.call_id)
+        if pending is not None:
+            pending.answer = frame
+            pending.answered.set()
+
+    async def run_call(self, sender: str, channel: int, body: bytes) -> bytes:
+        """Return what this node answers to a call.
+
+        :raises papayastall.exceptions.PapayastallError: the answer is an
+            error.
+        """
+        handler = self._call_handlers.get(channel)
+        if handler is None:
+            raise exceptions.ProtocolError(
+                exceptions.ErrorCode.BAD_FRAME,
+                f"channel {channel} has no handler",
+                step="call",
+            )
+        return await handler(sender, body)
+
+    async def answer(
+        self, sender: str, frame: _frames.Call
+    ) -> _frames.CallAnswer:
+        """Return the frame that answers a peer's call."""
+        answer = _frames.CallAnswer(frame.call_id, b"", "", "")
+        try:
+            answer.body = await self.run_call(
+                sender, frame.channel, frame.body
+            )
+        except exceptions.PapayastallError as error:
+            answer.error_code = error.code.value
+            answer.error_message = error.message
+        return answer
+
+    async def run_cast(self, sender: str, frame: _frames.Cast) -> None:
+        """Run a one-way message; one that is malformed is counted."""
+        handler = self._cast_handlers.get(frame.channel)
+        if handler is None:
+            return
+        try:
+            await handler(sender, frame.body)
+        except exceptions.PapayastallError:
+            # Nobody waits for an answer, and the sender may be a node of
+            # another version.
+            self.rejected_casts += 1
+
+
+def _read_code(text: str) -> exceptions.ErrorCode:
+    try:
+        return exceptions.ErrorCode(text)
+    except ValueError:
+        return exceptions.ErrorCode.INTERNAL
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -20,8 +20,10 @@
 import anyio.abc
 from anyio.streams import tls
 
+from papayastall import _channel_calls
 from papayastall import _connection
 from papayastall import _frames
+from papayastall import _link_peer
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import metrics
@@ -30,11 +32,8 @@
 
 PING_AFTER_S = 0.25
 SILENT_AFTER_S = 0.7
-DIAL_TIMEOUT_S = 0.5
-MAX_DIAL_TIMEOUT_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 WATCH_INTERVAL_S = 0.1
-REDIAL_INTERVAL_S = 0.5
 IDLE_CLOSE_S = 60.0
 IDLE_ROUND_INTERVAL = 50
 """Rounds of the watch between two looks at the links without work."""
@@ -71,24 +70,6 @@
     listen_address: str | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    address: str
-    connection: _connection.Connection | None = None
-    boot_id: int = 0
-    outstanding: int = 0
-    watched_since_s: float = 0.0
-    used_s: float = 0.0
-    is_dialling: bool = False
-    dialled_s: float = -REDIAL_INTERVAL_S
-    dial_timeout_s: float = DIAL_TIMEOUT_S
-    lost_connection: bool = False
-    former: list[_connection.Connection] = dataclasses.field(
-        default_factory=list
-    )
-    ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-
-
 FrameHandler = cabc.Callable[[str, int, t.Any], None]
 EventHandler = cabc.Callable[[str, LinkEvent], None]
 
@@ -111,14 +92,11 @@
         self._counters = counters
         self._get_config_index = get_config_index
         self._see_config_index = see_config_index
-        self._peers: dict[str, _Peer] = {}
-        self._watched: dict[str, _Peer] = {}
+        self._peers: dict[str, _link_peer.LinkPeer] = {}
+        self._watched: dict[str, _link_peer.LinkPeer] = {}
         self._handlers: dict[type, FrameHandler] = {}
         self._event_handlers: list[EventHandler] = []
-        self._cast_handlers: dict[int, _peering.CastHandler] = {}
-        self._call_handlers: dict[int, _peering.CallHandler] = {}
-        self._call_ids = itertools.count(1)
-        self._calls: dict[int, _PendingCall] = {}
+        self._calls = _channel_calls.ChannelCalls()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._listener: anyio.abc.Listener[t.Any] | None = None
         self.rejected_connections = 0
@@ -170,13 +148,13 @@
         self, channel: _peering.Channel, handler: _peering.CastHandler
     ) -> None:
         """Register what runs for each one-way message of a channel."""
-        self._cast_handlers[int(channel)] = handler
+        self._calls.handle_casts(channel, handler)
 
     def handle_calls(
         self, channel: _peering.Channel, handler: _peering.CallHandler
     ) -> None:
         """Register what answers each call of a channel."""
-        self._call_handlers[int(channel)] = handler
+        self._calls.handle_calls(channel, handler)
 
     async def connect(self, address: str) -> None:
         """Wait for a link.
@@ -203,9 +181,7 @@
         if address == self.settings.address:
             return True
         peer = self._peers.get(address)
-        if peer is None or peer.connection is None:
-            return False
-        return not peer.connection.is_closed
+        return peer is not None and peer.is_connected
 
     def boot_id(self, address: str) -> int:
         """Return the boot id in the peer's last hello, 0 before one."""
@@ -278,32 +254,23 @@
         :raises papayastall.exceptions.PapayastallError: the peer's error.
         """
         if peer == self.settings.address:
-            return await self._call_handlers[int(channel)](peer, body)
-        call_id = next(self._call_ids)
-        pending = _PendingCall(anyio.Event())
-        self._calls[call_id] = pending
+            return await self._calls.run_call(peer, int(channel), body)
+        pending = self._calls.begin(channel, body)
         self.watch(peer)
         try:
             with anyio.move_on_after(timeout_s):
                 await self.connect(peer)
-                self.send(peer, _frames.Call(call_id, int(channel), body))
-                await pending.event.wait()
+                self.send(peer, pending.frame)
+                await pending.answered.wait()
         finally:
             self.unwatch(peer)
-            del self._calls[call_id]
-        if pending.answer is None:
-            raise exceptions.UnreachableError(
-                exceptions.ErrorCode.LINK_FAILED,
-                f"no answer within {timeout_s:g} s; check the node",
-                step="call",
-                peer=peer,
-            )
-        return _read_answer(pending.answer, peer)
+            self._calls.end(pending)
+        return pending.read_answer(peer)
 
-    def _peer(self, address: str) -> _Peer:
+    def _peer(self, address: str) -> _link_peer.LinkPeer:
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = _Peer(address)
+            peer = self._peers[address] = _link_peer.LinkPeer(address)
         return peer
 
     async def _serve(self, listener: anyio.abc.Listener[t.Any]) -> None:
@@ -341,15 +308,15 @@
         )
         connection.send(hello, self._get_config_index())
 
-    def _dial(self, peer: _Peer) -> None:
+    def _dial(self, peer: _link_peer.LinkPeer) -> None:
         if peer.is_dialling or self._tasks is None:
             return
-        if time.monotonic() - peer.dialled_s < REDIAL_INTERVAL_S:
+        if time.monotonic() - peer.dialled_s < _link_peer.REDIAL_INTERVAL_S:
             return
         peer.is_dialling = True
         self._tasks.start_soon(self._connect, peer)
 
-    async def _connect(self, peer: _Peer) -> None:
+    async def _connect(self, peer: _link_peer.LinkPeer) -> None:
         peer.dialled_s = time.monotonic()
         stream: anyio.abc.ByteStream | None = None
         try:
@@ -370,11 +337,9 @@
             # connections as well but never greets.
             self._note_dial_failed(peer)
 
-    def _note_dial_failed(self, peer: _Peer) -> None:
-        peer.is_dialling = False
-        # A peer on a busy machine greets late, but it does greet.
-        peer.dial_timeout_s = min(MAX_DIAL_TIMEOUT_S, 2 * peer.dial_timeout_s)
-        if peer.connection is not None and not peer.connection.is_closed:
+    def _note_dial_failed(self, peer: _link_peer.LinkPeer) -> None:
+        peer.note_dial_failed()
+        if peer.is_connected:
             return
         peer.lost_connection = True
         peer.ready.set()
@@ -391,17 +356,13 @@
             tls_standard_compatible=False,
         )
 
-    def _adopt(self, peer: _Peer, connection: _connection.Connection) -> None:
+    def _adopt(
+        self, peer: _link_peer.LinkPeer, connection: _connection.Connection
+    ) -> None:
         replaced = peer.lost_connection
         self._counters.count(metrics.Counter.LINK_OPENS)
-        if peer.connection is not None:
-            # The peer may still send on it, or it has gone silent.
-            peer.former.append(peer.connection)
-        peer.connection = connection
-        peer.dial_timeout_s = DIAL_TIMEOUT_S
-        peer.lost_connection = False
+        peer.adopt(connection)
         peer.used_s = time.monotonic()
-        peer.ready.set()
         if replaced:
             self._tell(peer.address, LinkEvent.REPLACED)
 
@@ -440,15 +401,15 @@
             case _frames.Pong():
                 self._tell(connection.address, LinkEvent.ALIVE)
             case _frames.Cast():
-                self._receive_cast(connection.address, frame)
+                assert self._tasks is not None
+                self._tasks.start_soon(
+                    self._calls.run_cast, connection.address, frame
+                )
             case _frames.Call():
                 assert self._tasks is not None
                 self._tasks.start_soon(self._answer_call, connection, frame)
             case _frames.CallAnswer():
-                pending = self._calls.get(frame.call_id)
-                if pending is not None:
-                    pending.answer = frame
-                    pending.event.set()
+                self._calls.take_answer(frame)
             case _:
                 if isinstance(frame, _frames.Open):
                     late_s = connection.lateness.measure_s(
@@ -477,26 +438,10 @@
         peer.boot_id = hello.boot_id
         self._adopt(peer, connection)
 
-    def _receive_cast(self, sender: str, frame: _frames.Cast) -> None:
-        handler = self._cast_handlers.get(frame.channel)
-        if handler is not None:
-            assert self._tasks is not None
-            self._tasks.start_soon(handler, sender, frame.body)
-
     async def _answer_call(
         self, connection: _connection.Connection, frame: _frames.Call
     ) -> None:
-        answer = _frames.CallAnswer(frame.call_id, b"", "", "")
-        handler = self._call_handlers.get(frame.channel)
-        if handler is None:
-            answer.error_code = exceptions.ErrorCode.BAD_FRAME.value
-            answer.error_message = f"channel {frame.channel} has no handler"
-        else:
-            try:
-                answer.body = await handler(connection.address, frame.body)
-            except exceptions.PapayastallError as error:
-                answer.error_code = error.code.value
-                answer.error_message = error.message
+        answer = await self._calls.answer(connection.address, frame)
         connection.send(answer, self._get_config_index())
 
     async def _watch(self) -> None:
@@ -514,9 +459,13 @@
                 self._watch_peer(peer, now_s, pause_s, number)
 
     def _watch_peer(
-        self, peer: _Peer, now_s: float, pause_s: float, number: int
+        self,
+        peer: _link_peer.LinkPeer,
+        now_s: float,
+        pause_s: float,
+        number: int,
     ) -> None:
-        self._close_former(peer, now_s)
+        peer.close_former(now_s, IDLE_CLOSE_S)
         connection = peer.connection
         if connection is None:
             if peer.outstanding:
@@ -543,39 +492,10 @@
         elif silent_s > PING_AFTER_S:
             connection.send(_frames.Ping(number), self._get_config_index())
 
-    def _close_former(self, peer: _Peer, now_s: float) -> None:
-        for connection in peer.former:
-            if now_s - connection.last_received_s > IDLE_CLOSE_S:
-                connection.close()
-        if peer.former:
-            peer.former = [
-                connection
-                for connection in peer.former
-                if not connection.is_closed
-            ]
-
     def _tell(self, address: str, event: LinkEvent) -> None:
         for handler in self._event_handlers:
             handler(address, event)
 
 
-@dataclasses.dataclass(slots=True)
-class _PendingCall:
-    event: anyio.Event
-    answer: _frames.CallAnswer | None = None
-
-
 def _now_ms() -> int:
     return int(time.monotonic() * 1000)
-
-
-def _read_answer(answer: _frames.CallAnswer, peer: str) -> bytes:
-    if not answer.error_code:
-        return answer.body
-    try:
-        code = exceptions.ErrorCode(answer.error_code)
-    except ValueError:
-        code = exceptions.ErrorCode.INTERNAL
-    raise exceptions.PapayastallError(
-        code, answer.error_message, step="call", peer=peer
-    )
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,6 +10,8 @@
 
 from papayastall import _frames
 from papayastall import _links
+from papayastall import _peering
+from papayastall import exceptions
 from papayastall import metrics
 from tests import fleet
 
@@ -129,3 +131,32 @@
     links.send(links.settings.address, _frames.Ping(1))
     await anyio.sleep(0)
     assert events == [(links.settings.address, _links.LinkEvent.ALIVE)]
+
+
+@pytest.mark.anyio
+async def test_a_malformed_cast_ends_nothing() -> None:
+    here, there = [make_links(fleet.free_address()) for _ in range(2)]
+    received: list[bytes] = []
+
+    async def take(_peer: str, body: bytes) -> None:
+        received.append(body)
+        if body == b"bad":
+            raise exceptions.ProtocolError(
+                exceptions.ErrorCode.BAD_FRAME, "malformed", step="test"
+            )
+
+    channel = _peering.Channel.CONFIG
+    there.handle_casts(channel, take)
+    address = there.settings.address
+    async with anyio.create_task_group() as tasks:
+        await here.start(tasks)
+        await there.start(tasks)
+        await here.connect(address)
+        here.cast(address, channel, b"bad")
+        here.cast(address, channel, b"good")
+        with anyio.fail_after(10):
+            while b"good" not in received:
+                await anyio.sleep(0.01)
+        await here.close()
+        await there.close()
+        tasks.cancel_scope.cancel()
