--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import gc
 import os
 import random
 import signal
@@ -46,8 +45,6 @@
 
 ADVERT_INTERVAL_S = 0.2
 LEAVE_SPREAD_S = 2.0
-YOUNG_OBJECTS = 10_000
-OLDER_COLLECTIONS = (20, 50)
 SUSPECT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 MIN_RENEW_MS = 100
@@ -68,7 +65,6 @@
             async with anyio.create_task_group() as tasks:
                 node = Node(node_settings)
                 await node.start(tasks)
-                _spare_long_collections()
                 async for _ in signals:
                     break
                 await node.close()
@@ -77,16 +73,6 @@
         log_file.close()
 
 
-def _spare_long_collections() -> None:
-    """Keep what lives as long as the process out of garbage collection.
-
-    A full collection walks all of it and holds up every request meanwhile.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(YOUNG_OBJECTS, *OLDER_COLLECTIONS)
-
-
 class Node:
     """All parts of one node.
 
