--- a/src/papayastall/_member_table.py
+++ b/src/papayastall/_member_table.py
@@ -23,7 +23,6 @@
 LEAF_COUNT = BRANCH_COUNT * LEAVES_PER_BRANCH
 MAX_SUSPECTERS = 2
 CURSOR_SHIFT = 16
-DIGEST_MASK = 0xFFFFFFFF
 
 Records = tuple[tuple[types.MemberRecord, ...], tuple[types.AdvertRecord, ...]]
 
--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -61,7 +61,6 @@
 CLOSE_TIMEOUT_S = 10.0
 ANNOUNCE_TIMEOUT_S = 1.0
 SLOW_FACTOR = 20.0
-ANSWER_BYTES = 64
 
 
 class Mode(enum.Enum):
