--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -18,7 +18,7 @@
 
 from papayastall import _links
 from papayastall import _replica
-from papayastall import _replica_links
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
 
@@ -177,9 +177,9 @@
     process = Process(settings, options["groups"])
     async with anyio.create_task_group() as tasks:
         await process.links.start(tasks)
-        start_s = _replica_links.clock_s()
+        start_s = clock.now_s()
         await process.host.start(tasks)
-        opened_s = _replica_links.clock_s() - start_s
+        opened_s = clock.now_s() - start_s
         print(json.dumps({"opened_s": opened_s}), flush=True)
         async for order in read_orders():
             print(json.dumps(await process.order(order)), flush=True)
--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -5,7 +5,6 @@
 import collections.abc as cabc
 import itertools
 import random
-import time
 
 import anyio
 import anyio.abc
@@ -15,6 +14,7 @@
 from papayastall import _frames
 from papayastall import _ingress_controller
 from papayastall import _links
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
 
@@ -67,13 +67,13 @@
     def open(self, exchange: _exchange.Exchange) -> None:
         """Begin a request."""
         self._exchanges[exchange.request.request_id] = exchange
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self.perform(self.controller.begin(now_s, exchange.request))
 
     def close(self, exchange: _exchange.Exchange) -> None:
         """End a request; what is left of it is cancelled."""
         request_id = exchange.request.request_id
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self.perform(self.controller.caller_gone(now_s, request_id))
         self._exchanges.pop(request_id, None)
         for attempt in list(exchange.attempts.values()):
@@ -157,7 +157,7 @@
         action: _decision_types.ForwardAttempt,
     ) -> None:
         request = attempt.exchange.request
-        remaining_s = request.deadline_s - time.monotonic()
+        remaining_s = request.deadline_s - clock.now_s()
         if remaining_s <= 0:
             self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
             return
@@ -199,7 +199,7 @@
         attempt.started = True
         self.perform(
             self.controller.answer_started(
-                time.monotonic(),
+                clock.now_s(),
                 attempt.exchange.request.request_id,
                 attempt.number,
                 attempt.head.load,
@@ -313,7 +313,7 @@
             retry_after_s=retry_after_s,
             load=load,
         )
-        self.perform(self.controller.attempt_ended(time.monotonic(), outcome))
+        self.perform(self.controller.attempt_ended(clock.now_s(), outcome))
 
     def _receive_event(self, peer: str, event: _links.LinkEvent) -> None:
         match event:
@@ -321,18 +321,18 @@
                 self._note_down(peer)
                 self._give_up_lookups(peer)
             case _links.LinkEvent.ALIVE:
-                self.controller.peer_heard(time.monotonic(), peer)
+                self.controller.peer_heard(clock.now_s(), peer)
             case _links.LinkEvent.REPLACED:
                 self._note_up(peer)
                 self._query(peer)
 
     def _note_down(self, peer: str) -> None:
-        self._down_peers.setdefault(peer, time.monotonic())
-        self.controller.link_failed(time.monotonic(), peer)
+        self._down_peers.setdefault(peer, clock.now_s())
+        self.controller.link_failed(clock.now_s(), peer)
 
     def _note_up(self, peer: str) -> None:
         if self._down_peers.pop(peer, None) is not None:
-            self.controller.link_ok(time.monotonic(), peer)
+            self.controller.link_ok(clock.now_s(), peer)
 
     def _at(self, peer: str) -> list[_exchange.Attempt]:
         return [
@@ -367,7 +367,7 @@
             await anyio.sleep(
                 IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
             )
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             self.perform(self.controller.tick(now_s))
             self._end_late(now_s)
             if now_s - self._pinged_s > PING_INTERVAL_S:
--- a/src/papayastall/_claims.py
+++ b/src/papayastall/_claims.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import os
-import time
 
 import anyio
 import anyio.abc
@@ -14,6 +13,7 @@
 from papayastall import _control_calls
 from papayastall import _control_commands as commands
 from papayastall import _peering
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import ingress
 from papayastall import owner
@@ -83,7 +83,7 @@
             or can't be claimed; this request was not run.
         """
         token = os.urandom(TOKEN_SIZE_BYTES)
-        left_s = max(0.0, deadline_s - time.monotonic())
+        left_s = max(0.0, deadline_s - clock.now_s())
         command = commands.Claim(
             make_claim_key(key),
             token,
--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -15,6 +15,7 @@
 from papayastall import _control_client
 from papayastall import _histogram_report
 from papayastall import _tables
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = [
@@ -288,11 +289,11 @@
     find_left: cabc.Callable[[], list[T]], label: str, arguments: Arguments
 ) -> list[T]:
     """Ask until nothing is left or time is up; return what is left."""
-    deadline_s = time.monotonic() + _parse_timeout_s(arguments["--timeout"])
+    deadline_s = clock.now_s() + _parse_timeout_s(arguments["--timeout"])
     while True:
         left = find_left()
         _print_progress(f"{label}: {len(left)}", last=not left)
-        if not left or time.monotonic() >= deadline_s:
+        if not left or clock.now_s() >= deadline_s:
             return left
         time.sleep(POLL_INTERVAL_S)
 
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -16,6 +16,7 @@
 from papayastall import _control_state
 from papayastall import _document_state
 from papayastall import _peering
+from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import logs
@@ -102,7 +103,7 @@
         self._unreadable: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
-            node, control, time.monotonic()
+            node, control, clock.now_s()
         )
         peering.handle_calls(_peering.Channel.CONFIG, self._receive_fetch)
         peering.handle_casts(_peering.Channel.CONFIG, self._receive_notice)
@@ -116,7 +117,7 @@
         """Return whether this node may serve by its config."""
         if self._unreadable:
             return False
-        return self._controller.is_ready(time.monotonic())
+        return self._controller.is_ready(clock.now_s())
 
     def list_documents(self) -> list[commands.DocumentText]:
         """Return the documents in force here."""
@@ -139,14 +140,14 @@
         """Take in the index that a frame or datagram of a peer carried."""
         if index > self._controller.find_peer_index(peer):
             self._start_fetches(
-                self._controller.observe(time.monotonic(), peer, index)
+                self._controller.observe(clock.now_s(), peer, index)
             )
 
     def note_applied(
         self, index: int, stored: list[_config.IndexedDocument]
     ) -> None:
         """Take in what the control replica of this node applied."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._take(self._controller.note_applied(now_s, index, stored))
 
     async def apply_documents(
@@ -210,7 +211,7 @@
 
     async def _run(self) -> None:
         while True:
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             members = self._list_members()
             self._start_fetches(self._controller.tick(now_s, members))
             if not self._controller.is_ready(now_s):
@@ -220,7 +221,7 @@
     async def _confirm_here(self) -> None:
         if await self._leads_control():
             self._controller.note_authoritative(
-                time.monotonic(), self._controller.index
+                clock.now_s(), self._controller.index
             )
 
     async def _leads_control(self) -> bool:
@@ -252,7 +253,7 @@
             self._controller.failed(fetch)
             return
         update, fetches = self._controller.fetched(
-            time.monotonic(), fetch, answer
+            clock.now_s(), fetch, answer
         )
         self._take(update)
         self._start_fetches(fetches)
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -4,13 +4,13 @@
 
 import collections.abc as cabc
 import contextlib
-import time
 
 import anyio
 import anyio.abc
 
 from papayastall import _frames
 from papayastall import _lateness
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = ["Connection", "MAX_UNSENT_BYTES"]
@@ -41,7 +41,7 @@
         self._closed = anyio.Event()
         self.peer: _frames.Hello | None = None
         self.address = ""
-        self.last_received_s = time.monotonic()
+        self.last_received_s = clock.now_s()
         self.lateness = _lateness.Lateness()
         self.error: exceptions.ProtocolError | None = None
 
@@ -105,7 +105,7 @@
         try:
             while not self.is_closed:
                 buffer += await self._stream.receive(READ_SIZE_BYTES)
-                self.last_received_s = time.monotonic()
+                self.last_received_s = clock.now_s()
                 self._take_frames(buffer)
         except exceptions.ProtocolError as error:
             self.error = error
--- a/src/papayastall/_control_calls.py
+++ b/src/papayastall/_control_calls.py
@@ -4,7 +4,6 @@
 
 import collections.abc as cabc
 import random
-import time
 import typing as t
 
 import anyio
@@ -12,6 +11,7 @@
 from papayastall import _control_commands as commands
 from papayastall import _control_state
 from papayastall import _peering
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = [
@@ -63,7 +63,7 @@
         host: GroupHost,
         states: cabc.Sequence[GroupState],
         observe_slots: ObserveSlots | None = None,
-        clock_s: cabc.Callable[[], float] = time.monotonic,
+        clock_s: cabc.Callable[[], float] = clock.now_s,
     ) -> None:
         self._host = host
         self._states = states
@@ -110,6 +110,7 @@
             command.apply_documents,
             command.report_upstreams,
             command.ask_permit,
+            command.change_routes,
         )
         claim_parts = (
             command.claim,
--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -20,6 +20,7 @@
     "AskPermit",
     "COMMAND_VERSION",
     "CONTROL_GROUP",
+    "ChangeRoutes",
     "Claim",
     "ClaimResult",
     "ClaimState",
@@ -44,6 +45,8 @@
     "ReportState",
     "ReportUpstreams",
     "Result",
+    "RoutesResult",
+    "RoutesState",
     "UpstreamReport",
     "UpstreamReportState",
     "codec",
@@ -68,6 +71,16 @@
     """Right by itself, but another document of the apply was not."""
 
 
+class RoutesState(enum.IntEnum):
+    """What became of a change of the route table."""
+
+    APPLIED = 1
+    ALREADY_APPLIED = 2
+    CONFLICT = 3
+    """It builds on a version that is not in force."""
+    INVALID = 4
+
+
 class UpstreamReportState(enum.IntEnum):
     """Whether an upstream is part of its service's healthy capacity."""
 
@@ -155,6 +168,18 @@
     documents: tuple[DocumentText, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChangeRoutes:
+    """Change the route table.
+
+    :param digest: tells a change that is sent again.
+    :param text: see :func:`papayastall.route_table.encode_change`.
+    """
+
+    digest: str
+    text: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamReport:
     """What an owner says of one of its upstreams."""
@@ -263,6 +288,7 @@
     claim: Claim | None = None
     record_outcome: RecordOutcome | None = None
     release_claim: ReleaseClaim | None = None
+    change_routes: ChangeRoutes | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -311,6 +337,19 @@
     verdicts: tuple[DocumentVerdict, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RoutesResult:
+    """What became of a change of the route table.
+
+    :param index: of the change, or of the config in force if refused.
+    :param problem: why it was refused.
+    """
+
+    state: RoutesState
+    index: int
+    problem: str = ""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportResult:
     """What became of a report.
@@ -357,6 +396,7 @@
     report: ReportResult | None = None
     permit: PermitResult | None = None
     claim: ClaimResult | None = None
+    routes: RoutesResult | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_control_state.py
+++ b/src/papayastall/_control_state.py
@@ -11,6 +11,7 @@
 from papayastall import _control_commands as commands
 from papayastall import _document_state
 from papayastall import _permit_state
+from papayastall import _route_state
 from papayastall import exceptions
 
 __all__ = [
@@ -102,6 +103,13 @@
                 if change is not None:
                     self.listener.note_change(change)
                 return commands.Result(documents=result)
+            case commands.Command(change_routes=routes) if routes:
+                outcome, change = _route_state.change_routes(
+                    self.documents, index, routes
+                )
+                if change is not None:
+                    self.listener.note_change(change)
+                return commands.Result(routes=outcome)
             case commands.Command(report_upstreams=report) if report:
                 return self.permits.report(self.time_ms, report)
             case commands.Command(ask_permit=ask) if ask:
--- a/src/papayastall/_document_state.py
+++ b/src/papayastall/_document_state.py
@@ -86,7 +86,7 @@
             for doc, state in zip(command.documents, states, strict=True)
             if state is _State.APPLIED
         )
-        change = self._store(index, chosen) if chosen else None
+        change = self.put(index, chosen) if chosen else None
         result = commands.DocumentsResult(
             accepted=accepted,
             index=self._find_index(command) if accepted else self.index,
@@ -109,9 +109,13 @@
             return _State.APPLIED
         return _State.CONFLICT
 
-    def _store(
-        self, index: int, chosen: tuple[commands.DocumentText, ...]
+    def put(
+        self,
+        index: int,
+        chosen: tuple[commands.DocumentText, ...],
+        kept_revisions: int = MAX_REVISIONS_KEPT,
     ) -> ConfigChange:
+        """Put documents in force that were found to be successors."""
         assert index > self.index, "the config index only grows"
         for document in chosen:
             stored = self._documents.get(document.name)
@@ -121,7 +125,7 @@
             ), "one winner a revision"
             known = StoredRevision(document.revision, document.digest, index)
             self._documents[document.name] = StoredDocument(
-                document, index, (*history, known)[-MAX_REVISIONS_KEPT:]
+                document, index, (*history, known)[-kept_revisions:]
             )
         change = ConfigChange(index, self.index, chosen)
         self.index = index
--- a/src/papayastall/_gossip.py
+++ b/src/papayastall/_gossip.py
@@ -5,7 +5,6 @@
 import collections.abc as cabc
 import dataclasses
 import socket
-import time
 
 import anyio
 import anyio.abc
@@ -13,6 +12,7 @@
 from papayastall import _gossip_codec
 from papayastall import _membership
 from papayastall import _membership_types as types
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = ["GossipCounters", "Gossiper"]
@@ -78,7 +78,7 @@
         """Say goodbye to some members and close the socket."""
         if self._socket is None:
             return
-        self.send(self._membership.depart(time.monotonic()))
+        self.send(self._membership.depart(clock.now_s()))
         udp = self._socket
         self._socket = None
         anyio.notify_closing(udp)
@@ -107,7 +107,7 @@
 
     async def _tick(self, udp: socket.socket) -> None:
         while self._socket is udp:
-            self.send(self._membership.tick(time.monotonic()))
+            self.send(self._membership.tick(clock.now_s()))
             await anyio.sleep(_membership.TICK_INTERVAL_S)
 
     async def _receive(self, udp: socket.socket) -> None:
@@ -135,7 +135,7 @@
             return
         host = f"[{peer[0]}]" if ":" in peer[0] else peer[0]
         source = f"{host}:{peer[1]}"
-        self.send(self._membership.receive(time.monotonic(), datagram, source))
+        self.send(self._membership.receive(clock.now_s(), datagram, source))
 
 
 def _host_and_port(address: str) -> tuple[str, int]:
--- a/src/papayastall/_journal.py
+++ b/src/papayastall/_journal.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import time
 
 import anyio
 
 from papayastall import _decision_types
 from papayastall import _owner_state
+from papayastall import clock
 from papayastall import logs
 from papayastall import metrics
 
@@ -59,9 +59,9 @@
     async def run(self) -> None:
         """Observe until cancelled."""
         while True:
-            due_s = time.monotonic() + OBSERVE_INTERVAL_S
+            due_s = clock.now_s() + OBSERVE_INTERVAL_S
             await anyio.sleep(OBSERVE_INTERVAL_S)
-            late_ms = (time.monotonic() - due_s) * 1000
+            late_ms = (clock.now_s() - due_s) * 1000
             self._counters.set(metrics.Gauge.LOOP_DELAY, max(0.0, late_ms))
             for gauge, value in self._read_gauges().items():
                 self._counters.set(gauge, value)
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -25,6 +25,7 @@
 from papayastall import _frames
 from papayastall import _link_peer
 from papayastall import _peering
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
 
@@ -204,7 +205,7 @@
             return
         peer = self._peer(address)
         if peer.connection is not None:
-            peer.used_s = time.monotonic()
+            peer.used_s = clock.now_s()
             if isinstance(frame, _frames.Open):
                 frame.sent_ms = _now_ms()
             peer.connection.send(frame, self._get_config_index())
@@ -215,7 +216,7 @@
             return
         peer = self._peer(address)
         if peer.outstanding == 0:
-            peer.watched_since_s = time.monotonic()
+            peer.watched_since_s = clock.now_s()
             self._watched[address] = peer
         peer.outstanding += 1
 
@@ -237,7 +238,7 @@
             self._dial(state)
             return
         if connection.unsent_bytes < MAX_UNSENT_CAST_BYTES:
-            state.used_s = time.monotonic()
+            state.used_s = clock.now_s()
             frame = _frames.Cast(int(channel), body)
             connection.send(frame, self._get_config_index())
 
@@ -311,13 +312,13 @@
     def _dial(self, peer: _link_peer.LinkPeer) -> None:
         if peer.is_dialling or self._tasks is None:
             return
-        if time.monotonic() - peer.dialled_s < _link_peer.REDIAL_INTERVAL_S:
+        if clock.now_s() - peer.dialled_s < _link_peer.REDIAL_INTERVAL_S:
             return
         peer.is_dialling = True
         self._tasks.start_soon(self._connect, peer)
 
     async def _connect(self, peer: _link_peer.LinkPeer) -> None:
-        peer.dialled_s = time.monotonic()
+        peer.dialled_s = clock.now_s()
         stream: anyio.abc.ByteStream | None = None
         try:
             with anyio.move_on_after(peer.dial_timeout_s):
@@ -362,7 +363,7 @@
         replaced = peer.lost_connection
         self._counters.count(metrics.Counter.LINK_OPENS)
         peer.adopt(connection)
-        peer.used_s = time.monotonic()
+        peer.used_s = clock.now_s()
         if replaced:
             self._tell(peer.address, LinkEvent.REPLACED)
 
@@ -413,7 +414,7 @@
             case _:
                 if isinstance(frame, _frames.Open):
                     late_s = connection.lateness.measure_s(
-                        time.monotonic(), frame.sent_ms
+                        clock.now_s(), frame.sent_ms
                     )
                     frame.remaining_ms -= int(late_s * 1000)
                 handler = self._handlers.get(type(frame))
@@ -423,7 +424,7 @@
     def _receive_hello(
         self, connection: _connection.Connection, hello: _frames.Hello
     ) -> None:
-        connection.lateness.measure_s(time.monotonic(), hello.sent_ms)
+        connection.lateness.measure_s(clock.now_s(), hello.sent_ms)
         connection.peer = hello
         if not connection.address:
             # The dialler greets first, so that its link stands only once
@@ -446,10 +447,10 @@
 
     async def _watch(self) -> None:
         numbers = itertools.count(1)
-        last_s = time.monotonic()
+        last_s = clock.now_s()
         while True:
             await anyio.sleep(WATCH_INTERVAL_S)
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             pause_s = now_s - last_s - WATCH_INTERVAL_S
             last_s = now_s
             number = next(numbers)
@@ -498,4 +499,4 @@
 
 
 def _now_ms() -> int:
-    return int(time.monotonic() * 1000)
+    return int(clock.now_s() * 1000)
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import typing as t
 import urllib.parse
 
@@ -14,6 +13,7 @@
 from papayastall import _histogram_report
 from papayastall import _owner_state
 from papayastall import _thrift
+from papayastall import clock
 from papayastall import exceptions
 
 if t.TYPE_CHECKING:
@@ -166,7 +166,7 @@
                 "weight": round(view.weight, 3),
                 "score": round(view.score, 1),
             }
-            for view in node.owner_controller.upstreams(time.monotonic())
+            for view in node.owner_controller.upstreams(clock.now_s())
         ]
 
     async def _drain_own(self, upstream: str) -> object:
@@ -184,13 +184,13 @@
                 step="drain",
                 peer=view.upstream,
             )
-        actions = node.owner_controller.leave(time.monotonic(), view.upstream)
+        actions = node.owner_controller.leave(clock.now_s(), view.upstream)
         node.owner.perform(actions)
         return {"upstream": view.upstream, "state": "leaving"}
 
     async def _undrain_own(self, upstream: str) -> object:
         self._find_upstream(upstream)
-        self._node.owner_controller.undrain(time.monotonic(), upstream)
+        self._node.owner_controller.undrain(clock.now_s(), upstream)
         self._node.control.permits.release_upstream(upstream)
         return {"upstream": upstream, "state": "ready"}
 
@@ -199,14 +199,14 @@
         wanted = dict(urllib.parse.parse_qsl(query))
         rows = await _histogram_report.collect(
             self._node.histograms,
-            time.monotonic(),
+            clock.now_s(),
             wanted.get("service"),
             wanted.get("team"),
         )
         return {"histograms": rows}
 
     def _find_upstream(self, upstream: str) -> _owner_state.UpstreamView:
-        for view in self._node.owner_controller.upstreams(time.monotonic()):
+        for view in self._node.owner_controller.upstreams(clock.now_s()):
             if view.upstream == upstream:
                 return view
         raise exceptions.BadInputError(
--- a/src/papayastall/_permits.py
+++ b/src/papayastall/_permits.py
@@ -9,7 +9,6 @@
 import collections.abc as cabc
 import dataclasses
 import math
-import time
 
 import anyio
 import anyio.abc
@@ -18,6 +17,7 @@
 from papayastall import _control_commands as commands
 from papayastall import _decision_types
 from papayastall import _peering
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = ["PermitClient", "PermitLedger"]
@@ -252,14 +252,14 @@
     async def _report(self) -> None:
         report = self._ledger.make_report(self._list_reports())
         if report is None:
-            if time.monotonic() - self._renewed_s < RENEW_INTERVAL_S:
+            if clock.now_s() - self._renewed_s < RENEW_INTERVAL_S:
                 return
             report = self._ledger.make_renewal()
         result = await self._call(commands.Command(report_upstreams=report))
         assert result.report is not None
         self._ledger.note_reported(report, result.report)
         if result.report.state is commands.ReportState.ACCEPTED:
-            self._renewed_s = time.monotonic()
+            self._renewed_s = clock.now_s()
 
     async def _call(self, command: commands.Command) -> commands.Result:
         try:
--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -41,9 +41,17 @@
         rng: random.Random,
         now_s: float,
         preference: int | None = None,
+        formation: types.Formation = types.Formation(),
     ) -> None:
         state = _raft_state.RaftState(
-            identity, addresses, stored, timings, rng, now_s, preference
+            identity,
+            addresses,
+            stored,
+            timings,
+            rng,
+            now_s,
+            preference,
+            formation,
         )
         self._state = state
         self._election = _raft_election.Election(state)
@@ -102,6 +110,10 @@
             return self._leadership.due_s
         return min(self._joining.due_s, self._state.election_deadline_s)
 
+    def set_join_targets(self, addresses: tuple[str, ...]) -> None:
+        """Set whom this replica asks to let it in."""
+        self._state.join_targets = addresses
+
     def start(self) -> types.Output:
         """Hand out what is known to be committed in the stored log."""
         state = self._state
@@ -191,12 +203,7 @@
                 "another one leads",
                 step="remove-member",
             )
-        retired = members.retired
-        if removed.folder_id:
-            retired = (*retired, removed.folder_id)
-        changed = types.Members(
-            tuple(m for m in members.members if m is not removed), retired
-        )
+        changed = _raft_leader.without_member(members, removed)
         return self._change(now_s, changed)
 
     def transfer(self, now_s: float) -> types.Output:
@@ -314,7 +321,9 @@
         if message.cluster_id not in (0, self._state.cluster_id):
             return
         members = _raft_join.with_joined(
-            self._state.log.members, message.sender
+            self._state.log.members,
+            message.sender,
+            self._state.formation.admits,
         )
         if members is not None:
             leadership.set_members(now_s, members)
--- a/src/papayastall/_raft_join.py
+++ b/src/papayastall/_raft_join.py
@@ -11,6 +11,8 @@
 __all__ = ["Joining", "stale_reason", "with_joined"]
 
 MAX_RETIRED = 256
+MAX_MEMBERS = 20
+"""As many as may be set aside for control at the two-year size."""
 JOIN_PERIODS_KEPT = 6
 
 
@@ -33,14 +35,16 @@
 
 
 def with_joined(
-    members: types.Members, sender: types.Sender
+    members: types.Members, sender: types.Sender, admits: bool = False
 ) -> types.Members | None:
-    """Return the members with a new folder in place of the lost one.
+    """Return the members with a new folder, in place of a lost one if any.
 
     The new folder gets no vote yet. ``None`` where nothing changes.
+
+    :param admits: whether a replica at an unknown address is let in.
     """
     old = members.find(sender.address)
-    if old is None or old.folder_id == sender.folder_id:
+    if old is not None and old.folder_id == sender.folder_id:
         return None
     joined = types.Member(
         sender.address,
@@ -49,6 +53,10 @@
         sender.boot,
         sender.boot_nonce,
     )
+    if old is None:
+        if not admits or len(members.members) >= MAX_MEMBERS:
+            return None
+        return types.Members((*members.members, joined), members.retired)
     retired = members.retired
     if old.folder_id:
         retired = (*retired, old.folder_id)[-MAX_RETIRED:]
@@ -104,7 +112,7 @@
             return
         self._next_s = now_s + state.timings.join_s
         body = types.Join(state.is_fresh, self._digest)
-        for address in state.addresses:
+        for address in state.join_targets:
             if address == state.identity.address:
                 continue
             heard = self._heard.get(address)
@@ -128,6 +136,8 @@
     def _found(self, now_s: float) -> None:
         state = self._state
         own = state.identity
+        if not state.formation.may_found:
+            return
         if not state.is_fresh or own.address != state.addresses[0]:
             return
         members = []
--- a/src/papayastall/_raft_leader.py
+++ b/src/papayastall/_raft_leader.py
@@ -10,7 +10,19 @@
 from papayastall import _raft_state
 from papayastall import _raft_types as types
 
-__all__ = ["Leadership"]
+__all__ = ["Leadership", "without_member"]
+
+
+def without_member(
+    members: types.Members, removed: types.Member
+) -> types.Members:
+    """Return the members without one, whose folder may never come back."""
+    retired = members.retired
+    if removed.folder_id:
+        retired = (*retired, removed.folder_id)
+    return types.Members(
+        tuple(m for m in members.members if m is not removed), retired
+    )
 
 
 class Leadership:
@@ -154,6 +166,7 @@
         for progress in self._progress.values():
             self._replication.heartbeat(now_s, progress)
         self._promote(now_s)
+        self._remove_silent(now_s)
         self._register_boots(now_s)
 
     def on_append_reply(
@@ -280,6 +293,28 @@
                 self.set_members(now_s, self._with(voter))
                 return
 
+    def _remove_silent(self, now_s: float) -> None:
+        """Remove a voter that was replaced, so that majorities stay small.
+
+        A replacement at another address is one voter more; the silent one
+        then only makes the majority larger.
+        """
+        state = self._state
+        target_voters = state.formation.target_voters
+        voters = state.log.members.voter_ids()
+        if not 0 < target_voters < len(voters):
+            return
+        if not self.may_change_members():
+            return
+        earliest_s = now_s - state.timings.remove_s
+        for progress in self._progress.values():
+            gone = progress.member
+            if gone.voter and progress.replied_s < earliest_s:
+                self.set_members(
+                    now_s, without_member(state.log.members, gone)
+                )
+                return
+
     def _register_boots(self, now_s: float) -> None:
         """Make the latest starts of all members known to the group."""
         if not self.may_change_members():
--- a/src/papayastall/_raft_state.py
+++ b/src/papayastall/_raft_state.py
@@ -44,8 +44,10 @@
         "commit_index",
         "delivered_index",
         "election_deadline_s",
+        "formation",
         "heard_s",
         "identity",
+        "join_targets",
         "leader",
         "log",
         "out",
@@ -69,8 +71,11 @@
         rng: random.Random,
         now_s: float,
         preference: int | None = None,
+        formation: types.Formation = types.Formation(),
     ) -> None:
         self.identity = identity
+        self.formation = formation
+        self.join_targets = addresses
         self.preference = preference
         self.yield_s = timings.yield_s
         self.addresses = addresses
--- a/src/papayastall/_raft_types.py
+++ b/src/papayastall/_raft_types.py
@@ -17,6 +17,7 @@
     "ChunkWrite",
     "Entry",
     "EntryKind",
+    "Formation",
     "HardState",
     "Join",
     "Member",
@@ -79,6 +80,7 @@
         heard a leader.
     :param lease_s: shorter than ``election_min_s`` by more than the clocks
         of two machines drift apart in that time.
+    :param remove_s: silence after which a surplus voter is removed.
     :param yield_s: a leader leads for so long before it yields to the
         replica that is preferred; twice as long after each time.
     """
@@ -88,10 +90,28 @@
     election_max_s: float = 2.0
     lease_s: float = 0.9
     join_s: float = 0.5
+    remove_s: float = 6.0
     yield_s: float = 10.0
     yield_max_s: float = 600.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Formation:
+    """How a group forms, grows and shrinks without operators.
+
+    :param may_found: this process may found a group that does not exist.
+    :param admits: a leader admits unknown replicas that ask to join.
+    :param target_voters: while a group has more voters, a silent one is
+        removed; 0 removes none.
+    :param spreads_leaders: leaders yield to the replica that is preferred.
+    """
+
+    may_found: bool = True
+    admits: bool = False
+    target_voters: int = 0
+    spreads_leaders: bool = True
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
     """One replica of a group.
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -23,6 +23,7 @@
 from papayastall import _replica_links
 from papayastall import _replica_set
 from papayastall import _storage
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import logs
 from papayastall import metrics
@@ -44,7 +45,8 @@
 
     :param addresses: link addresses of all replicas, in the same order in
         the settings of each of them.
-    :param own_address: its own link address, one of ``addresses``.
+    :param own_address: its own link address; one of ``addresses`` unless
+        it joins a group that admits replicas.
     :param data_folder: folder made by ``papayastall init``.
     """
 
@@ -53,6 +55,7 @@
     data_folder: str
     timings: types.Timings = types.Timings()
     options: _replica_set.SetOptions = _replica_set.SetOptions()
+    formation: types.Formation = types.Formation()
 
 
 def _bug(error: Exception) -> exceptions.PapayastallError:
@@ -136,7 +139,8 @@
             self.settings.timings,
             self.settings.options,
             self._rng,
-            _replica_links.clock_s(),
+            clock.now_s(),
+            self.settings.formation,
         )
         self._links.start(tasks, self._set.identity)
         tasks.start_soon(self._run)
@@ -193,7 +197,7 @@
         with anyio.move_on_after(timeout_s):
             while True:
                 try:
-                    index = chosen.replica.read_index(_replica_links.clock_s())
+                    index = chosen.replica.read_index(clock.now_s())
                     break
                 except exceptions.PapayastallError as found:
                     if found.code is not exceptions.ErrorCode.NO_LEADER:
@@ -209,6 +213,11 @@
         await self._turn_done.wait()
         self._require_running()
 
+    def set_join_targets(self, addresses: tuple[str, ...]) -> None:
+        """Set whom a replica that is in no group asks to let it in."""
+        if self._set is not None and addresses:
+            self._set.set_join_targets(addresses)
+
     def leader(self, group: int) -> str | None:
         """Return the address of the leader as far as it is known."""
         if self._set is None:
@@ -245,7 +254,7 @@
         chosen = self._group(group)
         replica = chosen.replica
         change = replica.add_member if is_added else replica.remove_member
-        chosen.output.extend(change(_replica_links.clock_s(), address))
+        chosen.output.extend(change(clock.now_s(), address))
         self._wake.set()
 
     def _require_running(self) -> None:
@@ -294,7 +303,7 @@
             return
         if self._inbox or self._proposals:
             return
-        idle_s = self._set.due_s - _replica_links.clock_s()
+        idle_s = self._set.due_s - clock.now_s()
         self._wake = anyio.Event()
         if self._is_closing:
             return
@@ -306,7 +315,7 @@
         replicas = self._set
         if replicas is None:
             return
-        now_s = _replica_links.clock_s()
+        now_s = clock.now_s()
         inbox, self._inbox, self._inbox_bytes = self._inbox, [], 0
         for number, message in inbox:
             replicas.step(now_s, number, message)
@@ -328,7 +337,7 @@
             )
         if turn.blocks:
             await self._in_thread(lambda: turn.run(self._storage))
-        for resolved in replicas.finish(_replica_links.clock_s(), turn):
+        for resolved in replicas.finish(clock.now_s(), turn):
             self._proposals.resolve(resolved)
         self._links.send(turn.messages)
         self._count_work(replicas)
@@ -371,7 +380,7 @@
         replicas = self._set
         if replicas is None:
             return
-        now_s = _replica_links.clock_s()
+        now_s = clock.now_s()
         for group in replicas.groups:
             group.output.extend(group.replica.transfer(now_s))
         await self._finish_turn(replicas)
--- a/src/papayastall/_replica_links.py
+++ b/src/papayastall/_replica_links.py
@@ -4,16 +4,16 @@
 
 import collections.abc as cabc
 import contextlib
-import time
 
 import anyio.abc
 
 from papayastall import _peering
 from papayastall import _raft_codec as codec
 from papayastall import _raft_types as types
+from papayastall import clock
 from papayastall import exceptions
 
-__all__ = ["ReplicaLinks", "clock_s"]
+__all__ = ["ReplicaLinks"]
 
 MAX_BATCH_BYTES = 512 * 1024
 MESSAGE_OVERHEAD_BYTES = 64
@@ -23,11 +23,6 @@
 GroupMessage = tuple[int, types.Message]
 
 
-def clock_s() -> float:
-    """Return seconds that also pass while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class ReplicaLinks:
     """Sends batches of messages and receives those of the others.
 
@@ -60,7 +55,7 @@
     async def _on_cast(self, peer: str, body: bytes) -> None:
         if self._identity is None:
             return
-        self._heard_s[peer] = clock_s()
+        self._heard_s[peer] = clock.now_s()
         own_address = self._identity.address
         with contextlib.suppress(exceptions.ProtocolError):
             batch = codec.decode_batch(body, peer, own_address)
@@ -85,7 +80,7 @@
 
     def _check(self, peer: str) -> None:
         """Call a peer that is silent, so that a dead link is replaced."""
-        now_s = clock_s()
+        now_s = clock.now_s()
         heard_s = self._heard_s.setdefault(peer, now_s)
         if now_s - heard_s < SILENT_PEER_S or peer in self._checking:
             return
--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -287,6 +287,7 @@
         options: SetOptions,
         rng: random.Random,
         now_s: float,
+        formation: types.Formation = types.Formation(),
     ) -> None:
         self.identity = types.Sender(
             own_address, folder.folder_id, folder.boot, folder.boot_nonce
@@ -302,7 +303,8 @@
                     timings,
                     rng,
                     now_s,
-                    preference=number,
+                    preference=number if formation.spreads_leaders else None,
+                    formation=formation,
                 ),
                 machine,
             )
@@ -311,6 +313,11 @@
             )
         ]
 
+    def set_join_targets(self, addresses: tuple[str, ...]) -> None:
+        """Set whom replicas without a group ask to let them in."""
+        for group in self.groups:
+            group.replica.set_join_targets(addresses)
+
     @property
     def stale(self) -> str | None:
         """Why this data folder may not take part any more."""
--- /dev/null
+++ b/src/papayastall/_route_lookup.py
@@ -0,0 +1,73 @@
+"""Finds the route of a request and the service that runs it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from papayastall import route_table
+
+__all__ = ["RouteLookup"]
+
+
+@dataclasses.dataclass(slots=True)
+class _Split:
+    """Spreads the requests of one route over its services.
+
+    Smooth weighted round robin: each service gets its share in any short
+    run of requests, not only on average.
+    """
+
+    shares: tuple[route_table.ServiceShare, ...]
+    credits: list[float]
+
+    def choose(self) -> str:
+        """Return the service of the next request."""
+        total = 0.0
+        best = 0
+        for number, share in enumerate(self.shares):
+            self.credits[number] += share.weight
+            total += share.weight
+            if self.credits[number] > self.credits[best]:
+                best = number
+        self.credits[best] -= total
+        return self.shares[best].service
+
+
+class RouteLookup:
+    """The routes of one table by host, longest prefix first.
+
+    :param former: the lookup that this one replaces; splits that did not
+        change go on where they were.
+    """
+
+    def __init__(
+        self,
+        table: route_table.RouteTable,
+        former: RouteLookup | None = None,
+    ) -> None:
+        self.table = table
+        self._by_host: dict[str, list[route_table.Route]] = {}
+        self._splits: dict[str, _Split] = {}
+        for route in table.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+            split = former._splits.get(route.name) if former else None
+            if split is None or split.shares != route.shares:
+                split = _Split(route.shares, [0.0] * len(route.shares))
+            self._splits[route.name] = split
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    def find(self, host: str, path: str) -> route_table.Route | None:
+        """Return the route with the longest prefix of a path.
+
+        :param host: of the ``Host`` header; a port is ignored.
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self._by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def choose_service(self, route: route_table.Route) -> str:
+        """Return the service that runs the next request of a route."""
+        return self._splits[route.name].choose()
--- /dev/null
+++ b/src/papayastall/_route_state.py
@@ -0,0 +1,69 @@
+"""The replicated route table: one winner on each base version.
+
+The table is kept as one more document, so that it reaches the nodes like
+all others.
+"""
+
+from __future__ import annotations
+
+from papayastall import _control_commands as commands
+from papayastall import _document_state
+from papayastall import exceptions
+from papayastall import route_table
+
+__all__ = ["ROUTES_NAME", "change_routes", "current_table"]
+
+ROUTES_NAME = "@routes"
+"""Name of the document that holds the table; no service can have it."""
+
+MAX_CHANGES_KEPT = 2048
+"""Accepted changes that are acknowledged again: several days of them."""
+
+_State = commands.RoutesState
+
+
+def current_table(
+    documents: _document_state.DocumentTable,
+) -> route_table.RouteTable:
+    """Return the table in force; version 0 before the first one."""
+    stored = documents.find(ROUTES_NAME)
+    if stored is None:
+        return route_table.RouteTable()
+    return route_table.decode_table(stored.document.text)
+
+
+def change_routes(
+    documents: _document_state.DocumentTable,
+    index: int,
+    command: commands.ChangeRoutes,
+) -> tuple[commands.RoutesResult, _document_state.ConfigChange | None]:
+    """Put a change of the table in force, or say why not."""
+    stored = documents.find(ROUTES_NAME)
+    for known in stored.history if stored else ():
+        if known.digest == command.digest:
+            state = _State.ALREADY_APPLIED
+            return commands.RoutesResult(state, known.index), None
+    try:
+        change = route_table.decode_change(command.text)
+        table = route_table.apply_change(current_table(documents), change)
+    except exceptions.ConflictError as error:
+        return _refuse(_State.CONFLICT, documents, error), None
+    except exceptions.PapayastallError as error:
+        return _refuse(_State.INVALID, documents, error), None
+    document = commands.DocumentText(
+        name=ROUTES_NAME,
+        revision=stored.document.revision + 1 if stored else 1,
+        digest=command.digest,
+        floor_slots=0,
+        text=route_table.encode_table(table),
+    )
+    config_change = documents.put(index, (document,), MAX_CHANGES_KEPT)
+    return commands.RoutesResult(_State.APPLIED, index), config_change
+
+
+def _refuse(
+    state: commands.RoutesState,
+    documents: _document_state.DocumentTable,
+    error: exceptions.PapayastallError,
+) -> commands.RoutesResult:
+    return commands.RoutesResult(state, documents.index, error.message)
--- a/src/papayastall/control.thrift
+++ b/src/papayastall/control.thrift
@@ -13,6 +13,11 @@
   1: list<DocumentText> documents,
 }
 
+struct ChangeRoutes {
+  1: string digest,
+  2: string text,
+}
+
 struct UpstreamReport {
   1: string upstream,
   2: string service_name,
@@ -76,6 +81,7 @@
   5: Claim claim,
   6: RecordOutcome record_outcome,
   7: ReleaseClaim release_claim,
+  8: ChangeRoutes change_routes,
 }
 
 struct ObservedSlots {
@@ -123,12 +129,19 @@
   3: i64 retry_after_ms,
 }
 
+struct RoutesResult {
+  1: i32 state,
+  2: i64 index,
+  3: string problem,
+}
+
 struct Result {
   1: i32 version,
   2: DocumentsResult documents,
   3: ReportResult report,
   4: PermitResult permit,
   5: ClaimResult claim,
+  6: RoutesResult routes,
 }
 
 struct StoredRevision {
--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -47,6 +47,7 @@
 from papayastall import _checking
 from papayastall import _http_server
 from papayastall import _upstream_client
+from papayastall import clock
 from papayastall import exceptions
 
 __all__ = [
@@ -143,10 +144,10 @@
     def __init__(self, settings: EmulatorSettings) -> None:
         self.settings = settings
         self.behaviour = Behaviour()
-        self._behaves_since_s = time.monotonic()
+        self._behaves_since_s = clock.now_s()
         self.runs: list[dict[str, t.Any]] = []
         self.leaving = False
-        self._started_s = time.monotonic()
+        self._started_s = clock.now_s()
         self._rng = random.Random(settings.address)
         self._in_flight = 0
         self._server = _http_server.HttpServer(
@@ -189,7 +190,7 @@
         except exceptions.BadInputError as error:
             await _reply(send, 400, error.message.encode())
             return
-        self._behaves_since_s = time.monotonic()
+        self._behaves_since_s = clock.now_s()
         await _reply(send, 200, b"{}")
 
     async def _run(
@@ -223,7 +224,7 @@
 
     def _choose_mode(self, path: str) -> Mode:
         behaviour = self.behaviour
-        elapsed_s = time.monotonic() - self._behaves_since_s
+        elapsed_s = clock.now_s() - self._behaves_since_s
         if not behaviour.is_on(elapsed_s):
             return Mode.ANSWER
         if not path.startswith(behaviour.path):
@@ -316,7 +317,7 @@
     def _state(self) -> str:
         if self.leaving:
             return "leaving"
-        age_ms = (time.monotonic() - self._started_s) * 1000
+        age_ms = (clock.now_s() - self._started_s) * 1000
         return "cold" if age_ms < self.settings.cold_ms else "ready"
 
 
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -10,7 +10,6 @@
 import collections.abc as cabc
 import dataclasses
 import itertools
-import time
 import typing as t
 
 import anyio
@@ -22,6 +21,7 @@
 from papayastall import _problem
 from papayastall import _upstream_client
 from papayastall import blackboard as blackboards
+from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import histograms
@@ -121,7 +121,7 @@
     async def _answer(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        started_s = time.monotonic()
+        started_s = clock.now_s()
         reply = _Reply(send, self._blackboard)
         try:
             exchange = await self._read(scope, receive, started_s)
@@ -134,7 +134,7 @@
             return
         if exchange.chosen is not None and exchange.chosen.complete:
             self._count(metrics.Counter.ANSWERS, exchange)
-            total_ms = (time.monotonic() - started_s) * 1000
+            total_ms = (clock.now_s() - started_s) * 1000
             self._note_sample(_make_sample(exchange, total_ms))
 
     def _count(
--- a/src/papayastall/load.py
+++ b/src/papayastall/load.py
@@ -46,6 +46,7 @@
 import orjson
 
 from papayastall import _tables
+from papayastall import clock
 from papayastall import histograms
 
 __all__ = ["LoadSettings", "Record", "Summary", "main", "run_load"]
@@ -171,13 +172,13 @@
         self.max_late_ms = 0.0
 
     async def run(self) -> None:
-        started_s = time.monotonic()
+        started_s = clock.now_s()
         async with anyio.create_task_group() as tasks:
             for arrival in draw_arrivals(self._settings):
-                wait_s = started_s + arrival.at_s - time.monotonic()
+                wait_s = started_s + arrival.at_s - clock.now_s()
                 if wait_s > 0:
                     await anyio.sleep(wait_s)
-                late_s = time.monotonic() - started_s - arrival.at_s
+                late_s = clock.now_s() - started_s - arrival.at_s
                 self.max_late_ms = max(self.max_late_ms, late_s * 1000)
                 tasks.start_soon(self._send, arrival)
         await self._connections.close()
@@ -195,7 +196,7 @@
             ran="unknown",
             run=None,
         )
-        started_s = time.monotonic()
+        started_s = clock.now_s()
         connection = self._connections.take(arrival.node)
         timeout_s = self._settings.timeout_ms / 1000 + GRACE_S
         try:
@@ -213,7 +214,7 @@
             httpcore.TimeoutException,
         ) as error:
             record.ended = f"{NO_ANSWER}: {type(error).__name__}"
-        record.time_ms = (time.monotonic() - started_s) * 1000
+        record.time_ms = (clock.now_s() - started_s) * 1000
         await self._connections.give(arrival.node, connection)
         self._take_record(record)
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -32,6 +32,7 @@
 from papayastall import _service_policy
 from papayastall import _tls
 from papayastall import blackboard as blackboards
+from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import histograms
@@ -124,7 +125,7 @@
             seeds=tuple(node_settings.seeds),
         )
         self.membership = _membership.Membership(
-            member_settings, self._rng, time.monotonic()
+            member_settings, self._rng, clock.now_s()
         )
         key = b"insecure"
         if node_settings.cluster_key_file is not None:
@@ -184,7 +185,7 @@
             self.counters,
             self.control.claims,
             note_sample=lambda sample: self.histograms.record(
-                time.monotonic(), sample
+                clock.now_s(), sample
             ),
         )
 
@@ -231,7 +232,7 @@
         return _journal.Journal(
             self.settings.link_address,
             self.counters,
-            lambda: self.owner_controller.upstreams(time.monotonic()),
+            lambda: self.owner_controller.upstreams(clock.now_s()),
             self._read_gauges,
         )
 
@@ -255,7 +256,7 @@
         """
         self._log_state("running", "leaving", "asked to stop")
         self.blackboard.stopping = True
-        self.gossiper.send(self.membership.leave(time.monotonic()))
+        self.gossiper.send(self.membership.leave(clock.now_s()))
         timeout_s = self.settings.shutdown_timeout_ms / 1000
         with anyio.move_on_after(timeout_s):
             await anyio.sleep(LEAVE_SPREAD_S)
@@ -279,7 +280,7 @@
         stopping = self.blackboard.stopping
         known = {
             view.upstream
-            for view in self.owner_controller.upstreams(time.monotonic())
+            for view in self.owner_controller.upstreams(clock.now_s())
         }
         if not stopping or announcement.upstream in known:
             self.owner.announce(announcement)
@@ -325,7 +326,7 @@
             commands.UpstreamReport(
                 view.upstream, view.service, view.slots, _report_state(view)
             )
-            for view in self.owner_controller.upstreams(time.monotonic())
+            for view in self.owner_controller.upstreams(clock.now_s())
         ]
 
     def observe_slots(self, service: str) -> dict[str, int]:
@@ -345,7 +346,7 @@
 
     def spread_suspect(self, news: _decision_types.SuspectNews) -> None:
         """Tell every member of a request that may crash upstreams."""
-        self.ingress_controller.suspect(time.monotonic(), news)
+        self.ingress_controller.suspect(clock.now_s(), news)
         body = _node_calls.encode_suspect(news)
         assert self._tasks is not None
         for member in self.list_others():
@@ -359,7 +360,7 @@
 
     async def _receive_suspect(self, _peer: str, body: bytes) -> bytes:
         news = _node_calls.decode_suspect(body)
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self.owner.perform(self.owner_controller.suspect(now_s, news))
         self.ingress_controller.suspect(now_s, news)
         return b""
@@ -367,7 +368,7 @@
     def _note_membership(
         self, event: _membership_types.MembershipEvent
     ) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         match event:
             case _membership_types.AdvertChanged(advert):
                 self._note_advert(now_s, advert)
@@ -398,7 +399,7 @@
     async def _advertise(self) -> None:
         known: list[_decision_types.OwnerAdvert] = []
         while True:
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             self.membership.set_config_index(self.blackboard.config_index)
             adverts = self.owner_controller.adverts(now_s)
             if self.blackboard.stopping:
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -16,6 +16,7 @@
 from papayastall import _owner_controller
 from papayastall import _owner_runs
 from papayastall import _upstream_client
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
 
@@ -114,11 +115,11 @@
         self, announcement: _decision_types.UpstreamAnnouncement
     ) -> None:
         """Take in an upstream's announcement."""
-        self.perform(self.controller.announce(time.monotonic(), announcement))
+        self.perform(self.controller.announce(clock.now_s(), announcement))
 
     def permit_answered(self, upstream: str, granted: bool) -> None:
         """Take in the answer of the control state."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self.perform(self.controller.permit_answered(now_s, upstream, granted))
 
     def perform(self, actions: Actions) -> None:
@@ -141,11 +142,11 @@
     ) -> None:
         remaining_s = frame.remaining_ms / 1000
         key = (ingress, boot_id, frame.request_id)
-        deadline_s = time.monotonic() + remaining_s
+        deadline_s = clock.now_s() + remaining_s
         run = self._runs.add(key, frame, deadline_s)
         if run is None:
             return
-        run.arrived_s = time.monotonic()
+        run.arrived_s = clock.now_s()
         run.body += frame.body
         if not frame.body_follows:
             self._submit(run)
@@ -181,7 +182,7 @@
                 last_resort=frame.last_resort,
             ),
         )
-        self.perform(self.controller.submit(time.monotonic(), request))
+        self.perform(self.controller.submit(clock.now_s(), request))
 
     def _receive_cancel(
         self, ingress: str, boot_id: int, frame: _frames.Cancel
@@ -192,9 +193,7 @@
         run.abandoned = True
         run.credit.set()
         if not run.dispatched:
-            self.perform(
-                self.controller.cancel(time.monotonic(), run.local_id)
-            )
+            self.perform(self.controller.cancel(clock.now_s(), run.local_id))
             self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=False)
         elif run.open.idempotent and run.scope is not None:
             run.scope.cancel()
@@ -207,7 +206,7 @@
             return
         run.acknowledge(frame.received_bytes)
         if frame.done and run.ended_s is not None:
-            self._runs.forget(run, time.monotonic())
+            self._runs.forget(run, clock.now_s())
 
     def _receive_query(
         self, ingress: str, boot_id: int, frame: _frames.Query
@@ -232,7 +231,7 @@
     def _answer_unknown_query(self, key: _owner_runs.RunKey) -> None:
         forgotten = self._runs.was_forgotten(key)
         if not forgotten:
-            self._runs.fence(key, time.monotonic())
+            self._runs.fence(key, clock.now_s())
         message = "the request was lost on its way and did not run"
         if forgotten:
             message = "the request has ended and its answer is not kept"
@@ -293,7 +292,7 @@
         retry_after_ms: int = -1,
         final: bool = False,
     ) -> None:
-        run.ended_s = time.monotonic()
+        run.ended_s = clock.now_s()
         run.refusal = _frames.Refuse(
             request_id=run.open.request_id,
             code=code.value,
@@ -316,7 +315,7 @@
             idempotent=run.open.idempotent,
         )
         outcome = Outcome.CANCELLED
-        started_s = time.monotonic()
+        started_s = clock.now_s()
         run.waiting_ms = (started_s - run.arrived_s) * 1000
         timeout_s = run.deadline_s - started_s
         assert run.scope is not None
@@ -330,10 +329,10 @@
         if run.open.claim_token and self._claims is not None:
             await self._record(sink, run, outcome, self._claims)
         actions = self.controller.finished(
-            time.monotonic(), run.local_id, outcome
+            clock.now_s(), run.local_id, outcome
         )
         if whole:
-            run.ended_s = time.monotonic()
+            run.ended_s = clock.now_s()
             upstream_ms = (run.ended_s - started_s) * 1000
             self.send_chunk(run, b"", last=True, upstream_ms=upstream_ms)
         elif outcome is Outcome.CANCELLED:
@@ -366,7 +365,7 @@
 
     def _load(self, run: _owner_runs.Run) -> _decision_types.OwnerLoad:
         return self.controller.load(
-            time.monotonic(), run.open.service_name, run.open.route
+            clock.now_s(), run.open.service_name, run.open.route
         )
 
     def send_head(
@@ -376,7 +375,7 @@
         headers: list[tuple[bytes, bytes]],
     ) -> None:
         """Send status and headers of an answer to its ingress."""
-        self.controller.first_byte(time.monotonic(), run.local_id)
+        self.controller.first_byte(clock.now_s(), run.local_id)
         run.head = _frames.AnswerHead(
             run.open.request_id, status, headers, self._load(run)
         )
@@ -418,7 +417,7 @@
             await anyio.sleep(
                 IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
             )
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             self.perform(self.controller.tick(now_s))
             if now_s > expire_s:
                 self._end_unfinished_bodies(now_s)
--- /dev/null
+++ b/src/papayastall/route_table.py
@@ -0,0 +1,311 @@
+"""The fleet-wide routes: one table of hosts and paths to services.
+
+A table is changed as a whole or by a patch, always on a stated base
+version. Where documents route by service, a table routes by the ``Host``
+header and the longest path prefix, and may split a route over services.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc as cabc
+import dataclasses
+import typing as t
+
+import orjson
+import xxhash
+
+from papayastall import _decision_types
+from papayastall import exceptions
+
+__all__ = [
+    "CallerLimits",
+    "PatchTable",
+    "ReplaceTable",
+    "Route",
+    "RouteTable",
+    "ServiceEntry",
+    "ServiceShare",
+    "TableChange",
+    "apply_change",
+    "decode_change",
+    "decode_table",
+    "digest_change",
+    "encode_change",
+    "encode_table",
+]
+
+_Code = exceptions.ErrorCode
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceShare:
+    """One part of a split route.
+
+    :param weight: proportion of the route's requests, 0 or more.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Route:
+    """Requests of one host whose path begins with a prefix.
+
+    :param kind: whether a request may run more than once.
+    :param timeout_ms: longest time that a caller is kept waiting.
+    :param objective_ms: time within which an answer has its full worth.
+    :param max_attempts: upstreams that one request may be sent to.
+    :param rank: urgency; 0 is the most urgent.
+    :param source: the operator's own text of the route, given back on
+        reads and used for nothing else.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: _decision_types.RequestKind
+    timeout_ms: int
+    objective_ms: int
+    max_attempts: int
+    rank: int
+    shares: tuple[ServiceShare, ...]
+    source: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceEntry:
+    """A service that routes may name.
+
+    :param max_connections: that one of its upstreams accepts in all.
+    :param source: see :class:`Route`.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    source: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    :param source: see :class:`Route`.
+    """
+
+    max_header_bytes: int = 16 << 10
+    max_body_bytes: int = 64 << 20
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+    source: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouteTable:
+    """All routes in force; ``version`` only grows."""
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceEntry, ...] = ()
+    limits: CallerLimits = CallerLimits()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReplaceTable:
+    """Put a whole table in the place of the one at ``base_version``."""
+
+    base_version: int
+    table: RouteTable
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PatchTable:
+    """Change named items of the table at ``base_version``."""
+
+    base_version: int
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceEntry, ...] = ()
+    limits: CallerLimits | None = None
+    removed_routes: tuple[str, ...] = ()
+    removed_services: tuple[str, ...] = ()
+
+
+TableChange = ReplaceTable | PatchTable
+
+
+def apply_change(table: RouteTable, change: TableChange) -> RouteTable:
+    """Return the table after a change.
+
+    :raises papayastall.exceptions.ConflictError: it builds on another
+        version than that of ``table``.
+    :raises papayastall.exceptions.BadInputError: the result contradicts
+        itself; the message lists all problems.
+    """
+    if change.base_version != table.version:
+        raise exceptions.ConflictError(
+            _Code.REVISION_CONFLICT,
+            f"the change builds on version {change.base_version}, and "
+            f"{table.version} is in force; read it and send the change anew",
+            step="change-routes",
+        )
+    match change:
+        case ReplaceTable():
+            changed = change.table
+        case PatchTable():
+            changed = _patch(table, change)
+    problems = [*_find_problems(changed)]
+    if changed.version <= table.version:
+        problems.append(
+            f"version {changed.version} is not above {table.version}, which "
+            "is in force; give a higher one"
+        )
+    if problems:
+        raise exceptions.BadInputError(
+            _Code.BAD_DOCUMENT, "; ".join(problems), step="change-routes"
+        )
+    return changed
+
+
+def _patch(table: RouteTable, change: PatchTable) -> RouteTable:
+    return RouteTable(
+        change.version,
+        _merge(table.routes, change.routes, change.removed_routes),
+        _merge(table.services, change.services, change.removed_services),
+        change.limits or table.limits,
+    )
+
+
+_Item = t.TypeVar("_Item", Route, ServiceEntry)
+
+
+def _merge(
+    items: tuple[_Item, ...],
+    changed: tuple[_Item, ...],
+    removed: tuple[str, ...],
+) -> tuple[_Item, ...]:
+    by_name = {item.name: item for item in items}
+    by_name.update({item.name: item for item in changed})
+    for name in removed:
+        by_name.pop(name, None)
+    return tuple(by_name.values())
+
+
+def _find_problems(table: RouteTable) -> cabc.Iterator[str]:
+    services = {service.name for service in table.services}
+    items: tuple[Route | ServiceEntry, ...] = (*table.routes, *table.services)
+    for name, count in collections.Counter(
+        (type(item), item.name) for item in items
+    ).items():
+        if count > 1 or not name[1]:
+            yield f"the name {name[1]!r} is empty or stands {count} times"
+    places = collections.Counter(
+        (route.host, route.path_prefix) for route in table.routes
+    )
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield f"{count} routes share {host}{prefix}; keep one"
+    for route in table.routes:
+        for problem in _find_route_problems(route, services):
+            yield f"route {route.name!r}: {problem}"
+
+
+def _find_route_problems(
+    route: Route, services: set[str]
+) -> cabc.Iterator[str]:
+    if not route.host:
+        yield "the host is empty; name one"
+    if not route.path_prefix.startswith("/"):
+        yield f"the path prefix {route.path_prefix!r} must begin with /"
+    if route.timeout_ms <= 0:
+        yield "the time limit must be above 0 ms"
+    if route.max_attempts <= 0:
+        yield "the number of attempts must be 1 or more"
+    weights = [share.weight for share in route.shares]
+    if sum(weights) <= 0 or min(weights) < 0:
+        yield "the weights must be 0 or more and not add up to 0"
+    for share in route.shares:
+        if share.service not in services:
+            yield f"there is no service {share.service!r}; add it"
+
+
+def encode_table(table: RouteTable) -> str:
+    """Return the JSON text that nodes keep and pass on."""
+    return orjson.dumps(table).decode()
+
+
+def decode_table(text: str) -> RouteTable:
+    """Return the table of :func:`encode_table`'s text.
+
+    :raises papayastall.exceptions.ProtocolError: it is no such text.
+    """
+    try:
+        return _read_table(orjson.loads(text))
+    except (ValueError, TypeError, KeyError) as error:
+        raise _malformed(error) from error
+
+
+def encode_change(change: TableChange) -> str:
+    """Return the JSON text of a change, the same for equal changes."""
+    return orjson.dumps(change).decode()
+
+
+def decode_change(text: str) -> TableChange:
+    """Return the change of :func:`encode_change`'s text.
+
+    :raises papayastall.exceptions.ProtocolError: it is no such text.
+    """
+    try:
+        raw = orjson.loads(text)
+        if "table" in raw:
+            return ReplaceTable(raw["base_version"], _read_table(raw["table"]))
+        limits = raw.pop("limits")
+        return PatchTable(
+            base_version=raw["base_version"],
+            version=raw["version"],
+            routes=_read_routes(raw["routes"]),
+            services=_read_services(raw["services"]),
+            limits=None if limits is None else CallerLimits(**limits),
+            removed_routes=tuple(raw["removed_routes"]),
+            removed_services=tuple(raw["removed_services"]),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        raise _malformed(error) from error
+
+
+def digest_change(text: str) -> str:
+    """Return what tells a change that is sent again from another one."""
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def _read_table(raw: dict[str, t.Any]) -> RouteTable:
+    return RouteTable(
+        raw["version"],
+        _read_routes(raw["routes"]),
+        _read_services(raw["services"]),
+        CallerLimits(**raw["limits"]),
+    )
+
+
+def _read_routes(raw: list[dict[str, t.Any]]) -> tuple[Route, ...]:
+    routes = []
+    for item in raw:
+        kind = _decision_types.RequestKind(item.pop("kind"))
+        shares = tuple(ServiceShare(**share) for share in item.pop("shares"))
+        routes.append(Route(kind=kind, shares=shares, **item))
+    return tuple(routes)
+
+
+def _read_services(raw: list[dict[str, t.Any]]) -> tuple[ServiceEntry, ...]:
+    return tuple(ServiceEntry(**item) for item in raw)
+
+
+def _malformed(error: Exception) -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(
+        _Code.BAD_FRAME,
+        f"the text holds no route table: {error}; both sides must run "
+        "compatible versions",
+        step="decode-routes",
+    )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 import typing as t
 
 from papayastall import _attempts
@@ -11,6 +10,7 @@
 from papayastall import _exchange
 from papayastall import _frames
 from papayastall import _ingress_controller
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
 
@@ -52,7 +52,7 @@
     controller = _ingress_controller.IngressController(
         "127.0.0.1:9", random.Random(1)
     )
-    now_s = time.monotonic()
+    now_s = clock.now_s()
     for owner in OWNERS:
         advert = _decision_types.OwnerAdvert(owner, "visits", "a", 7)
         controller.set_owner(now_s, advert)
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -6,7 +6,6 @@
 import math
 import pathlib
 import random
-import time
 import typing as t
 
 import anyio
@@ -17,6 +16,7 @@
 from papayastall import _config_service
 from papayastall import _control_commands as commands
 from papayastall import _decision_types
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import ingress
 from papayastall import owner
@@ -154,7 +154,7 @@
 ) -> None:
     async def body(fleet: control_fleet.Fleet) -> None:
         first, second = (fleet.nodes[name] for name in NODES[:2])
-        deadline_s = time.monotonic() + 30.0
+        deadline_s = clock.now_s() + 30.0
         token = await first.claims.claim("visits/k", 1, deadline_s)
         assert isinstance(token, str)
         with pytest.raises(exceptions.StillRunningError):
@@ -169,7 +169,7 @@
         for address in (*control_fleet.CONTROL, NODES[1]):
             await fleet.start(address)
         again = await fleet.nodes[NODES[1]].claims.claim(
-            "visits/k", 1, time.monotonic() + 30.0
+            "visits/k", 1, clock.now_s() + 30.0
         )
         assert again == ingress.KeptAnswer(201, [(b"a", b"b")], b"done")
         with pytest.raises(exceptions.ConflictError):
@@ -186,12 +186,12 @@
             await fleet.kill(address)
         node = fleet.nodes[NODES[0]]
         with pytest.raises(exceptions.RefusedError) as caught:
-            await node.claims.claim("visits/k", 1, time.monotonic() + 1.0)
+            await node.claims.claim("visits/k", 1, clock.now_s() + 1.0)
         assert caught.value.code is exceptions.ErrorCode.CLAIM_UNAVAILABLE
         for address in control_fleet.CONTROL[:2]:
             await fleet.start(address)
         await node.claims.close()
-        token = await node.claims.claim("visits/k", 1, time.monotonic() + 9)
+        token = await node.claims.claim("visits/k", 1, clock.now_s() + 9)
         assert isinstance(token, str)
 
     await control_fleet.run_fleet(tmp_path, 1, body)
@@ -277,12 +277,12 @@
         for _ in range(8):
             node = fleet.nodes[address]
             argument = (revision, rng.choice((name, "same")))
-            started = time.monotonic()
+            started = clock.now_s()
             try:
                 await apply(node, make_source("visits", *argument))
-                ended, accepted = time.monotonic(), True
+                ended, accepted = clock.now_s(), True
             except exceptions.ConflictError:
-                ended, accepted = time.monotonic(), False
+                ended, accepted = clock.now_s(), False
             except exceptions.UnreachableError:
                 ended, accepted = math.inf, False
             history.append(
@@ -369,14 +369,14 @@
     async def attempt_once(
         rng: random.Random, attempt: str, node: control_fleet.Node
     ) -> None:
-        started = time.monotonic()
+        started = clock.now_s()
         result: object = "taken"
         ended = math.inf
         try:
             result = await node.claims.claim("k", 1, started + 20.0)
-            ended = time.monotonic()
+            ended = clock.now_s()
         except exceptions.OutcomeUnknownError:
-            ended = time.monotonic()
+            ended = clock.now_s()
         except exceptions.RefusedError:
             result = None
             note(started, math.inf, "release", attempt, None)
@@ -389,7 +389,7 @@
         if not granted:
             return
         await anyio.sleep(rng.uniform(0, 0.05))
-        started = time.monotonic()
+        started = clock.now_s()
         if rng.random() < 0.5:
             note(started, math.inf, "release", attempt, None)
             await node.claims.release("k", str(result))
@@ -453,13 +453,13 @@
     async def body(fleet: control_fleet.Fleet) -> None:
         history = []
         for address in NODES[:2]:
-            started = time.monotonic()
+            started = clock.now_s()
             node = fleet.nodes[address]
             token = await node.claims.claim("k", 1, started + 20.0)
             assert isinstance(token, str)
             history.append(
                 linearizability.Operation(
-                    started, time.monotonic(), ("claim", address), "granted"
+                    started, clock.now_s(), ("claim", address), "granted"
                 )
             )
         assert not linearizability.is_linearizable(
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -4,7 +4,6 @@
 
 import random
 import socket
-import time
 
 import anyio
 import hypothesis
@@ -17,6 +16,7 @@
 from papayastall import _membership
 from papayastall import _membership_types as types
 from papayastall import _thrift
+from papayastall import clock
 from papayastall import exceptions
 
 KEY = b"secret"
@@ -148,7 +148,7 @@
 ) -> tuple[_membership.Membership, _gossip.Gossiper]:
     settings = _membership.MembershipSettings(address, address, "a", 1, seeds)
     membership = _membership.Membership(
-        settings, random.Random(1), time.monotonic()
+        settings, random.Random(1), clock.now_s()
     )
     return membership, _gossip.Gossiper(
         membership, address, [key], lambda event: None
@@ -167,7 +167,7 @@
     async with anyio.create_task_group() as tasks:
         for gossiper in (one_gossiper, two_gossiper, stranger_gossiper):
             await gossiper.start(tasks)
-        one_gossiper.send(one.set_adverts(time.monotonic(), [advert]))
+        one_gossiper.send(one.set_adverts(clock.now_s(), [advert]))
         with anyio.fail_after(20):
             while (
                 len(one.members()) < 2
