--- a/bench/_decision_policies.py
+++ b/bench/_decision_policies.py
@@ -13,6 +13,7 @@
 from papayastall import _decision_types as types
 from papayastall import _ingress_controller
 from papayastall import _ingress_state
+from papayastall import _retry
 from papayastall import _service_policy
 from papayastall import _service_view
 from papayastall import exceptions
@@ -176,7 +177,7 @@
     return _service_policy.ServicePolicy(
         floor_slots=upstreams * deployment.slots // 2,
         health_priority=deployment.priority,
-        retry_ratio=policy.retry_ratio,
+        retry_budget=_retry.BudgetLimits(ratio=policy.retry_ratio),
         health=_replace(health, policy.health),
         routing=_replace(routing, policy.routing),
     )
--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -85,7 +85,7 @@
     pids = [process.pid for process in fleet.processes]
     before = [node_process.read_cpu_s(pid) for pid in pids]
     load_settings = load.LoadSettings(
-        nodes=(fleet.nodes[ingress].caller_address,),
+        nodes=(str(fleet.nodes[ingress].caller_address),),
         lookup_path="/visits/status",
         booking_path="/visits/bookings",
         booking_share=0.2,
--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -138,6 +138,10 @@
         """Return whether this node may serve by its config."""
         return self._confirmed and now_s - self._tick_s < FREEZE_S
 
+    def set_control(self, control: cabc.Sequence[str]) -> None:
+        """Set the control replicas to ask."""
+        self._control = [peer for peer in control if peer != self._node]
+
     def find_peer_index(self, peer: str) -> int:
         """Return the highest index that a peer is known to have."""
         return self._peer_indexes.get(peer, 0)
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -16,10 +16,12 @@
 from papayastall import _control_state
 from papayastall import _document_state
 from papayastall import _peering
+from papayastall import _route_state
 from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import logs
+from papayastall import route_table
 
 __all__ = ["ApplyOutcome", "ConfigService", "DocumentSource"]
 
@@ -27,13 +29,19 @@
 CALL_TIMEOUT_S = 1.0
 BARRIER_TIMEOUT_S = 0.5
 APPLY_TIMEOUT_S = 10.0
+CHANGE_TIMEOUT_S = 3.0
+"""Operators move on to another node after about a second."""
+READ_TIMEOUT_S = 0.9
+"""As for changes; whoever reads asks another node then."""
+READ_POLL_S = 0.03
 WAIT_POLL_S = 0.2
 MAX_WAIT_CALLS = 32
 NOTICE_FANOUT = 3
 
 _Code = exceptions.ErrorCode
 
-PutInForce = cabc.Callable[[int, list[documents.Document]], None]
+ConfigItem = documents.Document | route_table.RouteTable
+PutInForce = cabc.Callable[[int, list[ConfigItem]], None]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -127,6 +135,10 @@
         """Return the listener for the control replica of this node."""
         return _Listener(self)
 
+    def set_control(self, addresses: cabc.Sequence[str]) -> None:
+        """Set the control replicas to ask, as membership knows them."""
+        self._controller.set_control(addresses)
+
     def use_host(self, host: _control_calls.GroupHost) -> None:
         """Use the control replica of this node to confirm its config."""
         self._host = host
@@ -173,6 +185,80 @@
         _raise_conflict(result.documents)
         return ApplyOutcome(result.documents.index, result.documents.verdicts)
 
+    async def change_routes(
+        self, change: route_table.TableChange
+    ) -> commands.RoutesResult:
+        """Change the route table; sending a change again is safe.
+
+        :raises papayastall.exceptions.BadInputError: the result would
+            contradict itself; the message lists all problems.
+        :raises papayastall.exceptions.ConflictError: another version than
+            the one it builds on is in force.
+        :raises papayastall.exceptions.UnreachableError: control is away.
+        """
+        text = route_table.encode_change(change)
+        command = commands.ChangeRoutes(route_table.digest_change(text), text)
+        result = await self._caller.call(
+            _peering.Channel.CONTROL,
+            commands.CONTROL_GROUP,
+            commands.Command(change_routes=command),
+            CHANGE_TIMEOUT_S,
+        )
+        routes = result.routes
+        assert routes is not None
+        match routes.state:
+            case commands.RoutesState.CONFLICT:
+                raise exceptions.ConflictError(
+                    _Code.REVISION_CONFLICT,
+                    routes.problem,
+                    step="change-routes",
+                )
+            case commands.RoutesState.INVALID:
+                raise exceptions.BadInputError(
+                    _Code.BAD_DOCUMENT, routes.problem, step="change-routes"
+                )
+        return routes
+
+    async def read_routes(self) -> route_table.RouteTable:
+        """Return the newest accepted table; works on control replicas.
+
+        :raises papayastall.exceptions.UnreachableError: this node can't be
+            sure which one is the newest.
+        """
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            index = await self._find_latest_index()
+            while self.index < index:
+                await anyio.sleep(READ_POLL_S)
+            for document in self.list_documents():
+                if document.name == _route_state.ROUTES_NAME:
+                    return route_table.decode_table(document.text)
+            return route_table.RouteTable()
+        raise exceptions.UnreachableError(
+            _Code.NO_LEADER,
+            "control did not confirm the newest version in time; ask again",
+            step="read-routes",
+        )
+
+    async def _find_latest_index(self) -> int:
+        """Return the index of the newest accepted config."""
+        while True:
+            if await self._leads_control():
+                return self._controller.index
+            leader = None
+            if self._host is not None:
+                leader = self._host.leader(commands.CONTROL_GROUP)
+            if leader is not None and leader != self._node:
+                request = _config.FetchDocuments(
+                    _config.MESSAGE_VERSION, self.index, True
+                )
+                try:
+                    answer = await self._call(leader, request)
+                except exceptions.PapayastallError:
+                    answer = None
+                if answer is not None and answer.authoritative:
+                    return answer.index
+            await anyio.sleep(READ_POLL_S)
+
     async def wait_for(self, index: int, timeout_s: float) -> list[str]:
         """Wait until every live member has an index in force.
 
@@ -293,15 +379,17 @@
         )
         self._spread(update.index)
 
-    def _parse(self, text: commands.DocumentText) -> documents.Document | None:
+    def _parse(self, text: commands.DocumentText) -> ConfigItem | None:
         """Parse a document; one for a later release stops the serving.
 
         Going on by the former document would be going back.
         """
         self._unreadable.discard(text.name)
         try:
+            if text.name == _route_state.ROUTES_NAME:
+                return route_table.decode_table(text.text)
             return documents.parse_document(text.text, text.name)
-        except exceptions.BadInputError as error:
+        except exceptions.PapayastallError as error:
             self._unreadable.add(text.name)
             logs.log_change(
                 logs.StateChange(
--- a/src/papayastall/_control_calls.py
+++ b/src/papayastall/_control_calls.py
@@ -223,6 +223,10 @@
             await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
+    def set_control(self, addresses: cabc.Sequence[str]) -> None:
+        """Set the control replicas to call."""
+        self._control = list(addresses)
+
     def _choose(self, group: int) -> str:
         known = self._leaders.get(group)
         return known or self._rng.choice(self._control)
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -19,6 +19,7 @@
 from papayastall import _control_state
 from papayastall import _peering
 from papayastall import _permits
+from papayastall import _raft_types as types
 from papayastall import _replica
 from papayastall import exceptions
 
@@ -35,6 +36,8 @@
     :param control: link addresses of the control replicas.
     :param claim_groups: number of groups that hold claims.
     :param data_folder: of a control replica; ``None`` on other nodes.
+    :param formation: how the groups form and grow.
+    :param with_permits: whether upstreams may be ejected.
     :param epoch: start of this process; greater at each start.
     """
 
@@ -43,6 +46,8 @@
     claim_groups: int
     data_folder: str | None
     epoch: int
+    formation: types.Formation = types.Formation()
+    with_permits: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -86,7 +91,10 @@
             ]
             self.host = _replica.ReplicaHost(
                 _replica.ReplicaSettings(
-                    settings.control, settings.node, settings.data_folder
+                    settings.control,
+                    settings.node,
+                    settings.data_folder,
+                    formation=settings.formation,
                 ),
                 peering,
                 states,
@@ -111,6 +119,10 @@
             state.listener = self.config.make_listener()
             self.config.use_host(self.host)
         self.claims = _claims.ClaimClient(self.caller, settings.claim_groups)
+        self.permits: _permits.PermitClient | _permits.NoPermits
+        if not settings.with_permits:
+            self.permits = _permits.NoPermits(hooks.permit_answered)
+            return
         self.permits = _permits.PermitClient(
             settings.node,
             settings.epoch,
@@ -126,7 +138,20 @@
             await self.host.start(tasks)
         await self.config.start(tasks)
         await self.claims.start(tasks)
-        await self.permits.start(tasks)
+        if isinstance(self.permits, _permits.PermitClient):
+            await self.permits.start(tasks)
+
+    def set_control(
+        self, replicas: cabc.Sequence[str], join_targets: cabc.Sequence[str]
+    ) -> None:
+        """Take in which nodes hold control, as membership knows them.
+
+        :param join_targets: whom a replica without a group asks.
+        """
+        self.caller.set_control(replicas)
+        self.config.set_control(replicas)
+        if self.host is not None:
+            self.host.set_join_targets(tuple(join_targets))
 
     def find_leader(self) -> str | None:
         """Return the leader of group 0, if a replica here knows it."""
--- a/src/papayastall/_data_folder.py
+++ b/src/papayastall/_data_folder.py
@@ -23,6 +23,7 @@
     "WAL_PREFIX",
     "create_data_folder",
     "failed",
+    "has_identity",
     "read_identity",
     "translated",
     "wal_name",
@@ -107,6 +108,11 @@
         write_identity(files, path, folder_id, group_count)
 
 
+def has_identity(path: str) -> bool:
+    """Return whether a data folder was made here."""
+    return os.path.exists(os.path.join(path, _IDENTITY_NAME))
+
+
 def write_identity(
     files: _files.FileLayer, folder: str, folder_id: int, group_count: int
 ) -> None:
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -34,6 +34,7 @@
     "SuspectNews",
     "UpstreamAnnouncement",
     "UpstreamState",
+    "split_name",
 ]
 
 
@@ -86,6 +87,10 @@
     :param upstream: address as ``ip:port``.
     :param load: its own report, 0 idle to 1 full; weak evidence only.
     :param lease_s: for how long the announcement holds, in seconds.
+    :param instance: names this start of the upstream, if it says so.
+    :param started_ms: Unix time of that start; orders the starts at one
+        address.
+    :param sequence: grows with each announcement of one start.
     """
 
     upstream: str
@@ -95,6 +100,22 @@
     load: float
     state: UpstreamState
     lease_s: float
+    instance: str = ""
+    started_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def name(self) -> str:
+        """What the upstream is known by: each start is another one."""
+        if not self.instance:
+            return self.upstream
+        return f"{self.upstream}/{self.instance}"
+
+
+def split_name(name: str) -> tuple[str, str]:
+    """Return the address and the instance of an upstream's name."""
+    address, _, instance = name.partition("/")
+    return address, instance
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -165,7 +186,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class IngressRequest:
-    """A caller's request at its ingress."""
+    """A caller's request at its ingress.
+
+    :param max_attempts: upstreams that may run it.
+    :param rank: urgency; 0 is the most urgent.
+    """
 
     request_id: int
     service: str
@@ -174,6 +199,8 @@
     kind: RequestKind
     deadline_s: float
     fingerprint: int
+    max_attempts: int = 1_000
+    rank: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -9,6 +9,7 @@
 
 from papayastall import _decision_types
 from papayastall import _frames
+from papayastall import documents
 from papayastall import exceptions
 
 __all__ = ["Attempt", "Exchange"]
@@ -54,6 +55,7 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.ACCEPTED
     claim_key: str = ""
     claim_token: str = ""
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -44,11 +44,11 @@
         """Set the policy of a service; requests in hand are kept."""
         known = self._services.get(service)
         if known is None:
-            budget = _retry.RetryBudget(policy.retry_ratio)
+            budget = _retry.RetryBudget(policy.retry_budget)
             self._services[service] = state.ServiceView(policy, budget)
         else:
             known.policy = policy
-            known.budget.ratio = policy.retry_ratio
+            known.budget.limits = policy.retry_budget
 
     def set_owner(self, now_s: float, advert: types.OwnerAdvert) -> None:
         """Take in what membership tells of an owner."""
@@ -213,7 +213,7 @@
         known = self._services.get(name)
         if known is None:
             policy = _service_policy.ServicePolicy()
-            budget = _retry.RetryBudget(policy.retry_ratio)
+            budget = _retry.RetryBudget(policy.retry_budget)
             known = state.ServiceView(policy, budget)
             self._services[name] = known
         return known
@@ -317,6 +317,8 @@
             _open_attempts.close(service, pending, number)
             pending.has_unknown = True
             return [cancel]
+        if not _retry_rules.has_attempts_left(pending):
+            return []
         if not service.budget.take(now_s):
             return []
         forward = self._forward(now_s, pending)
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -150,6 +150,13 @@
                 actions.extend(self._advertise(service, slots))
         return actions
 
+    def set_seeds(self, seeds: cabc.Sequence[str]) -> None:
+        """Join through other nodes from now on."""
+        self._seeds = tuple(
+            seed for seed in seeds if seed != self._own.datagram_address
+        )
+        self._reconciler.set_seeds(self._seeds)
+
     def set_config_index(self, config_index: int) -> None:
         """Tell peers from now on that this config index was seen."""
         self._config_index = max(self._config_index, config_index)
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -66,6 +66,13 @@
         )
         return self._drain(now_s, announcement.service)
 
+    def withdraw(
+        self, now_s: float, instance: str, started_ms: int | None
+    ) -> list[types.OwnerAction]:
+        """Give an upstream no new work; it announces itself no more."""
+        service = self._registry.withdraw(now_s, instance, started_ms)
+        return self._drain(now_s, service) if service is not None else []
+
     def submit(
         self, now_s: float, request: types.OwnerRequest
     ) -> list[types.OwnerAction]:
--- a/src/papayastall/_permits.py
+++ b/src/papayastall/_permits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc as cabc
 import dataclasses
 import math
@@ -20,7 +21,7 @@
 from papayastall import clock
 from papayastall import exceptions
 
-__all__ = ["PermitClient", "PermitLedger"]
+__all__ = ["NoPermits", "PermitClient", "PermitLedger"]
 
 CALL_TIMEOUT_S = 3.0
 REPORT_INTERVAL_S = 0.25
@@ -143,6 +144,36 @@
                 self._is_known = False
 
 
+class NoPermits:
+    """Denies every ejection: without floors, upstreams are only steered.
+
+    :param answered: told of each permit that :meth:`ask` asked for.
+    """
+
+    def __init__(self, answered: cabc.Callable[[str, bool], None]) -> None:
+        self._answered = answered
+
+    def ask(self, action: _decision_types.AskPermit) -> None:
+        """Deny the permit, once the asker has done what it is at."""
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._answered, action.upstream, False)
+
+    def release(self, action: _decision_types.ReleasePermit) -> None:
+        """Take a permit back; there is none."""
+
+    def release_upstream(self, upstream: str) -> None:
+        """Take back a permit that :meth:`request` gave; none is held."""
+
+    async def request(
+        self,
+        upstream: str,
+        service_name: str,
+        reason: commands.PermitReason,
+    ) -> commands.PermitResult:
+        """Grant whatever operators ask for, as no floor forbids it."""
+        return commands.PermitResult(_State.GRANTED, 0, 0, 0, 0)
+
+
 class PermitClient:
     """Keeps the ledger told and asks for permits; one per node.
 
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -60,6 +60,10 @@
         self._asked_s = float("-inf")
         self._next_read_s = now_s
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Set whom to read the first pages from."""
+        self._seeds = seeds
+
     @property
     def is_reading(self) -> bool:
         """Whether pages of another node's table are still wanted."""
--- a/src/papayastall/_refusals.py
+++ b/src/papayastall/_refusals.py
@@ -53,7 +53,10 @@
     match outcome:
         case types.Outcome.SHED:
             return refuse_not_run(
-                request_id, _Code.OVERLOADED, rng, retry_after_s=retry_after_s
+                request_id,
+                _Code.UPSTREAM_FULL,
+                rng,
+                retry_after_s=retry_after_s,
             )
         case types.Outcome.CONNECT_FAILED:
             return refuse_not_run(request_id, _Code.UPSTREAM_FAILED, rng)
--- /dev/null
+++ b/src/papayastall/_request_target.py
@@ -0,0 +1,109 @@
+"""What is in force for one request: its service, route and limits."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from papayastall import _decision_types
+from papayastall import _route_lookup
+from papayastall import blackboard as blackboards
+from papayastall import documents
+from papayastall import exceptions
+
+__all__ = ["UNLIMITED_ATTEMPTS", "RequestTarget", "resolve"]
+
+UNKNOWN_ROUTE = "unknown"
+UNLIMITED_ATTEMPTS = 1_000
+"""Attempts of a route whose operators set no limit."""
+NOT_READY_RETRY_S = 0.5
+"""A node learns the configuration within a second of its start."""
+
+_Kind = _decision_types.RequestKind
+_Code = exceptions.ErrorCode
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestTarget:
+    """Where a request goes and what holds for it.
+
+    :param team_header: names the caller's team, in lower case; "" for none.
+    """
+
+    service: str
+    route: str
+    kind: _Kind
+    timeout_ms: int
+    max_body_bytes: int
+    max_attempts: int = UNLIMITED_ATTEMPTS
+    rank: int = 0
+    team_header: bytes = b""
+    key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.IGNORED
+
+
+def resolve(
+    blackboard: blackboards.Blackboard, method: str, host: str, path: str
+) -> RequestTarget:
+    """Return what is in force for a request.
+
+    :raises papayastall.exceptions.RefusedError: nothing is.
+    """
+    match blackboard.routing:
+        case blackboards.DocumentRouting():
+            return _resolve_by_document(blackboard, method, path)
+        case blackboards.TableRouting(lookup):
+            return _resolve_by_table(lookup, host, path)
+
+
+def _resolve_by_document(
+    blackboard: blackboards.Blackboard, method: str, path: str
+) -> RequestTarget:
+    name = documents.find_service_name(path)
+    document = blackboard.services.get(name)
+    if document is None:
+        raise exceptions.RefusedError(
+            _Code.UNKNOWN_SERVICE,
+            f"no service {name!r}; a path starts with /SERVICE/",
+            step="route",
+        )
+    route = documents.find_route(document, method, path)
+    timeout_ms: int = document.timeout_ms
+    if route is not None and route.timeout_ms is not None:
+        timeout_ms = route.timeout_ms
+    accepted = documents.IdempotencyKeyUse.ACCEPTED
+    return RequestTarget(
+        service=document.name,
+        route=route.name if route else UNKNOWN_ROUTE,
+        kind=route.kind if route else _Kind.NON_IDEMPOTENT,
+        timeout_ms=timeout_ms,
+        max_body_bytes=document.limits.max_body_bytes,
+        team_header=document.team_header.lower().encode(),
+        key_use=route.idempotency_key if route else accepted,
+    )
+
+
+def _resolve_by_table(
+    lookup: _route_lookup.RouteLookup | None, host: str, path: str
+) -> RequestTarget:
+    if lookup is None:
+        raise exceptions.RefusedError(
+            _Code.NOT_READY,
+            "this node has not learned the routes yet",
+            step="route",
+            retry_after_s=NOT_READY_RETRY_S,
+        )
+    route = lookup.find(host, path)
+    if route is None:
+        raise exceptions.RefusedError(
+            _Code.UNKNOWN_ROUTE,
+            f"no route for {host}{path} in version {lookup.table.version}",
+            step="route",
+        )
+    return RequestTarget(
+        service=lookup.choose_service(route),
+        route=route.name,
+        kind=route.kind,
+        timeout_ms=route.timeout_ms,
+        max_body_bytes=lookup.table.limits.max_body_bytes,
+        max_attempts=route.max_attempts,
+        rank=route.rank,
+    )
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 
-__all__ = ["RetryBudget", "jittered_retry_after_s"]
+__all__ = ["BudgetLimits", "RetryBudget", "jittered_retry_after_s"]
 
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 30.0
-_BURST_TOKENS = 10.0
-_IDLE_TOKENS_PER_S = 0.2
 
 
 def jittered_retry_after_s(backlog_s: float, rng: random.Random) -> float:
@@ -23,18 +22,33 @@
     return min(MAX_RETRY_AFTER_S, delay_s)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BudgetLimits:
+    """How many extra attempts one ingress may make for one service.
+
+    :param ratio: extra attempts per request of its callers.
+    :param burst: extra attempts that can be saved up.
+    :param idle_per_s: extra attempts gained each second without requests.
+    """
+
+    ratio: float = 0.1
+    burst: float = 10.0
+    idle_per_s: float = 0.2
+
+
 @dataclasses.dataclass(slots=True)
 class RetryBudget:
     """Allows extra attempts as a share of the callers' own requests."""
 
-    ratio: float
-    tokens: float = _BURST_TOKENS
+    limits: BudgetLimits = BudgetLimits()
+    tokens: float = math.inf
     updated_s: float = 0.0
 
     def deposit(self, now_s: float) -> None:
         """Count one request of a caller."""
         self._refill(now_s)
-        self.tokens = min(_BURST_TOKENS, self.tokens + self.ratio)
+        self.tokens += self.limits.ratio
+        self.tokens = min(self.limits.burst, self.tokens)
 
     def take(self, now_s: float) -> bool:
         """Take one extra attempt out of the budget, if there is one."""
@@ -47,5 +61,5 @@
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.updated_s)
         self.updated_s = now_s
-        added = elapsed_s * _IDLE_TOKENS_PER_S
-        self.tokens = min(_BURST_TOKENS, self.tokens + added)
+        added = elapsed_s * self.limits.idle_per_s
+        self.tokens = min(self.limits.burst, self.tokens + added)
--- a/src/papayastall/_retry_rules.py
+++ b/src/papayastall/_retry_rules.py
@@ -7,7 +7,7 @@
 from papayastall import _service_view
 from papayastall import exceptions
 
-__all__ = ["is_hedge_due", "is_late", "may_try_again"]
+__all__ = ["has_attempts_left", "is_hedge_due", "is_late", "may_try_again"]
 
 _Code = exceptions.ErrorCode
 _FREE_REFUSALS = 2
@@ -35,6 +35,8 @@
         return False
     if pending.request.kind is not types.RequestKind.LOOKUP:
         return False
+    if not has_attempts_left(pending):
+        return False
     return len(pending.open) == 1 and not pending.losses
 
 
@@ -44,6 +46,12 @@
     return now_s >= (sent_s + pending.request.deadline_s) / 2.0
 
 
+def has_attempts_left(pending: state.PendingRequest) -> bool:
+    """Return whether another upstream may run the request."""
+    sent = pending.next_number - 1 - pending.refusals
+    return sent < pending.request.max_attempts
+
+
 def may_try_again(
     now_s: float,
     service: state.ServiceView,
@@ -62,7 +70,7 @@
             return False
     if outcome.result is types.AttemptResult.NOT_RUN:
         return _may_follow_refusal(now_s, service, pending, code)
-    if pending.losses >= _MAX_LOSSES:
+    if pending.losses >= _MAX_LOSSES or not has_attempts_left(pending):
         return False
     return service.budget.take(now_s)
 
@@ -75,6 +83,9 @@
 ) -> bool:
     if pending.refusals > service.policy.routing.max_refusals:
         return False
-    if code is not _Code.OVERLOADED or pending.refusals <= _FREE_REFUSALS:
+    if code is _Code.UPSTREAM_FULL and not service.budget.take(now_s):
+        return False
+    overloaded = (_Code.OVERLOADED, _Code.UPSTREAM_FULL)
+    if code not in overloaded or pending.refusals <= _FREE_REFUSALS:
         return True
     return _service_view.has_room(now_s, service, pending)
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from papayastall import _retry
 from papayastall import documents
 
 __all__ = [
@@ -101,7 +102,7 @@
 
     :param floor_slots: healthy slots that must always remain.
     :param max_queued: requests that may wait at one owner.
-    :param retry_ratio: retries and hedges per request of callers.
+    :param retry_budget: retries and hedges that an ingress may make.
     :param failure_domain: of this node; breaks ties in routing.
     """
 
@@ -110,7 +111,7 @@
         documents.HealthPriority.CAPACITY
     )
     max_queued: int = 64
-    retry_ratio: float = 0.1
+    retry_budget: _retry.BudgetLimits = _retry.BudgetLimits()
     failure_domain: str = ""
     health: HealthTuning | None = None
     routing: RoutingTuning = RoutingTuning()
@@ -131,6 +132,8 @@
         floor_slots=document.floor_slots,
         health_priority=document.health_priority,
         max_queued=document.limits.max_queued,
-        retry_ratio=document.limits.retry_budget_ratio,
+        retry_budget=_retry.BudgetLimits(
+            ratio=document.limits.retry_budget_ratio
+        ),
         failure_domain=failure_domain,
     )
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -185,7 +185,7 @@
     if view is None:
         return
     match outcome.code:
-        case _Code.OVERLOADED:
+        case _Code.OVERLOADED | _Code.UPSTREAM_FULL:
             pause_s = _OVERLOADED_PAUSE_S
         case _Code.LEAVING | _Code.NO_UPSTREAM:
             pause_s = _LEAVING_PAUSE_S
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -7,29 +7,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc as cabc
-import contextlib
 import dataclasses
 
 import anyio
-import httpcore
 
 from papayastall import _decision_types
+from papayastall import _upstream_connection
+from papayastall import clock
+from papayastall import http_names
 
 __all__ = [
-    "NOT_RUN_HEADER",
-    "TIMEOUT_HEADER",
     "AnswerSink",
     "UpstreamClient",
     "UpstreamRequest",
 ]
 
-TIMEOUT_HEADER = b"papayastall-timeout-ms"
-NOT_RUN_HEADER = b"papayastall-ran"
-HAND_OVER_EVENT = "http11.send_request_headers.started"
-BODY_EVENT = "http11.send_request_body.started"
-MAX_IDLE_CONNECTIONS = 16
-CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 8
+MAX_HELD_ANSWER_BYTES = 64 << 10
+"""Answers up to this size are passed on whole, so that one that breaks off
+can still be replaced by another attempt or an error."""
+WRONG_INSTANCE_STATUS = 421
+NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
 HOP_HEADERS = frozenset(
     (
@@ -37,13 +37,13 @@
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
+        b"proxy-connection",
         b"te",
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
-        b"host",
         b"content-length",
-        TIMEOUT_HEADER,
+        b"expect",
     )
 )
 
@@ -53,7 +53,11 @@
 
 @dataclasses.dataclass(slots=True)
 class UpstreamRequest:
-    """A whole request as it goes to an upstream."""
+    """A whole request as it goes to an upstream.
+
+    :param upstream: its address, ``ip:port``.
+    :param instance: the start of it that may run the request, or "".
+    """
 
     upstream: str
     method: bytes
@@ -61,16 +65,13 @@
     headers: Headers
     body: bytes
     idempotent: bool
+    instance: str = ""
 
 
 class _DeadlinePassed(Exception):
     """The deadline passed before anything was handed over."""
 
 
-class _BodyHeldBack(Exception):
-    """The deadline passed before the body followed the headers."""
-
-
 class AnswerSink:
     """Takes an answer as it arrives; the owner overrides both methods.
 
@@ -87,20 +88,29 @@
 
 
 class UpstreamClient:
-    """Runs requests at upstreams and says how each ended."""
+    """Runs requests at upstreams and says how each ended.
 
-    def __init__(self) -> None:
-        self._idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+    :param names: of the headers that are set and read here.
+    """
+
+    def __init__(
+        self, names: http_names.HeaderNames = http_names.HeaderNames()
+    ) -> None:
+        self._names = names
+        self._idle: dict[
+            str, list[_upstream_connection.UpstreamConnection]
+        ] = {}
+        self._own_headers = HOP_HEADERS | {names.timeout, names.instance}
 
     async def close(self) -> None:
         """Close all idle connections."""
         for upstream in list(self._idle):
-            await self.forget(upstream)
+            self.forget(upstream)
 
-    async def forget(self, upstream: str) -> None:
+    def forget(self, upstream: str) -> None:
         """Close the idle connections of an upstream that is gone."""
         for connection in self._idle.pop(upstream, []):
-            await _close(connection)
+            connection.close()
 
     async def run(
         self, request: UpstreamRequest, timeout_s: float, sink: AnswerSink
@@ -113,17 +123,16 @@
         """
         if timeout_s <= 0:
             return Outcome.CONNECT_FAILED
-        with anyio.move_on_after(timeout_s) as scope:
-            connection, reused = self._take(request)
-            outcome = await self._run_on(
-                connection, request, scope.deadline, sink
-            )
-            if outcome is Outcome.BROKEN and reused and not sink.started:
+        deadline_s = clock.now_s() + timeout_s
+        with anyio.move_on_after(timeout_s):
+            reused = self._take(request)
+            if reused is None:
+                return await self._run_fresh(request, deadline_s, sink)
+            outcome = await self._run_on(reused, request, deadline_s, sink)
+            if outcome is Outcome.BROKEN and not sink.started:
                 # Closed when idle, or dead at work: a fresh connection
                 # tells, but can't make the first try "not run".
-                outcome = await self._run_on(
-                    self._open(request), request, scope.deadline, sink
-                )
+                outcome = await self._run_fresh(request, deadline_s, sink)
                 if outcome in (Outcome.CONNECT_FAILED, Outcome.SHED):
                     return Outcome.BROKEN
             return outcome
@@ -131,139 +140,167 @@
 
     def _take(
         self, request: UpstreamRequest
-    ) -> tuple[httpcore.AsyncHTTPConnection, bool]:
+    ) -> _upstream_connection.UpstreamConnection | None:
         idle = self._idle.get(request.upstream)
         while idle and request.idempotent:
             connection = idle.pop()
-            if connection.is_available() and not connection.has_expired():
-                return connection, True
-        return self._open(request), False
+            if connection.is_reusable():
+                return connection
+            connection.close()
+        return None
 
-    def _open(self, request: UpstreamRequest) -> httpcore.AsyncHTTPConnection:
-        host, _, port = request.upstream.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
-        return httpcore.AsyncHTTPConnection(origin)
+    async def _run_fresh(
+        self, request: UpstreamRequest, deadline_s: float, sink: AnswerSink
+    ) -> _decision_types.Outcome:
+        try:
+            connection = await _upstream_connection.open_connection(
+                request.upstream
+            )
+        except _upstream_connection.NotConnected:
+            return Outcome.CONNECT_FAILED
+        return await self._run_on(connection, request, deadline_s, sink)
 
     async def _run_on(
         self,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: _upstream_connection.UpstreamConnection,
         request: UpstreamRequest,
         deadline_s: float,
         sink: AnswerSink,
     ) -> _decision_types.Outcome:
+        answer: _upstream_connection.UpstreamAnswer | None = None
         try:
-            response = await connection.handle_async_request(
-                _build_request(request, deadline_s)
-            )
-            shed = response.status == 503 and _says_not_run(response.headers)
-            if not shed:
-                sink.started = True
-                await sink.send_head(
-                    response.status, _keep_answer_headers(response.headers)
-                )
-            async for data in _iterate(response):
-                if data and not shed:
-                    await sink.send_chunk(data)
-            await response.aclose()
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            _DeadlinePassed,
-        ):
-            return Outcome.CONNECT_FAILED
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return Outcome.BROKEN
-        except (httpcore.TimeoutException, _BodyHeldBack):
-            return Outcome.TIMED_OUT
+            data = self._build(request, deadline_s)
+            is_head = request.method == b"HEAD"
+            answer = await connection.send(data, is_head)
+            outcome = await self._pass_on(connection, request, answer, sink)
+        except _DeadlinePassed:
+            outcome = Outcome.CONNECT_FAILED
+        except _upstream_connection.AnswerBroken:
+            outcome = Outcome.BROKEN
         finally:
-            await self._give_back(connection, request)
-        if shed:
+            self._give_back(connection, request, answer)
+        return outcome
+
+    async def _pass_on(
+        self,
+        connection: _upstream_connection.UpstreamConnection,
+        request: UpstreamRequest,
+        answer: _upstream_connection.UpstreamAnswer,
+        sink: AnswerSink,
+    ) -> _decision_types.Outcome:
+        if not self._is_own(request, answer):
+            answer.keeps_alive = False
+            return Outcome.BROKEN
+        not_run = self._says_not_run(answer)
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name == b"content-length" or name not in HOP_HEADERS
+        ]
+        held: list[bytes] | None = []
+        held_bytes = 0
+        async for data in connection.read(answer):
+            if not_run:
+                continue
+            if held is None:
+                await sink.send_chunk(data)
+                continue
+            held.append(data)
+            held_bytes += len(data)
+            if held_bytes > MAX_HELD_ANSWER_BYTES:
+                await self._start(sink, answer.status, headers, held)
+                held = None
+        if not_run:
             return Outcome.SHED
-        return Outcome.FAILED if response.status >= 500 else Outcome.ANSWERED
+        if held is not None:
+            await self._start(sink, answer.status, headers, held)
+        return Outcome.FAILED if answer.status >= 500 else Outcome.ANSWERED
+
+    async def _start(
+        self,
+        sink: AnswerSink,
+        status: int,
+        headers: Headers,
+        held: list[bytes],
+    ) -> None:
+        sink.started = True
+        await sink.send_head(status, headers)
+        if held:
+            await sink.send_chunk(b"".join(held))
 
-    async def _give_back(
+    def _is_own(
         self,
-        connection: httpcore.AsyncHTTPConnection,
         request: UpstreamRequest,
+        answer: _upstream_connection.UpstreamAnswer,
+    ) -> bool:
+        """Return whether an answer is to this request, and as it was asked.
+
+        An upstream may send a second answer late, where the next one is
+        expected.
+        """
+        if answer.find(b"content-encoding") is not None:
+            return False
+        name = self._names.request_id
+        if not name:
+            return True
+        echoed = answer.find(name)
+        sent = [value for key, value in request.headers if key == name]
+        return echoed is None or not sent or echoed == sent[0]
+
+    def _says_not_run(
+        self, answer: _upstream_connection.UpstreamAnswer
+    ) -> bool:
+        if answer.status == WRONG_INSTANCE_STATUS:
+            return True
+        if answer.status not in NOT_RUN_STATUSES:
+            return False
+        value = answer.find(self._names.not_run)
+        if value is None:
+            return False
+        return self._names.not_run_value in (b"", value)
+
+    def _give_back(
+        self,
+        connection: _upstream_connection.UpstreamConnection,
+        request: UpstreamRequest,
+        answer: _upstream_connection.UpstreamAnswer | None,
     ) -> None:
+        if answer is None:
+            connection.close()
+            return
+        connection.end(answer)
+        if connection.is_closed:
+            return
         idle = self._idle.setdefault(request.upstream, [])
-        if connection.is_available() and len(idle) < MAX_IDLE_CONNECTIONS:
+        if len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
         else:
-            await _close(connection)
-
-
-def _build_request(
-    request: UpstreamRequest, deadline_s: float
-) -> httpcore.Request:
-    remaining_ms = max(0, int((deadline_s - anyio.current_time()) * 1000))
-    headers = _keep_headers(request.headers)
-    headers.append((b"host", request.upstream.encode()))
-    headers.append((TIMEOUT_HEADER, str(remaining_ms).encode()))
-    if request.body or request.method not in (b"GET", b"HEAD"):
-        length = str(len(request.body)).encode()
-        headers.append((b"content-length", length))
-    host, _, port = request.upstream.rpartition(":")
-    url = httpcore.URL(
-        scheme=b"http",
-        host=host.encode(),
-        port=int(port),
-        target=request.target,
-    )
-
-    async def check_deadline(event: str, _info: object) -> None:
-        # A process that was stopped while it connected must not hand over
-        # a request whose caller has long been answered.
-        if event not in (HAND_OVER_EVENT, BODY_EVENT):
-            return
-        if anyio.current_time() <= deadline_s:
-            return
-        if event == HAND_OVER_EVENT:
-            raise _DeadlinePassed
-        if request.body:
-            raise _BodyHeldBack
-
-    extensions = {
-        "timeout": {"connect": CONNECT_TIMEOUT_S},
-        "trace": check_deadline,
-    }
-    return httpcore.Request(
-        request.method,
-        url,
-        headers=headers,
-        content=request.body,
-        extensions=extensions,
-    )
+            connection.close()
 
+    def _build(self, request: UpstreamRequest, deadline_s: float) -> bytes:
+        """Return the bytes of a request, with the time that is left.
 
-def _keep_headers(headers: cabc.Iterable[tuple[bytes, bytes]]) -> Headers:
-    return [pair for pair in headers if pair[0].lower() not in HOP_HEADERS]
-
-
-def _keep_answer_headers(
-    headers: cabc.Iterable[tuple[bytes, bytes]],
-) -> Headers:
-    """Keep the length too, so that a short answer is noticed."""
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() == b"content-length" or name.lower() not in HOP_HEADERS
-    ]
-
-
-def _says_not_run(headers: cabc.Iterable[tuple[bytes, bytes]]) -> bool:
-    return any(
-        name.lower() == NOT_RUN_HEADER and value == b"no"
-        for name, value in headers
-    )
-
-
-async def _iterate(response: httpcore.Response) -> cabc.AsyncIterator[bytes]:
-    async for data in response.aiter_stream():
-        yield data
-
-
-async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
-    with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
-        with contextlib.suppress(Exception):
-            await connection.aclose()
+        A process that was stopped while it connected must not hand over a
+        request whose caller has long been answered.
+        """
+        remaining_ms = int((deadline_s - clock.now_s()) * 1000)
+        if remaining_ms <= 0:
+            raise _DeadlinePassed
+        lines = [request.method + b" " + request.target + b" HTTP/1.1"]
+        has_host = False
+        for name, value in request.headers:
+            if name in self._own_headers:
+                continue
+            has_host = has_host or name == b"host"
+            lines.append(name + b": " + value)
+        if not has_host:
+            lines.append(b"host: " + request.upstream.encode())
+        lines.append(b"%b: %d" % (self._names.timeout, remaining_ms))
+        if self._names.instance and request.instance:
+            lines.append(
+                self._names.instance + b": " + request.instance.encode()
+            )
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            lines.append(b"content-length: %d" % len(request.body))
+        lines.append(b"\r\n")
+        return b"\r\n".join(lines) + request.body
--- /dev/null
+++ b/src/papayastall/_upstream_connection.py
@@ -0,0 +1,259 @@
+"""One HTTP/1.1 connection to an upstream, on asyncio and httptools.
+
+It says exactly how far a request came: whether any byte was handed over,
+whether the answer is whole, and whether it is the answer to this request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import typing as t
+
+import httptools
+
+from papayastall import clock
+
+__all__ = [
+    "AnswerBroken",
+    "Headers",
+    "NotConnected",
+    "UpstreamAnswer",
+    "UpstreamConnection",
+    "open_connection",
+]
+
+CONNECT_TIMEOUT_S = 1.0
+"""A connection takes about a millisecond; a lost packet costs a second."""
+MIN_KEEP_ALIVE_S = 0.5
+"""Margin before an upstream's stated idle limit."""
+DEFAULT_KEEP_ALIVE_S = 4.0
+"""Idle limit of an upstream that states none."""
+READ_LIMIT_BYTES = 256 << 10
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class NotConnected(Exception):
+    """No connection could be made; nothing was handed over."""
+
+
+class AnswerBroken(Exception):
+    """The connection ended, or sent what is no whole answer."""
+
+
+class UpstreamAnswer:
+    """The head of an answer, and its body as it arrives.
+
+    :ivar headers: with names in lower case.
+    """
+
+    __slots__ = (
+        "chunks",
+        "complete",
+        "headers",
+        "is_broken",
+        "keeps_alive",
+        "news",
+        "status",
+    )
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.chunks: list[bytes] = []
+        self.complete = False
+        self.is_broken = False
+        self.keeps_alive = False
+        self.news = asyncio.Event()
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of a header."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Runs one request at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer: UpstreamAnswer | None = None
+        self._has_head = False
+        self._has_extra_bytes = False
+        self._ends_with_connection = False
+        self._is_head_request = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._expires_s = 0.0
+        self.is_closed = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = t.cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_closed = True
+        self._writable.set()
+        answer = self._answer
+        if answer is not None and not answer.complete:
+            if exc is None and self._has_head and self._ends_with_connection:
+                answer.complete = True
+            else:
+                answer.is_broken = True
+            answer.news.set()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        if self._answer is None or self._answer.complete:
+            # Bytes after a whole answer belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._break()
+
+    def on_message_begin(self) -> None:
+        if self._answer is None or self._answer.complete:
+            self._has_extra_bytes = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._answer is not None and not self._answer.complete:
+            self._answer.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        answer = self._answer
+        if answer is None or answer.complete:
+            return
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            answer.headers.clear()
+            return
+        answer.status = status
+        self._has_head = True
+        answer.keeps_alive = self._parser.should_keep_alive()
+        names = {name for name, _ in answer.headers}
+        self._ends_with_connection = (
+            b"content-length" not in names
+            and b"transfer-encoding" not in names
+            and status not in (204, 304)
+        )
+        answer.news.set()
+        if self._is_head_request:
+            self._complete(answer)
+
+    def on_body(self, data: bytes) -> None:
+        if self._answer is not None and not self._answer.complete:
+            self._answer.chunks.append(data)
+            self._answer.news.set()
+
+    def on_message_complete(self) -> None:
+        answer = self._answer
+        if answer is None or not self._has_head or answer.complete:
+            return
+        self._complete(answer)
+
+    def _complete(self, answer: UpstreamAnswer) -> None:
+        answer.complete = True
+        answer.news.set()
+
+    def _break(self) -> None:
+        if self._answer is not None and not self._answer.complete:
+            self._answer.is_broken = True
+            self._answer.news.set()
+        self.close()
+
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent on it now."""
+        return not self.is_closed and clock.now_s() < self._expires_s
+
+    def close(self) -> None:
+        """End the connection."""
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def send(self, data: bytes, is_head_request: bool) -> UpstreamAnswer:
+        """Hand over a request; return its answer once the head is there.
+
+        :raises AnswerBroken: the connection ended before that.
+        """
+        assert self._transport is not None
+        assert self._answer is None, "one request at a time"
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer = answer = UpstreamAnswer()
+        self._has_head = False
+        self._is_head_request = is_head_request
+        self._transport.write(data)
+        while not answer.status:
+            await self._wait(answer)
+        return answer
+
+    async def read(self, answer: UpstreamAnswer) -> cabc.AsyncIterator[bytes]:
+        """Yield the body of an answer up to its end.
+
+        :raises AnswerBroken: it broke off.
+        """
+        while True:
+            if answer.chunks:
+                data = b"".join(answer.chunks)
+                answer.chunks.clear()
+                yield data
+            elif answer.complete:
+                return
+            else:
+                await self._wait(answer)
+
+    def end(self, answer: UpstreamAnswer) -> None:
+        """Let go of an answer; close unless it may be used again."""
+        self._answer = None
+        is_clean = answer.complete and answer.keeps_alive
+        if not is_clean or self._has_extra_bytes or self.is_closed:
+            self.close()
+            return
+        keep_alive_s = _read_keep_alive_s(answer.find(b"keep-alive"))
+        self._expires_s = clock.now_s() + keep_alive_s - MIN_KEEP_ALIVE_S
+
+    async def _wait(self, answer: UpstreamAnswer) -> None:
+        if answer.is_broken:
+            raise AnswerBroken
+        if self.is_closed and not answer.complete:
+            raise AnswerBroken
+        answer.news.clear()
+        await answer.news.wait()
+
+
+async def open_connection(address: str) -> UpstreamConnection:
+    """Connect to an upstream.
+
+    :raises NotConnected: refused, or no connection in time.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                UpstreamConnection, host.strip("[]"), int(port)
+            )
+    except (OSError, TimeoutError) as error:
+        raise NotConnected(str(error)) from error
+    return connection
+
+
+def _read_keep_alive_s(value: bytes | None) -> float:
+    for part in (value or b"").split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return DEFAULT_KEEP_ALIVE_S
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 
 from papayastall import _decision_types as types
 from papayastall import _health
@@ -14,16 +15,19 @@
 __all__ = ["UpstreamRegistry"]
 
 _MAX_COLD_S = 60.0
+_LAST_SEQUENCE = 1 << 62
+"""Above that of any announcement: nothing of the start comes after it."""
 
 
 class UpstreamRegistry:
     """Upstreams by name and by service, kept by their announcements."""
 
-    __slots__ = ("_by_name", "_by_service")
+    __slots__ = ("_by_name", "_by_service", "_latest")
 
     def __init__(self) -> None:
         self._by_name: dict[str, state.Upstream] = {}
         self._by_service: dict[str, list[state.Upstream]] = {}
+        self._latest: dict[str, tuple[int, int]] = {}
 
     def find(self, name: str) -> state.Upstream | None:
         """Return an upstream if it is known."""
@@ -64,7 +68,10 @@
             serves another service already.
         """
         self._check(announcement)
-        known = self._by_name.get(announcement.upstream)
+        if self._is_late(announcement):
+            return
+        self._end_former_starts(now_s, announcement)
+        known = self._by_name.get(announcement.name)
         if known is None:
             known = self._add(now_s, announcement, tuning)
         elif self._has_restarted(now_s, known, announcement):
@@ -76,6 +83,52 @@
         known.expires_s = now_s + announcement.lease_s
         self._note_state(now_s, known, tuning)
 
+    def _is_late(self, announcement: types.UpstreamAnnouncement) -> bool:
+        """Return whether a later one of the same address came before."""
+        if not announcement.started_ms:
+            return False
+        latest = self._latest.get(announcement.upstream, (0, 0))
+        this = (announcement.started_ms, announcement.sequence)
+        if this < latest:
+            return True
+        self._latest[announcement.upstream] = this
+        return False
+
+    def _end_former_starts(
+        self, now_s: float, announcement: types.UpstreamAnnouncement
+    ) -> None:
+        """Give no work to what ran at the same address before."""
+        if not announcement.instance:
+            return
+        for upstream in self._by_name.values():
+            address, _ = types.split_name(upstream.name)
+            if address != announcement.upstream:
+                continue
+            if upstream.name != announcement.name:
+                _leaving.start_leaving(upstream, now_s)
+                upstream.expires_s = now_s
+                upstream.last_answer_s = -math.inf
+
+    def withdraw(
+        self, now_s: float, instance: str, started_ms: int | None
+    ) -> str | None:
+        """Let a start of an upstream leave; return its service, if known.
+
+        Announcements of that start which are still under way count no more.
+        """
+        for upstream in self._by_name.values():
+            address, known_instance = types.split_name(upstream.name)
+            if known_instance != instance:
+                continue
+            latest_ms, _ = self._latest.get(address, (0, 0))
+            if started_ms is not None and started_ms < latest_ms:
+                return None
+            self._latest[address] = (latest_ms, _LAST_SEQUENCE)
+            upstream.state = types.UpstreamState.LEAVING
+            _leaving.start_leaving(upstream, now_s)
+            return upstream.service
+        return None
+
     def remove_gone(self, now_s: float) -> list[state.Upstream]:
         """Remove upstreams without lease, answers or work in flight."""
         gone = [
@@ -89,7 +142,7 @@
         return gone
 
     def _check(self, announcement: types.UpstreamAnnouncement) -> None:
-        known = self._by_name.get(announcement.upstream)
+        known = self._by_name.get(announcement.name)
         if announcement.slots < 1 or announcement.lease_s <= 0.0:
             message = "slots must be 1 or more and the lease above 0 s"
         elif known is not None and known.service != announcement.service:
@@ -113,7 +166,7 @@
         tuning: _service_policy.HealthTuning,
     ) -> state.Upstream:
         upstream = state.Upstream(
-            name=announcement.upstream,
+            name=announcement.name,
             service=announcement.service,
             slots=announcement.slots,
             connections=announcement.connections,
--- a/src/papayastall/blackboard.py
+++ b/src/papayastall/blackboard.py
@@ -4,9 +4,28 @@
 
 import dataclasses
 
+from papayastall import _route_lookup
 from papayastall import documents
 
-__all__ = ["Blackboard"]
+__all__ = ["Blackboard", "DocumentRouting", "Routing", "TableRouting"]
+
+
+@dataclasses.dataclass(slots=True)
+class DocumentRouting:
+    """The first segment of a path names the service."""
+
+
+@dataclasses.dataclass(slots=True)
+class TableRouting:
+    """Host and path prefix choose the service.
+
+    :param lookup: of the table in force; ``None`` while none is known.
+    """
+
+    lookup: _route_lookup.RouteLookup | None = None
+
+
+Routing = DocumentRouting | TableRouting
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,6 +34,7 @@
 
     :param config_index: index of the config in force; never goes back.
     :param services: the document in force of each service.
+    :param routing: how requests find their service.
     :param stopping: a planned stop has begun.
     """
 
@@ -24,4 +44,5 @@
     services: dict[str, documents.Document] = dataclasses.field(
         default_factory=dict
     )
+    routing: Routing = dataclasses.field(default_factory=DocumentRouting)
     stopping: bool = False
--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -46,9 +46,9 @@
 
 from papayastall import _checking
 from papayastall import _http_server
-from papayastall import _upstream_client
 from papayastall import clock
 from papayastall import exceptions
+from papayastall import http_names
 
 __all__ = [
     "Behaviour",
@@ -62,6 +62,7 @@
 CLOSE_TIMEOUT_S = 10.0
 ANNOUNCE_TIMEOUT_S = 1.0
 SLOW_FACTOR = 20.0
+HEADER_NAMES = http_names.HeaderNames()
 
 
 class Mode(enum.Enum):
@@ -198,7 +199,7 @@
     ) -> None:
         mode = self._choose_mode(scope["path"])
         if mode is Mode.SHED:
-            not_run = (_upstream_client.NOT_RUN_HEADER, b"no")
+            not_run = (HEADER_NAMES.not_run, HEADER_NAMES.not_run_value)
             await _reply(send, 503, b"busy", [not_run])
             return
         self._record(scope, body)
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -33,6 +33,7 @@
     BAD_ANNOUNCEMENT = "bad-announcement"
     BODY_TOO_LARGE = "body-too-large"
     UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_ROUTE = "unknown-route"
     UNAUTHORIZED = "unauthorized"
     REVISION_CONFLICT = "revision-conflict"
     KEY_REUSED = "key-reused"
@@ -56,6 +57,7 @@
     INTERNAL = "internal"
     OUTCOME_UNKNOWN = "outcome-unknown"
     STEERED_AWAY = "steered-away"
+    UPSTREAM_FULL = "upstream-full"
 
 
 class RanState(enum.Enum):
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -19,22 +19,21 @@
 from papayastall import _decision_types
 from papayastall import _exchange
 from papayastall import _problem
-from papayastall import _upstream_client
+from papayastall import _request_target
 from papayastall import blackboard as blackboards
 from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import histograms
+from papayastall import http_names
 from papayastall import metrics
 
 __all__ = ["ClaimGate", "Ingress", "KeptAnswer", "scope_key"]
 
 BODY_TIMEOUT_S = 10.0
 MAX_TEAM_LENGTH = 64
-NOT_READY_RETRY_S = 1.0
-UNKNOWN_ROUTE = "unknown"
+CLAIM_RETRY_S = 1.0
 KEY_HEADER = b"idempotency-key"
-OWNER_HEADER = b"papayastall-owner"
 MAX_KEY_LENGTH = 255
 
 Scope = dict[str, t.Any]
@@ -84,6 +83,8 @@
     :param is_ready: whether the config is known to be recent enough.
     :param claims: gate for idempotency keys; ``None`` refuses them.
     :param note_sample: told the times of each answered request.
+    :param names: of the headers that are set and read here.
+    :param local_service: served on this VM, where its requests begin.
     """
 
     def __init__(
@@ -96,7 +97,11 @@
         note_sample: cabc.Callable[
             [histograms.Sample], None
         ] = lambda sample: None,
+        names: http_names.HeaderNames = http_names.HeaderNames(),
+        local_service: str = "",
     ) -> None:
+        self._names = names
+        self._local_service = local_service
         self._blackboard = blackboard
         self._is_ready = is_ready
         self._attempts = attempts
@@ -145,55 +150,76 @@
     async def _read(
         self, scope: Scope, receive: Receive, started_s: float
     ) -> _exchange.Exchange:
-        target = _read_target(scope)
-        path = target.decode("latin-1")
-        document = self._find_document(path)
-        route = documents.find_route(document, scope["method"], path)
-        timeout_ms = _read_timeout_ms(scope, document, route)
-        limit_bytes = document.limits.max_body_bytes
-        body = await _read_body(scope, receive, limit_bytes)
+        if not self._is_ready():
+            raise exceptions.RefusedError(
+                _Code.NOT_READY,
+                "this node has not learned the configuration yet",
+                step="route",
+                retry_after_s=_request_target.NOT_READY_RETRY_S,
+            )
+        path = scope["raw_path"].decode("latin-1")
+        host = (_find_header(scope, b"host") or b"").decode("latin-1")
+        target = _request_target.resolve(
+            self._blackboard, scope["method"], host, path
+        )
+        timeout_ms = self._read_timeout_ms(scope, target)
+        body = await _read_body(scope, receive, target.max_body_bytes)
         method = scope["method"].encode()
+        full_path = _read_full_path(scope)
         digest = xxhash.xxh3_64()
-        for part in (document.name.encode(), method, target, body):
+        for part in (target.service.encode(), method, full_path, body):
             digest.update(len(part).to_bytes(8, "big"))
             digest.update(part)
         request = _decision_types.IngressRequest(
             request_id=next(self._request_ids),
-            service=document.name,
-            route=route.name if route else UNKNOWN_ROUTE,
-            team=_read_team(scope, document),
-            kind=route.kind if route else _Kind.NON_IDEMPOTENT,
+            service=target.service,
+            route=target.route,
+            team=_read_team(scope, target),
+            kind=target.kind,
             deadline_s=started_s + timeout_ms / 1000,
             fingerprint=digest.intdigest() >> 1,
+            max_attempts=target.max_attempts,
+            rank=target.rank,
         )
         return _exchange.Exchange(
-            request, method, target, list(scope["headers"]), body
+            request,
+            method,
+            full_path,
+            self._make_headers(scope),
+            body,
+            key_use=target.key_use,
         )
 
-    def _find_document(self, path: str) -> documents.Document:
-        if not self._is_ready():
-            raise exceptions.RefusedError(
-                _Code.NOT_READY,
-                "this node has not learned the configuration yet",
-                step="route",
-                retry_after_s=NOT_READY_RETRY_S,
-            )
-        name = documents.find_service_name(path)
-        document = self._blackboard.services.get(name)
-        if document is None:
+    def _make_headers(self, scope: Scope) -> Headers:
+        """Return a caller's headers as they go to an upstream."""
+        name = self._names.caller_service
+        if not name:
+            return list(scope["headers"])
+        headers = [pair for pair in scope["headers"] if pair[0] != name]
+        headers.append((name, self._local_service.encode()))
+        return headers
+
+    def _read_timeout_ms(
+        self, scope: Scope, target: _request_target.RequestTarget
+    ) -> int:
+        text = _find_header(scope, self._names.timeout)
+        if text is None:
+            return target.timeout_ms
+        if not text.isdigit() or len(text) > 9 or int(text) == 0:
             raise exceptions.RefusedError(
-                _Code.UNKNOWN_SERVICE,
-                f"no service {name!r}; a path starts with /SERVICE/",
-                step="route",
+                _Code.BAD_REQUEST,
+                f"{self._names.timeout.decode()} must be a number of "
+                "milliseconds",
+                step="read",
             )
-        return document
+        return min(target.timeout_ms, int(text))
 
     async def _claim(
         self, scope: Scope, exchange: _exchange.Exchange, reply: _Reply
     ) -> bool:
         """Claim the request's key; true where it is answered already."""
         key = _read_key(scope)
-        use = self._key_use(exchange)
+        use = exchange.key_use
         if use is documents.IdempotencyKeyUse.REQUIRED and not key:
             raise exceptions.RefusedError(
                 _Code.BAD_REQUEST,
@@ -209,7 +235,7 @@
                 _Code.CLAIM_UNAVAILABLE,
                 "idempotency keys can't be claimed at present",
                 step="claim",
-                retry_after_s=NOT_READY_RETRY_S,
+                retry_after_s=CLAIM_RETRY_S,
             )
         request = exchange.request
         scoped_key = scope_key(request.service, request.team, key)
@@ -226,15 +252,6 @@
         exchange.claim_token = result
         return False
 
-    def _key_use(
-        self, exchange: _exchange.Exchange
-    ) -> documents.IdempotencyKeyUse:
-        document = self._blackboard.services[exchange.request.service]
-        for route in document.routes:
-            if route.name == exchange.request.route:
-                return route.idempotency_key
-        return documents.IdempotencyKeyUse.ACCEPTED
-
     async def _run(
         self, exchange: _exchange.Exchange, receive: Receive, reply: _Reply
     ) -> None:
@@ -304,7 +321,8 @@
         assert attempt.head is not None
         assert attempt.exchange is exchange, "an answer goes to its request"
         headers = [*attempt.head.headers]
-        headers.append((OWNER_HEADER, attempt.owner.encode()))
+        if self._names.owner:
+            headers.append((self._names.owner, attempt.owner.encode()))
         await reply.start(attempt.head.status, headers)
         relayed_bytes = 0
         acknowledged_bytes = 0
@@ -419,35 +437,17 @@
     return None
 
 
-def _read_target(scope: Scope) -> bytes:
+def _read_full_path(scope: Scope) -> bytes:
     target: bytes = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     return target
 
 
-def _read_timeout_ms(
-    scope: Scope,
-    document: documents.Document,
-    route: documents.Route | None,
-) -> int:
-    timeout_ms: int = document.timeout_ms
-    if route is not None and route.timeout_ms is not None:
-        timeout_ms = route.timeout_ms
-    text = _find_header(scope, _upstream_client.TIMEOUT_HEADER)
-    if text is None:
-        return timeout_ms
-    if not text.isdigit() or len(text) > 9 or int(text) == 0:
-        raise exceptions.RefusedError(
-            _Code.BAD_REQUEST,
-            "Papayastall-Timeout-Ms must be a number of milliseconds",
-            step="read",
-        )
-    return min(timeout_ms, int(text))
-
-
-def _read_team(scope: Scope, document: documents.Document) -> str:
-    text = _find_header(scope, document.team_header.lower().encode())
+def _read_team(scope: Scope, target: _request_target.RequestTarget) -> str:
+    if not target.team_header:
+        return ""
+    text = _find_header(scope, target.team_header)
     return (text or b"").decode("latin-1")[:MAX_TEAM_LENGTH]
 
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -1,22 +1,34 @@
-"""One node: builds its parts, starts them, and stops them in order."""
+"""One node: builds its parts, starts them, and stops them in order.
+
+A node with a caller address is an ingress and owns the upstreams that
+announce themselves to it; one with a data folder is a control replica. It
+can be either or both.
+"""
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import contextlib
+import dataclasses
 import os
 import random
+import shutil
 import signal
+import ssl
 import time
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 
 from papayastall import _announcements
 from papayastall import _attempts
+from papayastall import _config_service
 from papayastall import _control_app
 from papayastall import _control_commands as commands
 from papayastall import _control_plane
 from papayastall import _credentials
+from papayastall import _data_folder
 from papayastall import _decision_types
 from papayastall import _gossip
 from papayastall import _http_server
@@ -29,6 +41,9 @@
 from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import _peering
+from papayastall import _raft_types
+from papayastall import _retry
+from papayastall import _route_lookup
 from papayastall import _service_policy
 from papayastall import _tls
 from papayastall import blackboard as blackboards
@@ -36,57 +51,109 @@
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import histograms
+from papayastall import http_names
 from papayastall import ingress
 from papayastall import logs
 from papayastall import metrics
 from papayastall import owner
+from papayastall import route_table
 from papayastall import settings
 
-__all__ = ["Node", "run"]
+__all__ = ["Interfaces", "Node", "run"]
 
 ADVERT_INTERVAL_S = 0.2
-LEAVE_SPREAD_S = 2.0
+CONTROL_SERVICE = "@control"
+"""Under this name membership lists the control replicas."""
+FOLLOW_INTERVAL_S = 0.5
+FOLDER_RETRY_S = 0.5
+GROUP_FOLDER = "group"
 SUSPECT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 MIN_RENEW_MS = 100
 
 
-def run(node_settings: settings.NodeSettings) -> None:
-    """Run a node until SIGTERM or SIGINT, then stop it without a cut."""
-    anyio.run(_run, node_settings)
+@dataclasses.dataclass(slots=True, frozen=True)
+class Interfaces:
+    """What a deployment speaks instead of the product's own interface.
+
+    :param names: of the headers towards callers and upstreams.
+    :param make_servers: returns what a node serves besides callers.
+    :param reload: runs at SIGHUP.
+    """
+
+    names: http_names.HeaderNames = http_names.HeaderNames()
+    make_servers: cabc.Callable[[Node], list[_http_server.HttpServer]] = (
+        lambda node: [node.make_control_server()]
+    )
+    reload: cabc.Callable[[Node], None] = lambda node: None
+
+
+def run(
+    node_settings: settings.NodeSettings,
+    interfaces: Interfaces | None = None,
+) -> None:
+    """Run a node until SIGTERM or SIGINT, then stop it without a cut.
+
+    :raises papayastall.exceptions.StorageError: a replica without operators
+        lost its data folder; the next process rejoins.
+    """
+    anyio.run(_run, node_settings, interfaces or Interfaces())
 
 
-async def _run(node_settings: settings.NodeSettings) -> None:
+async def _run(
+    node_settings: settings.NodeSettings, interfaces: Interfaces
+) -> None:
     log_file = logs.LogFile(node_settings.log_file)
     log_file.start()
     try:
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with anyio.create_task_group() as tasks:
-                node = Node(node_settings)
+                node = Node(node_settings, interfaces)
                 await node.start(tasks)
-                async for _ in signals:
-                    break
+                tasks.start_soon(_watch_failure, node)
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    interfaces.reload(node)
                 await node.close()
                 tasks.cancel_scope.cancel()
     finally:
         log_file.close()
 
 
+async def _watch_failure(node: Node) -> None:
+    """End a process that can't do its part any more."""
+    await node.failed.wait()
+    assert node.failure is not None
+    raise node.failure
+
+
 class Node:
     """All parts of one node.
 
     :param node_settings: checked settings of this process.
+    :param interfaces: what it speaks to the outside.
     """
 
-    def __init__(self, node_settings: settings.NodeSettings) -> None:
+    def __init__(
+        self,
+        node_settings: settings.NodeSettings,
+        interfaces: Interfaces | None = None,
+    ) -> None:
         self.settings = node_settings
+        self.interfaces = interfaces or Interfaces()
+        self.failed = anyio.Event()
+        self._seeds = [str(seed) for seed in node_settings.control_replicas]
+        self.failure: exceptions.PapayastallError | None = None
         self.boot_ms = int(time.time() * 1000)
         self._rng = random.Random(int.from_bytes(os.urandom(8), "big"))
         self.blackboard = blackboards.Blackboard(
             node_settings.link_address, node_settings.failure_domain
         )
+        if node_settings.routing is settings.RoutingKind.TABLE:
+            self.blackboard.routing = blackboards.TableRouting()
         self.counters = metrics.Metrics(
             node_settings.statsd_address, node_settings.link_address
         )
@@ -137,15 +204,20 @@
             self._note_membership,
         )
 
+    @property
+    def _routes_by_table(self) -> bool:
+        return self.settings.routing is settings.RoutingKind.TABLE
+
     def _build_control(self) -> None:
         node_settings = self.settings
-        folder = node_settings.data_folder
         control_settings = _control_plane.ControlSettings(
             node=node_settings.link_address,
             control=tuple(node_settings.control_replicas),
             claim_groups=node_settings.claim_groups,
-            data_folder=None if folder is None else str(folder),
+            data_folder=self._find_group_folder(),
             epoch=self.boot_ms,
+            formation=_make_formation(node_settings.control_group),
+            with_permits=not self._routes_by_table,
         )
         hooks = _control_plane.ControlHooks(
             list_members=self.list_others,
@@ -171,6 +243,7 @@
             self.counters,
             self.control.claims,
             self.spread_suspect,
+            self.interfaces.names,
         )
         self.ingress_controller = _ingress_controller.IngressController(
             address, self._rng
@@ -187,28 +260,51 @@
             note_sample=lambda sample: self.histograms.record(
                 clock.now_s(), sample
             ),
+            names=self.interfaces.names,
+            local_service=self.settings.local_service,
         )
 
     def _build_servers(self) -> None:
-        close_timeout_s = self.settings.shutdown_timeout_ms / 1000
         self.links.handle_calls(
             _peering.Channel.SUSPECT, self._receive_suspect
         )
+        self.servers: list[_http_server.HttpServer] = []
+        self.caller_server: _http_server.HttpServer | None = None
+        if self.settings.caller_address is not None:
+            self.caller_server = self.make_server(
+                self.ingress, self.settings.caller_address
+            )
+            self.servers.append(self.caller_server)
+        self.servers += self.interfaces.make_servers(self)
+
+    def make_server(
+        self,
+        application: _http_server.Application,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+    ) -> _http_server.HttpServer:
+        """Return a server of this node, to be started with it."""
+        close_timeout_s = self.settings.shutdown_timeout_ms / 1000
+        return _http_server.HttpServer(
+            application, address, close_timeout_s, tls, self._note_app_failure
+        )
+
+    def make_control_server(self) -> _http_server.HttpServer:
+        """Return the server of the product's own control interface."""
         application = _control_app.ControlApp(
             _credentials.load_credentials(self.settings),
             _node_calls.make_calls(self),
             self.announce,
         )
-        self.caller_server = _http_server.HttpServer(
-            self.ingress, self.settings.caller_address, close_timeout_s
-        )
-        self.control_server = _http_server.HttpServer(
+        return self.make_server(
             application,
             self.settings.control_address,
-            close_timeout_s,
             _tls.control_server_context(self.settings),
         )
 
+    def _note_app_failure(self, error: Exception) -> None:
+        self._log_state("running", "running", f"request failed: {error!r}")
+
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start all parts; returns once requests are taken."""
         self._tasks = tasks
@@ -218,16 +314,58 @@
         await self.owner.start(tasks)
         await self.attempts.start(tasks)
         await self.gossiper.start(tasks)
+        await self._prepare_folder()
         await self.control.start(tasks)
+        if self.settings.control_group is not None:
+            tasks.start_soon(self._follow_control)
         tasks.start_soon(self._advertise)
         tasks.start_soon(self._make_journal().run)
-        await self.control_server.start(tasks)
-        await self.caller_server.start(tasks)
+        for server in self.servers:
+            await server.start(tasks)
         cause = "all listeners are open"
         if self.settings.insecure:
             cause += "; insecure: keys and secrets may be left out"
         self._log_state("starting", "running", cause)
 
+    def _find_group_folder(self) -> str | None:
+        """Return where the replicas of this node keep their files.
+
+        A folder that the node makes itself lies inside the given one, so
+        that it can be given up as a whole.
+        """
+        folder = self.settings.data_folder
+        if folder is None:
+            return None
+        if self.settings.control_group is None:
+            return str(folder)
+        return str(folder / GROUP_FOLDER)
+
+    async def _prepare_folder(self) -> None:
+        """Make the data folder of a replica that admits itself.
+
+        A disk that takes no writes at the moment is tried again.
+        """
+        folder = self._find_group_folder()
+        if self.settings.control_group is None or folder is None:
+            return
+        group_count = 1 + self.settings.claim_groups
+        while not await anyio.to_thread.run_sync(
+            _try_folder, folder, group_count
+        ):
+            await anyio.sleep(FOLDER_RETRY_S)
+
+    async def _follow_control(self) -> None:
+        """Tell the clients of control which nodes hold it now."""
+        while True:
+            seeds = self._seeds
+            known = [
+                advert.owner
+                for advert in self.membership.adverts(CONTROL_SERVICE)
+            ]
+            targets = list(dict.fromkeys([*known, *seeds]))
+            self.control.set_control(known or seeds, targets)
+            await anyio.sleep(FOLLOW_INTERVAL_S)
+
     def _make_journal(self) -> _journal.Journal:
         return _journal.Journal(
             self.settings.link_address,
@@ -259,13 +397,16 @@
         self.gossiper.send(self.membership.leave(clock.now_s()))
         timeout_s = self.settings.shutdown_timeout_ms / 1000
         with anyio.move_on_after(timeout_s):
-            await anyio.sleep(LEAVE_SPREAD_S)
+            await anyio.sleep(self.settings.leave_notice_ms / 1000)
             # Callers that do not heed "Connection: close" would otherwise
             # keep this node busy for as long as they like.
-            await self.caller_server.close()
+            if self.caller_server is not None:
+                await self.caller_server.close()
             while self.owner.running():
                 await anyio.sleep(DRAIN_POLL_S)
-        await self.control_server.close()
+        for server in self.servers:
+            if server is not self.caller_server:
+                await server.close()
         await self.control.close()
         await self.gossiper.close()
         await self.owner.close()
@@ -294,6 +435,20 @@
             move=stopping,
         )
 
+    def withdraw(self, instance: str, started_ms: int | None) -> None:
+        """Take in that an upstream is leaving and announces no more.
+
+        :param started_ms: Unix time of the start that leaves, if known.
+        """
+        self.owner.perform(
+            self.owner_controller.withdraw(clock.now_s(), instance, started_ms)
+        )
+
+    def use_seeds(self, seeds: cabc.Sequence[str]) -> None:
+        """Join through other nodes from now on."""
+        self._seeds = list(seeds)
+        self.membership.set_seeds(self._seeds)
+
     def list_others(self) -> list[str]:
         """Return the link addresses of the other members."""
         return [
@@ -304,22 +459,73 @@
         ]
 
     def put_in_force(
-        self, index: int, changed: list[documents.Document]
+        self, index: int, changed: list[_config_service.ConfigItem]
     ) -> None:
         """Serve by these documents from now on."""
         assert index >= self.blackboard.config_index, "the config went back"
-        for document in changed:
-            known = self.blackboard.services.get(document.name)
-            assert known is None or known.revision < document.revision
-            self.blackboard.services[document.name] = document
-            policy = _service_policy.from_document(
-                document, self.settings.failure_domain
-            )
-            self.owner_controller.configure(document.name, policy)
-            self.ingress_controller.configure(document.name, policy)
+        for item in changed:
+            match item:
+                case documents.Document():
+                    self._use_document(item)
+                case route_table.RouteTable():
+                    self._use_table(item)
             self.counters.count(metrics.Counter.CONFIG_CHANGES)
         self.blackboard.config_index = index
 
+    def _use_document(self, document: documents.Document) -> None:
+        known = self.blackboard.services.get(document.name)
+        assert known is None or known.revision < document.revision
+        self.blackboard.services[document.name] = document
+        policy = _service_policy.from_document(
+            document, self.settings.failure_domain
+        )
+        self._configure(document.name, policy)
+
+    def _use_table(self, table: route_table.RouteTable) -> None:
+        routing = self.blackboard.routing
+        if not isinstance(routing, blackboards.TableRouting):
+            return
+        former = routing.lookup
+        assert former is None or former.table.version < table.version
+        routing.lookup = _route_lookup.RouteLookup(table, former)
+        for service in table.services:
+            self._configure(service.name, self._make_table_policy())
+        if self.caller_server is not None:
+            limits = self.caller_server.limits
+            limits.max_header_bytes = table.limits.max_header_bytes
+            limits.header_timeout_ms = table.limits.header_timeout_ms
+            limits.idle_timeout_ms = table.limits.idle_timeout_ms
+
+    def _make_table_policy(self) -> _service_policy.ServicePolicy:
+        """Return the policy of a service that no document describes."""
+        members = self.membership.members()
+        control = self.membership.adverts(CONTROL_SERVICE)
+        ingresses = max(1, len(members) - len(control))
+        return _service_policy.ServicePolicy(
+            health_priority=documents.HealthPriority.DETECTION,
+            retry_budget=_retry.BudgetLimits(
+                ratio=self.settings.retry_ratio,
+                burst=max(1.0, self.settings.retry_burst / ingresses),
+                idle_per_s=0.0,
+            ),
+            failure_domain=self.settings.failure_domain,
+        )
+
+    def _configure(
+        self, service: str, policy: _service_policy.ServicePolicy
+    ) -> None:
+        self.owner_controller.configure(service, policy)
+        self.ingress_controller.configure(service, policy)
+
+    def has_routes(self) -> bool:
+        """Return whether this node can serve callers by a route table."""
+        routing = self.blackboard.routing
+        return (
+            isinstance(routing, blackboards.TableRouting)
+            and routing.lookup is not None
+            and self.control.config.is_ready()
+        )
+
     def list_reports(self) -> list[commands.UpstreamReport]:
         """Return the upstreams of this node, for the ledger."""
         return [
@@ -402,6 +608,8 @@
             now_s = clock.now_s()
             self.membership.set_config_index(self.blackboard.config_index)
             adverts = self.owner_controller.adverts(now_s)
+            if self.control.host is not None:
+                adverts.append(self._make_control_advert())
             if self.blackboard.stopping:
                 adverts = []
             if adverts != known:
@@ -415,6 +623,14 @@
                 known = adverts
             await anyio.sleep(ADVERT_INTERVAL_S)
 
+    def _make_control_advert(self) -> _decision_types.OwnerAdvert:
+        return _decision_types.OwnerAdvert(
+            self.settings.link_address,
+            CONTROL_SERVICE,
+            self.settings.failure_domain,
+            1,
+        )
+
     def _note_replica_failure(
         self, error: exceptions.PapayastallError
     ) -> None:
@@ -427,6 +643,20 @@
                 str(error),
             )
         )
+        if self.settings.control_group is not None:
+            self._end_replica(error)
+
+    def _end_replica(self, error: exceptions.PapayastallError) -> None:
+        """End the process; the next one reads the folder again or rejoins.
+
+        A folder that the group does not accept any more is given up: no
+        operator is there to do so.
+        """
+        folder = self.settings.data_folder
+        if error.code is exceptions.ErrorCode.STORAGE_DAMAGED and folder:
+            shutil.rmtree(folder / GROUP_FOLDER, ignore_errors=True)
+        self.failure = error
+        self.failed.set()
 
     def _log_state(self, before: str, after: str, cause: str) -> None:
         logs.log_change(
@@ -451,6 +681,38 @@
         )
 
 
+def _try_folder(path: str, group_count: int) -> bool:
+    """Make a data folder where there is none; false if it can't be now."""
+    if _data_folder.has_identity(path):
+        return True
+    try:
+        # The identity is written last: whatever else is there was left by
+        # a start that broke off.
+        shutil.rmtree(path, ignore_errors=True)
+        _data_folder.create_data_folder(path, group_count)
+    except (exceptions.StorageError, OSError) as error:
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.STORAGE, path, "", "not made", str(error)
+            )
+        )
+        return False
+    return True
+
+
+def _make_formation(
+    group: settings.ControlGroupSettings | None,
+) -> _raft_types.Formation:
+    if group is None:
+        return _raft_types.Formation()
+    return _raft_types.Formation(
+        may_found=group.may_found,
+        admits=True,
+        target_voters=group.target_voters,
+        spreads_leaders=False,
+    )
+
+
 def _report_state(
     view: _owner_state.UpstreamView,
 ) -> commands.UpstreamReportState:
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -18,6 +18,7 @@
 from papayastall import _upstream_client
 from papayastall import clock
 from papayastall import exceptions
+from papayastall import http_names
 from papayastall import metrics
 
 __all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
@@ -70,6 +71,7 @@
     """Runs requests that ingresses open, and keeps their answers.
 
     :param spread_suspect: told of requests that may crash upstreams.
+    :param names: of the headers towards upstreams.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         spread_suspect: cabc.Callable[
             [_decision_types.SuspectNews], None
         ] = lambda news: None,
+        names: http_names.HeaderNames = http_names.HeaderNames(),
     ) -> None:
         self.controller = controller
         self._links = links
@@ -90,7 +93,7 @@
         self._claims = claims
         self._spread_suspect = spread_suspect
         self._runs = _owner_runs.RunTable()
-        self._client = _upstream_client.UpstreamClient()
+        self._client = _upstream_client.UpstreamClient(names)
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -306,8 +309,10 @@
 
     async def _execute(self, run: _owner_runs.Run, upstream: str) -> None:
         sink = _RunSink(self, run)
+        address, instance = _decision_types.split_name(upstream)
         request = _upstream_client.UpstreamRequest(
-            upstream=upstream,
+            upstream=address,
+            instance=instance,
             method=run.open.method,
             target=run.open.target,
             headers=run.open.headers,
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -8,6 +8,7 @@
 
 import collections.abc as cabc
 import dataclasses
+import enum
 import pathlib
 import tomllib
 import typing as t
@@ -16,7 +17,9 @@
 from papayastall import exceptions
 
 __all__ = [
+    "ControlGroupSettings",
     "NodeSettings",
+    "RoutingKind",
     "SETTINGS_VERSION",
     "TlsSettings",
     "load_node_settings",
@@ -28,6 +31,25 @@
 MAX_CONTROL_REPLICAS = 20
 
 
+class RoutingKind(enum.Enum):
+    """How requests find their service."""
+
+    DOCUMENTS = "documents"
+    TABLE = "table"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ControlGroupSettings:
+    """A control group that admits replicas as they come.
+
+    :param may_found: the fleet starts for the first time.
+    :param target_voters: while there are more, a silent one is removed.
+    """
+
+    may_found: bool
+    target_voters: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TlsSettings:
     """Files for mutual TLS on the links between nodes, in PEM form."""
@@ -41,7 +63,8 @@
 class NodeSettings:
     """Settings of one node.
 
-    :param caller_address: where callers send their HTTP requests.
+    :param caller_address: where callers send their HTTP requests; left out
+        on a node that serves control only.
     :param control_address: HTTP for announcements and for operators.
     :param link_address: TCP from other nodes; also names this node.
     :param link_listen_address: where to listen for links, if the others
@@ -56,11 +79,17 @@
     :param operator_token_file: secret that operators show.
     :param upstream_token_file: secret that upstreams show to announce.
     :param insecure: whether keys and tokens may be left out.
+    :param routing: whether documents or one route table route requests.
+    :param local_service: service that runs beside this node.
+    :param control_group: how control forms where its members are not all
+        known at the start; ``control_replicas`` found it then.
+    :param retry_ratio: extra attempts per request, with a route table.
+    :param retry_burst: extra attempts saved up by the whole fleet.
+    :param leave_notice_ms: for how long a stopping node takes requests.
     :param log_file: where log lines go; standard error when left out.
     """
 
     version: int
-    caller_address: _checking.Address
     control_address: _checking.Address
     link_address: _checking.Address
     gossip_address: _checking.Address
@@ -68,9 +97,15 @@
     region: str
     seeds: list[_checking.Address]
     control_replicas: list[_checking.Address]
+    caller_address: _checking.Address | None = None
+    routing: RoutingKind = RoutingKind.DOCUMENTS
+    local_service: str = ""
+    control_group: ControlGroupSettings | None = None
+    retry_ratio: float = 0.1
+    retry_burst: float = 10.0
     link_listen_address: _checking.Address | None = None
     data_folder: pathlib.Path | None = None
-    claim_groups: _checking.PositiveInt = _checking.PositiveInt(4)
+    claim_groups: int = 4
     tls: TlsSettings | None = None
     cluster_key_file: pathlib.Path | None = None
     operator_token_file: pathlib.Path | None = None
@@ -78,6 +113,7 @@
     insecure: bool = False
     statsd_address: _checking.Address | None = None
     log_file: pathlib.Path | None = None
+    leave_notice_ms: _checking.Milliseconds = _checking.Milliseconds(2_000)
     shutdown_timeout_ms: _checking.Milliseconds = _checking.Milliseconds(
         30_000
     )
@@ -85,6 +121,8 @@
     @property
     def is_control_replica(self) -> bool:
         """Whether this node holds a replica of the control state."""
+        if self.control_group is not None:
+            return self.data_folder is not None
         return self.link_address in self.control_replicas
 
 
@@ -155,6 +193,8 @@
     replicas = raw.get("control_replicas")
     if not isinstance(replicas, list):
         return
+    if "control_group" in raw:
+        return
     if len(replicas) % 2 == 0 or len(replicas) > MAX_CONTROL_REPLICAS:
         yield _checking.Problem(
             "control_replicas",
--- a/tests/test_secure_nodes.py
+++ b/tests/test_secure_nodes.py
@@ -146,7 +146,7 @@
     assert fleet.nodes[0].link_address in capsys.readouterr().out
     with contextlib.ExitStack() as stack:
         fleet.start_upstream(stack)
-        ingress = fleet.nodes[0].caller_address
+        ingress = str(fleet.nodes[0].caller_address)
         demo.wait_for_status(ingress, demo.LOOKUP_PATH)
         argv = ["demo", ingress, demo.LOOKUP_PATH, demo.BOOKING_PATH]
         assert cli.main(argv) == cli.ExitCode.DONE
