--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -20,8 +20,8 @@
 
 __all__ = ["AttemptSender"]
 
-TICK_INTERVAL_S = 0.02
-IDLE_TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.05
+IDLE_TICK_INTERVAL_S = 0.25
 REDIAL_INTERVAL_S = 1.0
 LATE_GRACE_S = 1.0
 PING_INTERVAL_S = 0.25
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -26,6 +26,7 @@
 __all__ = ["ApplyOutcome", "ConfigService", "DocumentSource"]
 
 TICK_S = 0.25
+READY_TICK_S = 0.5
 CALL_TIMEOUT_S = 1.0
 BARRIER_TIMEOUT_S = 0.5
 APPLY_TIMEOUT_S = 10.0
@@ -302,7 +303,9 @@
             self._start_fetches(self._controller.tick(now_s, members))
             if not self._controller.is_ready(now_s):
                 await self._confirm_here()
-            await anyio.sleep(TICK_S)
+                await anyio.sleep(TICK_S)
+            else:
+                await anyio.sleep(READY_TICK_S)
 
     async def _confirm_here(self) -> None:
         if await self._leads_control():
--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -28,7 +28,7 @@
 """Requests of one connection that wait behind the one being answered."""
 PAUSE_READING_BYTES = 256 << 10
 """Body bytes that are kept for an application that does not read them."""
-SWEEP_INTERVAL_S = 0.5
+SWEEP_INTERVAL_S = 1.0
 CLOSE_POLL_S = 0.02
 
 Scope = dict[str, t.Any]
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -35,6 +35,7 @@
 SILENT_AFTER_S = 0.7
 CONNECT_TIMEOUT_S = 1.0
 WATCH_INTERVAL_S = 0.1
+IDLE_WATCH_INTERVAL_S = 0.25
 IDLE_CLOSE_S = 60.0
 IDLE_ROUND_INTERVAL = 50
 """Rounds of the watch between two looks at the links without work."""
@@ -449,9 +450,12 @@
         numbers = itertools.count(1)
         last_s = clock.now_s()
         while True:
-            await anyio.sleep(WATCH_INTERVAL_S)
+            interval_s = WATCH_INTERVAL_S
+            if not self._watched:
+                interval_s = IDLE_WATCH_INTERVAL_S
+            await anyio.sleep(interval_s)
             now_s = clock.now_s()
-            pause_s = now_s - last_s - WATCH_INTERVAL_S
+            pause_s = now_s - last_s - interval_s
             last_s = now_s
             number = next(numbers)
             is_idle_round = number % IDLE_ROUND_INTERVAL == 0
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -23,7 +23,7 @@
 
 __all__ = ["TICK_INTERVAL_S", "Membership", "MembershipSettings"]
 
-TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.2
 GOSSIP_INTERVAL_S = 0.25
 GOSSIP_RECORDS_BYTES = 400
 FREEZE_GAP_S = 1.0
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -61,10 +61,10 @@
 
 __all__ = ["Interfaces", "Node", "run"]
 
-ADVERT_INTERVAL_S = 0.2
+ADVERT_INTERVAL_S = 0.25
 CONTROL_SERVICE = "@control"
 """Under this name membership lists the control replicas."""
-FOLLOW_INTERVAL_S = 0.5
+FOLLOW_INTERVAL_S = 1.0
 FOLDER_RETRY_S = 0.5
 GROUP_FOLDER = "group"
 SUSPECT_TIMEOUT_S = 2.0
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -23,8 +23,8 @@
 
 __all__ = ["ClaimRecorder", "Owner", "PermitAsker"]
 
-TICK_INTERVAL_S = 0.02
-IDLE_TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.05
+IDLE_TICK_INTERVAL_S = 0.25
 WINDOW_BYTES = 256 << 10
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
@@ -418,9 +418,9 @@
     async def _tick(self) -> None:
         expire_s = 0.0
         while True:
-            idle = not len(self._runs)
+            busy = self.controller.has_work()
             await anyio.sleep(
-                IDLE_TICK_INTERVAL_S if idle else TICK_INTERVAL_S
+                TICK_INTERVAL_S if busy else IDLE_TICK_INTERVAL_S
             )
             now_s = clock.now_s()
             self.perform(self.controller.tick(now_s))
