Believe in gray upstreams by a two-state filter

Cause: on the platform a third of the upstreams takes turns, for some 9 s each, to leave three of four requests hanging. The sequential test needs many aged requests, counts its evidence for a minute and keeps an upstream out for stays that double; requests of 3 ms made it accuse sound ones. An expired request was counted as a failed connection. Change: a third health priority, gray, with a filter that weighs the age of each request in flight, forgets within seconds and lets lookups test a doubted upstream; an outcome of its own for expired requests; owners of the own failure domain are preferred by a penalty; hedges at 2.5 medians.

--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -60,6 +60,8 @@
     """A whole answer with a status below 500."""
     FAILED = "failed"
     """A whole answer with a status of 500 or above, but for a shed."""
+    EXPIRED = "expired"
+    """The deadline passed before anything was handed over."""
     SHED = "shed"
     """The upstream refused it and says that it did not run."""
     BROKEN = "broken"
--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from papayastall import _decision_types as types
+from papayastall import _gray_filter
 from papayastall import _owner_state as state
 from papayastall import _service_policy
 
@@ -60,6 +61,9 @@
     """Return the routing weight, 0 to 1."""
     if is_out(upstream) or upstream.leaving_since_s is not None:
         return 0.0
+    if isinstance(upstream.evidence, _gray_filter.GrayFilter):
+        if upstream.is_doubted:
+            return 0.0
     if upstream.standing is state.Standing.HEALTHY:
         return 1.0
     if tuning.slow_start_s <= 0.0:
--- a/src/papayastall/_health.py
+++ b/src/papayastall/_health.py
@@ -17,6 +17,7 @@
     "Evidence",
     "MedianEstimate",
     "RatioEstimate",
+    "SequentialTest",
     "age_gain",
 ]
 
@@ -69,6 +70,16 @@
         self.value += step * (float(failed) - self.value)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SequentialTest:
+    """Evidence adds up until a threshold; see :class:`Evidence`.
+
+    :param per_route: whether each route has a score of its own, too.
+    """
+
+    per_route: bool = True
+
+
 @dataclasses.dataclass(slots=True)
 class _InFlight:
     """A request in flight and what of its age has been settled.
@@ -114,10 +125,12 @@
         "_last_broken_s",
         "_per_route",
         "_scores",
+        "model",
     )
 
-    def __init__(self, per_route: bool = True) -> None:
-        self._per_route = per_route
+    def __init__(self, model: SequentialTest = SequentialTest()) -> None:
+        self.model = model
+        self._per_route = model.per_route
         self._scores: dict[str, _Scores] = {}
         self._in_flight: dict[int, _InFlight] = {}
         self._connect = 0.0
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -60,6 +60,7 @@
                 slots=advert.slots,
                 weight=float(advert.slots),
                 is_link_down=advert.owner in self._links_down,
+                steered_word_s=service.policy.routing.steered_word_s,
             )
             return
         if known.advert.slots != advert.slots:
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -55,6 +55,7 @@
             self._services[service] = state.ServiceState(policy)
         else:
             known.policy = policy
+        self._registry.use_model(service, policy.thresholds().evidence)
 
     def announce(
         self, now_s: float, announcement: types.UpstreamAnnouncement
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -109,7 +109,7 @@
             upstream.evidence.end(
                 now_s, run.request.request_id, answered=False
             )
-        case types.Outcome.SHED:
+        case types.Outcome.SHED | types.Outcome.EXPIRED:
             pass
     upstream.evidence.drop(run.request.request_id)
     _hold_slot(now_s, service, upstream, run, outcome)
@@ -223,7 +223,11 @@
     match outcome:
         case types.Outcome.ANSWERED:
             passed = now_s - run.started_s <= limit_s
-        case types.Outcome.CANCELLED | types.Outcome.SHED:
+        case (
+            types.Outcome.CANCELLED
+            | types.Outcome.SHED
+            | types.Outcome.EXPIRED
+        ):
             return []
         case _:
             passed = False
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -8,10 +8,12 @@
 
 from papayastall import _admission
 from papayastall import _decision_types as types
+from papayastall import _gray_filter
 from papayastall import _health
 from papayastall import _service_policy
 
 __all__ = [
+    "AnyEvidence",
     "RunningRequest",
     "ServiceState",
     "Standing",
@@ -20,6 +22,9 @@
 ]
 
 
+AnyEvidence = _health.Evidence | _gray_filter.GrayFilter
+
+
 class Standing(enum.Enum):
     """How far an upstream is trusted with work."""
 
@@ -59,7 +64,7 @@
     lease_s: float
     expires_s: float
     warm_s: float
-    evidence: _health.Evidence
+    evidence: AnyEvidence
     running: dict[int, RunningRequest] = dataclasses.field(
         default_factory=dict
     )
--- a/src/papayastall/_refusals.py
+++ b/src/papayastall/_refusals.py
@@ -58,6 +58,8 @@
                 rng,
                 retry_after_s=retry_after_s,
             )
+        case types.Outcome.EXPIRED:
+            return refuse_not_run(request_id, _Code.DEADLINE_EXCEEDED, rng)
         case types.Outcome.CONNECT_FAILED:
             return refuse_not_run(request_id, _Code.UPSTREAM_FAILED, rng)
         case types.Outcome.BROKEN:
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -14,7 +14,6 @@
 
 _STEERED_SHARE = 0.05
 """An owner with less weight per slot than this is steered away."""
-_STEERED_WORD_S = 5.0
 _SILENCE_WORD_S = 10.0
 _MIN_WEIGHT = 0.01
 _WEIGHT_WORD_S = 10.0
@@ -33,6 +32,7 @@
 class OwnerView:
     """What an ingress knows of one owner of one service.
 
+    :param steered_word_s: see ``RoutingTuning``.
     :param others_in_flight: work of other ingresses at the last answer.
     """
 
@@ -49,6 +49,7 @@
     is_link_down: bool = False
     silent_until_s: float = -math.inf
     avoid_until_s: float = 0.0
+    steered_word_s: float = 5.0
 
     def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
         """Take in the load that rode on an answer."""
@@ -86,7 +87,7 @@
         Word of it lasts a few seconds; then a request may go and ask again,
         which the owner refuses unrun where nothing has changed.
         """
-        if now_s > self.load_s + _STEERED_WORD_S:
+        if now_s > self.load_s + self.steered_word_s:
             return False
         return self.weight <= _STEERED_SHARE * self.slots
 
@@ -146,9 +147,8 @@
 ) -> OwnerView:
     def rank(view: OwnerView) -> tuple[float, bool]:
         in_flight = expected_in_flight(view, now_s, tuning.load_decay_s)
-        return (
-            (in_flight + 1.0) / max(_MIN_WEIGHT, view.current_weight(now_s)),
-            view.advert.failure_domain != failure_domain,
-        )
+        is_far = view.advert.failure_domain != failure_domain
+        load = (in_flight + 1.0) / max(_MIN_WEIGHT, view.current_weight(now_s))
+        return load + tuning.far_penalty * is_far, is_far
 
     return min(views, key=rank)
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
+from papayastall import _gray_filter
+from papayastall import _health
 from papayastall import _retry
 from papayastall import documents
 
@@ -16,6 +19,9 @@
 ]
 
 
+EvidenceModel = _health.SequentialTest | _gray_filter.GrayModel
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class HealthTuning:
     """Thresholds of steering away, ejection and return.
@@ -29,6 +35,7 @@
     :param stall_age_s: requests in flight younger than this raise doubt but
         steer nothing away.
     :param slack: slower than the service by this factor is still healthy.
+    :param evidence: how evidence adds up to a score.
     :param eject_confirm_s: how long an upstream is steered away first.
     :param stay_s: first stay away; doubled at each relapse.
     :param slow_start_s: time from return to full weight.
@@ -50,7 +57,7 @@
     min_healthy_share: float = 0.5
     latency_evidence: bool = True
     error_evidence: bool = True
-    per_route_evidence: bool = True
+    evidence: EvidenceModel = _health.SequentialTest()
     hold_failed_slots: bool = True
 
 
@@ -62,6 +69,22 @@
 )
 
 
+_GRAY = HealthTuning(
+    # A gray upstream loses three bookings of four, a refusal of a sound one
+    # costs a hop: even odds would send too much to the gray ones.
+    doubt_score=-0.4,
+    steer_score=math.inf,
+    eject_score=math.inf,
+    stall_age_s=0.0,
+    slack=1.0,
+    slow_start_s=3.0,
+    cold_grace_s=3.0,
+    cold_factor=2.5,
+    hold_failed_slots=False,
+    evidence=_gray_filter.GrayModel(),
+)
+
+
 def health_tuning(priority: documents.HealthPriority) -> HealthTuning:
     """Return the thresholds that belong to a priority."""
     match priority:
@@ -69,6 +92,8 @@
             return _DETECTION
         case documents.HealthPriority.CAPACITY:
             return _CAPACITY
+        case documents.HealthPriority.GRAY:
+            return _GRAY
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -80,6 +105,10 @@
     :param hedge_factor: a lookup is hedged at this multiple of the median.
     :param silence_factor: an owner that sends nothing for this multiple of
         the median, and ``silence_s`` at least, is given no bookings.
+    :param steered_word_s: for how long an owner's word that it steers all
+        work away keeps requests from it.
+    :param far_penalty: share of an owner's slots by which it may be busier
+        than one in another failure domain and still be preferred.
     :param silent_hedges: so is one that sent nothing before another owner
         answered its lookup.
     """
@@ -94,6 +123,8 @@
     silence_factor: float = 5.0
     silent_hedges: bool = True
     load_decay_s: float = 1.0
+    steered_word_s: float = 5.0
+    far_penalty: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -19,6 +19,7 @@
 from papayastall import http_names
 
 __all__ = [
+    "NOT_RUN_OUTCOMES",
     "AnswerSink",
     "UpstreamClient",
     "UpstreamRequest",
@@ -50,6 +51,10 @@
 Headers = list[tuple[bytes, bytes]]
 Outcome = _decision_types.Outcome
 
+NOT_RUN_OUTCOMES = frozenset(
+    (Outcome.SHED, Outcome.CONNECT_FAILED, Outcome.EXPIRED)
+)
+
 
 @dataclasses.dataclass(slots=True)
 class UpstreamRequest:
@@ -118,11 +123,11 @@
         """Run a request and pass the answer to ``sink``.
 
         :param timeout_s: time that is left until its deadline.
-        :returns: how it ended; only ``SHED`` and ``CONNECT_FAILED`` say
-            that it did not run.
+        :returns: how it ended; only those of ``NOT_RUN_OUTCOMES`` say that
+            it did not run.
         """
         if timeout_s <= 0:
-            return Outcome.CONNECT_FAILED
+            return Outcome.EXPIRED
         deadline_s = clock.now_s() + timeout_s
         with anyio.move_on_after(timeout_s):
             reused = self._take(request)
@@ -133,7 +138,7 @@
                 # Closed when idle, or dead at work: a fresh connection
                 # tells, but can't make the first try "not run".
                 outcome = await self._run_fresh(request, deadline_s, sink)
-                if outcome in (Outcome.CONNECT_FAILED, Outcome.SHED):
+                if outcome in NOT_RUN_OUTCOMES:
                     return Outcome.BROKEN
             return outcome
         return Outcome.TIMED_OUT
@@ -174,7 +179,7 @@
             answer = await connection.send(data, is_head)
             outcome = await self._pass_on(connection, request, answer, sink)
         except _DeadlinePassed:
-            outcome = Outcome.CONNECT_FAILED
+            outcome = Outcome.EXPIRED
         except _upstream_connection.AnswerBroken:
             outcome = Outcome.BROKEN
         finally:
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -6,6 +6,7 @@
 import math
 
 from papayastall import _decision_types as types
+from papayastall import _gray_filter
 from papayastall import _health
 from papayastall import _leaving
 from papayastall import _owner_state as state
@@ -19,6 +20,16 @@
 """Above that of any announcement: nothing of the start comes after it."""
 
 
+def _make_evidence(
+    model: _service_policy.EvidenceModel,
+) -> state.AnyEvidence:
+    match model:
+        case _health.SequentialTest():
+            return _health.Evidence(model)
+        case _gray_filter.GrayModel():
+            return _gray_filter.GrayFilter(model)
+
+
 class UpstreamRegistry:
     """Upstreams by name and by service, kept by their announcements."""
 
@@ -109,6 +120,17 @@
                 upstream.expires_s = now_s
                 upstream.last_answer_s = -math.inf
 
+    def use_model(
+        self, service: str, model: _service_policy.EvidenceModel
+    ) -> None:
+        """Judge the upstreams of a service by this model from now on.
+
+        Those that came before the service's policy was known start anew.
+        """
+        for upstream in self.of_service(service):
+            if upstream.evidence.model != model:
+                upstream.evidence = _make_evidence(model)
+
     def withdraw(
         self, now_s: float, instance: str, started_ms: int | None
     ) -> str | None:
@@ -174,7 +196,7 @@
             lease_s=announcement.lease_s,
             expires_s=now_s + announcement.lease_s,
             warm_s=now_s + tuning.cold_grace_s,
-            evidence=_health.Evidence(tuning.per_route_evidence),
+            evidence=_make_evidence(tuning.evidence),
             standing=state.Standing.RETURNING,
             standing_since_s=now_s,
         )
--- a/src/papayastall/documents.py
+++ b/src/papayastall/documents.py
@@ -54,6 +54,7 @@
     DETECTION = "detection"
     """A short time until a failing upstream gets no more work."""
     CAPACITY = "capacity"
+    GRAY = "gray"
     """Few false ejections."""
 
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -502,7 +502,15 @@
         control = self.membership.adverts(CONTROL_SERVICE)
         ingresses = max(1, len(members) - len(control))
         return _service_policy.ServicePolicy(
-            health_priority=documents.HealthPriority.DETECTION,
+            health_priority=documents.HealthPriority.GRAY,
+            routing=_service_policy.RoutingTuning(
+                choices=6,
+                hedge_factor=2.5,
+                min_hedge_s=0.3,
+                max_refusals=6,
+                steered_word_s=1.0,
+                far_penalty=0.3,
+            ),
             retry_budget=_retry.BudgetLimits(
                 ratio=self.settings.retry_ratio,
                 burst=max(1.0, self.settings.retry_burst / ingresses),
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -354,7 +354,7 @@
         outcome: _decision_types.Outcome,
         claims: ClaimRecorder,
     ) -> None:
-        if outcome in (Outcome.SHED, Outcome.CONNECT_FAILED):
+        if outcome in _upstream_client.NOT_RUN_OUTCOMES:
             return
         whole = outcome in (Outcome.ANSWERED, Outcome.FAILED)
         await claims.record(
