--- a/src/papayastall/_gray_filter.py
+++ b/src/papayastall/_gray_filter.py
@@ -17,7 +17,7 @@
 _MAX_LOG_ODDS = 6.0
 """Beliefs beyond this would take too long to change again."""
 _SQRT2 = math.sqrt(2.0)
-_MIN_REFERENCE_S = 0.15
+_MIN_REFERENCE_S = 0.3
 """Shorter work is dominated by queueing and the network."""
 
 
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,190 @@
+"""Tests of the HTTP server: limits, framing, and a planned stop."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import contextlib
+import re
+import socket
+import typing as t
+
+import anyio
+import anyio.to_thread
+import pytest
+
+from papayastall import _http_server
+from tests import fleet
+
+pytestmark = pytest.mark.anyio
+
+REQUEST = b"GET /a?b=1 HTTP/1.1\r\nHost: x\r\n\r\n"
+CLOSE_TIMEOUT_S = 5.0
+
+
+async def echo(
+    scope: _http_server.Scope,
+    receive: _http_server.Receive,
+    send: _http_server.Send,
+) -> None:
+    """Answer with the target and the body of the request."""
+    body = scope["raw_path"]
+    more = True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+@contextlib.asynccontextmanager
+async def run_server(
+    application: _http_server.Application = echo,
+) -> cabc.AsyncIterator[tuple[_http_server.HttpServer, str]]:
+    address = fleet.free_address()
+    server = _http_server.HttpServer(application, address, CLOSE_TIMEOUT_S)
+    async with anyio.create_task_group() as tasks:
+        await server.start(tasks)
+        yield server, address
+        await server.close()
+        tasks.cancel_scope.cancel()
+
+
+def connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    caller = socket.create_connection((host, int(port)), timeout=5.0)
+    return caller
+
+
+async def read_answer(caller: socket.socket) -> bytes:
+    """Read one answer by its length, or up to the end."""
+
+    def read() -> bytes:
+        data = b""
+        while True:
+            head, end, body = data.partition(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head)
+            if end and length and len(body) >= int(length[1]):
+                return data
+            part = caller.recv(65536)
+            if not part:
+                return data
+            data += part
+
+    return await anyio.to_thread.run_sync(read)
+
+
+async def test_a_request_that_crosses_a_planned_stop_is_answered() -> None:
+    """The bytes are in the kernel, unread, when the server closes."""
+    async with run_server() as (server, address):
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        assert (await read_answer(caller)).startswith(b"HTTP/1.1 200")
+        # No await between the two: the loop has not read the request.
+        caller.sendall(REQUEST)
+        await server.close()
+        assert (await read_answer(caller)).startswith(b"HTTP/1.1 200")
+        caller.close()
+
+
+async def test_a_request_in_flight_is_answered_before_the_stop_ends() -> None:
+    started, go_on = anyio.Event(), anyio.Event()
+
+    async def wait(
+        scope: _http_server.Scope,
+        receive: _http_server.Receive,
+        send: _http_server.Send,
+    ) -> None:
+        started.set()
+        await go_on.wait()
+        await echo(scope, receive, send)
+
+    async with run_server(wait) as (server, address):
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        await started.wait()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.close)
+            await anyio.sleep(0)
+            go_on.set()
+            answer = await read_answer(caller)
+        assert answer.startswith(b"HTTP/1.1 200")
+        caller.close()
+
+
+async def test_requests_of_one_connection_are_answered_in_order() -> None:
+    async with run_server() as (_, address):
+        caller = connect(address)
+        caller.sendall(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        data = b""
+        while data.count(b"/") < 4:
+            data += await read_answer(caller)
+        assert data.index(b"/1") < data.index(b"/2")
+        caller.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"no request\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nX: " + b"y" * 99_999, b"431"),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+            b"Content-Length: 3\r\n\r\n",
+            b"400",
+        ),
+    ],
+)
+async def test_what_is_no_proper_request_ends_the_connection(
+    data: bytes, status: bytes
+) -> None:
+    async with run_server() as (_, address):
+        caller = connect(address)
+        caller.sendall(data)
+        answer = await read_answer(caller)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert b"connection: close" in answer
+        caller.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    ],
+)
+async def test_bodies_come_by_length_and_in_chunks(body: bytes) -> None:
+    async with run_server() as (_, address):
+        caller = connect(address)
+        caller.sendall(b"POST /p HTTP/1.1\r\n" + body)
+        assert (await read_answer(caller)).endswith(b"/phello")
+        caller.close()
+
+
+async def test_a_caller_that_leaves_is_noticed() -> None:
+    seen: list[str] = []
+    gone = anyio.Event()
+
+    async def watch(
+        scope: _http_server.Scope,
+        receive: _http_server.Receive,
+        send: _http_server.Send,
+    ) -> None:
+        while True:
+            message: dict[str, t.Any] = await receive()
+            seen.append(message["type"])
+            if message["type"] == "http.disconnect":
+                gone.set()
+                return
+
+    async with run_server(watch) as (_, address):
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        caller.close()
+        with anyio.fail_after(CLOSE_TIMEOUT_S):
+            await gone.wait()
+    assert seen[-1] == "http.disconnect"
