Queue by rank, then short work first; hedge by the objective; log repeats

Change: owners queue by rank and length of work, displacing the least urgent; an ingress that knows no median hedges at half of the objective; refusals, unknown outcomes and repeats leave a log line with what decided.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -1,4 +1,8 @@
-"""The bounded queue of one service at one owner, fair between teams."""
+"""The bounded queue of one service at one owner.
+
+Urgent requests go first; among equals, short work before long, then teams
+in turn.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +11,11 @@
 
 from papayastall import _decision_types as types
 
-__all__ = ["QueuedRequest", "TeamQueue"]
+__all__ = ["QueuedRequest", "RankedQueue", "TeamQueue"]
+
+
+Precedence = tuple[int, bool]
+"""Rank of a request and whether its work is long; the least goes first."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -16,6 +24,7 @@
 
     request: types.OwnerRequest
     queued_s: float
+    precedence: Precedence = (0, False)
 
 
 class TeamQueue:
@@ -82,6 +91,18 @@
         self._size -= 1
         return item
 
+    def take_newest(self) -> QueuedRequest | None:
+        """Take the newest request of the team that waits with most."""
+        if not self._by_team:
+            return None
+        longest = max(self._by_team, key=lambda name: len(self._by_team[name]))
+        waiting = self._by_team[longest]
+        item = waiting.pop()
+        if not waiting:
+            del self._by_team[longest]
+        self._size -= 1
+        return item
+
     def remove(self, request_id: int) -> QueuedRequest | None:
         """Take out one request by its id."""
         for team, waiting in self._by_team.items():
@@ -120,3 +141,70 @@
         self._by_team.clear()
         self._size = 0
         return items
+
+
+class RankedQueue:
+    """Team queues by precedence."""
+
+    __slots__ = ("_queues",)
+
+    def __init__(self) -> None:
+        self._queues: dict[Precedence, TeamQueue] = {}
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._queues.values())
+
+    def ahead_of(self, team: str, precedence: Precedence) -> int:
+        """Return how many run before a new request."""
+        return sum(
+            queue.ahead_of(team) if known == precedence else len(queue)
+            for known, queue in self._queues.items()
+            if known <= precedence
+        )
+
+    def push(self, item: QueuedRequest) -> None:
+        """Add a request behind its equals."""
+        self._queue(item.precedence).push(item)
+
+    def push_front(self, item: QueuedRequest) -> None:
+        """Put back a request that was just taken, first in turn."""
+        self._queue(item.precedence).push_front(item)
+
+    def pop(self) -> QueuedRequest | None:
+        """Take the most urgent request."""
+        for precedence in sorted(self._queues):
+            item = self._queues[precedence].pop()
+            if item is not None:
+                return item
+        return None
+
+    def displace_for(
+        self, team: str, precedence: Precedence
+    ) -> QueuedRequest | None:
+        """Take the newest of the least urgent requests, if that is fairer."""
+        waiting = [known for known, queue in self._queues.items() if queue]
+        last = max(waiting, default=precedence)
+        if last > precedence:
+            return self._queues[last].take_newest()
+        if last == precedence:
+            return self._queues[last].displace_for(team)
+        return None
+
+    def remove(self, request_id: int) -> QueuedRequest | None:
+        """Take out one request by its id."""
+        for queue in self._queues.values():
+            item = queue.remove(request_id)
+            if item is not None:
+                return item
+        return None
+
+    def take_late(self, latest_s: float) -> list[QueuedRequest]:
+        """Take out all requests whose deadline is before this time."""
+        return [
+            item
+            for queue in self._queues.values()
+            for item in queue.take_late(latest_s)
+        ]
+
+    def _queue(self, precedence: Precedence) -> TeamQueue:
+        return self._queues.setdefault(precedence, TeamQueue())
--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -16,6 +16,7 @@
 from papayastall import _links
 from papayastall import clock
 from papayastall import exceptions
+from papayastall import logs
 from papayastall import metrics
 
 __all__ = ["AttemptSender"]
@@ -104,6 +105,7 @@
                     exchange.chosen = exchange.attempts[action.attempt]
                     exchange.notify()
                 case _decision_types.RefuseRequest():
+                    self._log_refusal(exchange, action)
                     exchange.refusal = action
                     exchange.notify()
 
@@ -116,6 +118,9 @@
             next(self._wire_ids), exchange, action.attempt, action.owner
         )
         self._count_attempt(exchange, action)
+        if exchange.tried:
+            self._log_repeat(exchange, action)
+        exchange.tried.append(action.owner)
         exchange.attempts[action.attempt] = attempt
         self._attempts[attempt.wire_id] = attempt
         self._links.watch(attempt.owner)
@@ -125,6 +130,44 @@
             assert self._tasks is not None
             self._tasks.start_soon(self._connect_and_send, attempt, action)
 
+    def _log_refusal(
+        self,
+        exchange: _exchange.Exchange,
+        refusal: _decision_types.RefuseRequest,
+    ) -> None:
+        event = logs.RequestEvent.REFUSED
+        if refusal.ran is exceptions.RanState.UNKNOWN:
+            event = logs.RequestEvent.UNKNOWN
+        request = exchange.request
+        logs.log_request(
+            event,
+            exchange.name,
+            service=request.service,
+            route=request.route,
+            code=refusal.code.value,
+            age_ms=_age_ms(exchange),
+            owners=" ".join(exchange.tried),
+            retry_after_s=refusal.retry_after_s,
+            **self.controller.explain(clock.now_s(), request.service),
+        )
+
+    def _log_repeat(
+        self,
+        exchange: _exchange.Exchange,
+        action: _decision_types.ForwardAttempt,
+    ) -> None:
+        logs.log_request(
+            logs.RequestEvent.REPEATED,
+            exchange.name,
+            service=exchange.request.service,
+            route=exchange.request.route,
+            attempt=action.attempt,
+            beside=len(exchange.attempts),
+            age_ms=_age_ms(exchange),
+            owners=" ".join([*exchange.tried, action.owner]),
+            reference_ms=action.reference_ms,
+        )
+
     def _count_attempt(
         self,
         exchange: _exchange.Exchange,
@@ -395,6 +438,10 @@
         self._note_up(peer)
 
 
+def _age_ms(exchange: _exchange.Exchange) -> float:
+    return round((clock.now_s() - exchange.started_s) * 1000, 1)
+
+
 def _read_code(frame: _frames.Refuse) -> exceptions.ErrorCode:
     try:
         return exceptions.ErrorCode(frame.code)
@@ -429,6 +476,7 @@
         reference_error_ratio=action.hints.reference_error_ratio,
         healthy_share=action.hints.healthy_share,
         last_resort=action.hints.last_resort,
+        rank=request.rank,
     )
     for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
         end = start + BODY_PART_BYTES
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -145,6 +145,7 @@
         the ingress sees it over all owners; ``None`` while unknown.
     :param fingerprint: digest of service, method, target and body.
     :param hints: what the ingress knows of the whole service.
+    :param rank: urgency; 0 is the most urgent.
     """
 
     request_id: int
@@ -156,6 +157,7 @@
     reference_ms: float | None
     fingerprint: int
     hints: RequestHints = RequestHints()
+    rank: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -191,6 +193,7 @@
     """A caller's request at its ingress.
 
     :param max_attempts: upstreams that may run it.
+    :param objective_s: time within which an answer has its full worth.
     :param rank: urgency; 0 is the most urgent.
     """
 
@@ -203,6 +206,7 @@
     fingerprint: int
     max_attempts: int = 1_000
     rank: int = 0
+    objective_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -47,6 +47,8 @@
 class Exchange:
     """A caller's request while it waits for its answer.
 
+    :param name: the id that its caller gave it, for log lines.
+    :param tried: owners that it was sent to, in order.
     :param changed: set whenever there is more to tell the caller.
     """
 
@@ -56,6 +58,9 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.ACCEPTED
+    name: str = ""
+    started_s: float = 0.0
+    tried: list[str] = dataclasses.field(default_factory=list)
     claim_key: str = ""
     claim_token: str = ""
     attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -70,6 +70,7 @@
     :param fingerprint: digest of service, method, target and body.
     :param body_follows: more of the body comes in :class:`BodyChunk`.
     :param sent_ms: on the sender's monotonic clock.
+    :param rank: urgency; 0 is the most urgent.
     :param claim_token: the holder of the idempotency key's claim, or "".
     """
 
@@ -92,6 +93,7 @@
     healthy_share: float = 1.0
     last_resort: bool = False
     sent_ms: int = 0
+    rank: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -202,6 +202,18 @@
                 actions += self._hedge(now_s, pending)
         return actions
 
+    def explain(self, now_s: float, service: str) -> dict[str, float]:
+        """Return what decides about a service's requests now, for logs."""
+        view = self._service(service)
+        avoided = sum(
+            owner.is_avoided(now_s) for owner in view.owners.values()
+        )
+        return {
+            "owners_known": len(view.owners),
+            "owners_avoided": avoided,
+            "repeats_left": round(min(view.budget.tokens, 1e6), 2),
+        }
+
     def has_work(self) -> bool:
         """Return whether any request is open, so that ticks matter."""
         return bool(self._pending)
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -313,14 +313,19 @@
             return [self._refuse_overloaded(service, request, slots)]
         actions: list[types.OwnerAction] = []
         if len(service.queue) >= service.policy.max_queued:
-            displaced = service.queue.displace_for(request.team)
+            displaced = service.queue.displace_for(
+                request.team, _placement.precedence(service, request)
+            )
             if displaced is None:
                 return [self._refuse_overloaded(service, request, slots)]
             self._queued.remove(displaced.request.request_id)
             actions.append(
                 self._refuse_overloaded(service, displaced.request, slots)
             )
-        service.queue.push(_admission.QueuedRequest(request, now_s))
+        precedence = _placement.precedence(service, request)
+        service.queue.push(
+            _admission.QueuedRequest(request, now_s, precedence)
+        )
         self._queued.add(request.request_id)
         return actions
 
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -109,8 +109,8 @@
     """One service at one owner."""
 
     policy: _service_policy.ServicePolicy
-    queue: _admission.TeamQueue = dataclasses.field(
-        default_factory=_admission.TeamQueue
+    queue: _admission.RankedQueue = dataclasses.field(
+        default_factory=_admission.RankedQueue
     )
     medians: dict[str, _health.MedianEstimate] = dataclasses.field(
         default_factory=dict
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from papayastall import _admission
 from papayastall import _decision_types as types
 from papayastall import _ejection
 from papayastall import _leaving
@@ -22,11 +23,14 @@
     "expected_run_s",
     "expected_wait_s",
     "has_time",
+    "precedence",
 ]
 
 _TRIAL_SHARE = 0.05
 _RUN_MARGIN = 3.0
 _MAX_WAIT_S = 1.0
+_SHORT_SHARE = 0.4
+"""Work below this share of the mean time of a slot counts as short."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,11 +83,23 @@
     return _least_busy(now_s, service, trusted)
 
 
+def precedence(
+    service: state.ServiceState, request: types.OwnerRequest
+) -> _admission.Precedence:
+    """Return how urgent a request is among those that wait.
+
+    Work much shorter than the usual delays the others little; what other
+    upstreams wait for is mostly such work.
+    """
+    run_s = expected_run_s(service, request)
+    return request.rank, run_s > _SHORT_SHARE * service.busy_s
+
+
 def expected_wait_s(
-    service: state.ServiceState, team: str, slots: int
+    service: state.ServiceState, request: types.OwnerRequest, slots: int
 ) -> float:
-    """Return how long a new request of this team would wait, seconds."""
-    ahead = service.queue.ahead_of(team)
+    """Return how long a new request would wait, seconds."""
+    ahead = service.queue.ahead_of(request.team, precedence(service, request))
     return (ahead + 1) * service.busy_s / max(1, slots)
 
 
@@ -111,7 +127,7 @@
     cost the slot and answers nobody. Nobody waits longer than the others
     for having a later deadline, or bookings would push lookups out.
     """
-    wait_s = expected_wait_s(service, request.team, slots)
+    wait_s = expected_wait_s(service, request, slots)
     left_s = request.deadline_s - now_s
     if wait_s > min(_MAX_WAIT_S, left_s / 2.0):
         return False
--- a/src/papayastall/_request_target.py
+++ b/src/papayastall/_request_target.py
@@ -36,6 +36,7 @@
     max_body_bytes: int
     max_attempts: int = UNLIMITED_ATTEMPTS
     rank: int = 0
+    objective_ms: int | None = None
     team_header: bytes = b""
     key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.IGNORED
 
@@ -106,4 +107,5 @@
         max_body_bytes=lookup.table.limits.max_body_bytes,
         max_attempts=route.max_attempts,
         rank=route.rank,
+        objective_ms=route.objective_ms,
     )
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -152,6 +152,8 @@
         return None
     known_ms = reference_ms(service, request.route)
     if known_ms is None:
+        if request.objective_s is not None:
+            return now_s + request.objective_s / 2.0
         return now_s + _UNKNOWN_HEDGE_S
     delay_s = tuning.hedge_factor * known_ms / 1000.0
     return now_s + max(tuning.min_hedge_s, delay_s)
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -35,6 +35,7 @@
 CLAIM_RETRY_S = 1.0
 KEY_HEADER = b"idempotency-key"
 MAX_KEY_LENGTH = 255
+MAX_NAME_LENGTH = 64
 
 Scope = dict[str, t.Any]
 Receive = cabc.Callable[[], cabc.Awaitable[dict[str, t.Any]]]
@@ -180,6 +181,7 @@
             fingerprint=digest.intdigest() >> 1,
             max_attempts=target.max_attempts,
             rank=target.rank,
+            objective_s=_to_s(target.objective_ms),
         )
         return _exchange.Exchange(
             request,
@@ -188,8 +190,17 @@
             self._make_headers(scope),
             body,
             key_use=target.key_use,
+            name=self._read_name(scope),
+            started_s=started_s,
         )
 
+    def _read_name(self, scope: Scope) -> str:
+        """Return the id that a caller gave its request, if any."""
+        if not self._names.request_id:
+            return ""
+        value = _find_header(scope, self._names.request_id) or b""
+        return value.decode("latin-1")[:MAX_NAME_LENGTH]
+
     def _make_headers(self, scope: Scope) -> Headers:
         """Return a caller's headers as they go to an upstream."""
         name = self._names.caller_service
@@ -422,6 +433,10 @@
     )
 
 
+def _to_s(time_ms: int | None) -> float | None:
+    return None if time_ms is None else time_ms / 1000
+
+
 def _body_too_large(limit_bytes: int) -> exceptions.RefusedError:
     return exceptions.RefusedError(
         _Code.BODY_TOO_LARGE,
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -184,6 +184,7 @@
                 healthy_share=frame.healthy_share,
                 last_resort=frame.last_resort,
             ),
+            rank=frame.rank,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -44,6 +44,7 @@
   17: double healthy_share,
   18: bool last_resort,
   19: i64 sent_ms,
+  20: i32 rank,
 }
 
 struct BodyChunk {
