--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -87,6 +87,7 @@
     set_class = _replica_set.ReplicaSet
     timings = types.Timings(yield_s=math.inf)
     storage_class = _storage.Storage
+    formation = types.Formation()
 
     def __init__(self, seed: int, size: int = 3) -> None:
         self.rng = random.Random(seed)
@@ -149,7 +150,12 @@
             OPTIONS,
             random.Random(self.rng.getrandbits(30)),
             self.clock_s(node),
+            self.formation,
         )
+        if self.formation.admits:
+            # Membership tells a replica which addresses hold control.
+            targets = {*self.addresses, *self.nodes}
+            node.replicas.set_join_targets(tuple(targets))
 
     def clock_s(self, node: Node) -> float:
         return self.now_s * node.clock_rate
