Promise "not run" by 503 only, and always then

Cause: a deadline that passed before anything was sent got 504 and a failed link 502, which say that nobody knows; an overloaded fleet could answer 503 to a lookup that one upstream may have run.

--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -32,6 +32,7 @@
     _Code.DEADLINE_EXCEEDED: 504,
 }
 DEFAULT_STATUS = 503
+_OPEN_STATUSES = frozenset({502, 504})
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -51,8 +52,18 @@
 
     @property
     def status(self) -> int:
-        """Return the HTTP status."""
-        return status_of(self.code)
+        """Return the HTTP status.
+
+        503 promises that the request did not run; 502 and 504 promise
+        nothing.
+        """
+        status = status_of(self.code)
+        match self.ran:
+            case exceptions.RanState.NO if status in _OPEN_STATUSES:
+                return DEFAULT_STATUS
+            case exceptions.RanState.UNKNOWN if status == DEFAULT_STATUS:
+                return _STATUSES[_Code.UPSTREAM_FAILED]
+        return status
 
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers of the answer."""
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,310 @@
+"""Tests of the translation between the users' platform and the product."""
+
+from __future__ import annotations
+
+import copy
+import json
+import pathlib
+import typing as t
+
+import pytest
+
+import adapter_config
+import adapter_endpoints
+import adapter_settings
+from papayastall import _decision_types
+from papayastall import exceptions
+from papayastall import route_table
+from papayastall import settings
+
+MACHINE: dict[str, t.Any] = {
+    "serves": ["sidecar"],
+    "ip": "10.1.0.8",
+    "zone": "z-a",
+    "region": "r",
+    "listenAddrs": {
+        "inbound": "10.1.0.8:8300",
+        "outbound": "10.1.0.8:8304",
+        "ready": "10.1.0.8:8302",
+        "control": "10.1.0.8:8306",
+    },
+    "internalPorts": [7620, 7635],
+    "seeds": ["10.1.0.15:8306", "10.2.0.12:8306"],
+    "bootstrap": True,
+    "dataDir": None,
+    "heartbeatIntervalMs": 1500,
+    "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
+    "bounds": ["graceS=6", "budgetRatio=0.2", "budgetSlack=60", "x=true"],
+    "appAddr": "10.1.0.8:8301",
+    "service": "one",
+    "somethingNew": {"a": 1},
+}
+
+ROUTE: dict[str, t.Any] = {
+    "type": "routes",
+    "metadata": {"name": "r-1"},
+    "spec": {
+        "host": "a.example",
+        "pathPrefix": "/p/",
+        "kind": "unsafe",
+        "timeoutMs": 1500,
+        "latencySloMs": 800,
+        "priority": 2,
+        "split": [
+            {"service": "one", "weight": 90},
+            {"service": "two", "weight": 10},
+        ],
+        "maxAttempts": 2,
+        "somethingNew": [1],
+    },
+}
+SERVICES: list[dict[str, t.Any]] = [
+    {
+        "type": "services",
+        "metadata": {"name": name},
+        "spec": {
+            "healthPath": "/healthz",
+            "maxConnections": 390,
+            "protocol": "h1",
+            "tls": False,
+        },
+    }
+    for name in ("one", "two")
+]
+LIMITS: dict[str, t.Any] = {
+    "type": "limits",
+    "metadata": {},
+    "spec": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+CONFIG: dict[str, t.Any] = {
+    "version": 7,
+    "baseVersion": 0,
+    "resources": [ROUTE, *SERVICES, LIMITS],
+}
+
+
+def write_settings(folder: pathlib.Path, **changes: t.Any) -> str:
+    path = folder / "node.json"
+    path.write_text(json.dumps({**MACHINE, **changes}))
+    return str(path)
+
+
+def test_settings_of_a_machine_with_an_upstream(
+    tmp_path: pathlib.Path,
+) -> None:
+    machine = adapter_settings.load(write_settings(tmp_path))
+    node = machine.node
+    assert node.caller_address == "10.1.0.8:8304"
+    assert node.link_address == "10.1.0.8:7620"
+    assert node.seeds == ["10.1.0.15:7620", "10.2.0.12:7620"]
+    assert node.routing is settings.RoutingKind.TABLE
+    assert not node.is_control_replica
+    assert node.shutdown_timeout_ms < 6000
+    assert machine.ready_address == "10.1.0.8:8302"
+    assert machine.lease_s == 6.0
+
+
+@pytest.mark.parametrize(("machines", "voters"), [(1, 5), (2, 7)])
+def test_settings_of_a_control_machine(
+    tmp_path: pathlib.Path, machines: int, voters: int
+) -> None:
+    path = write_settings(
+        tmp_path,
+        serves=["control_plane"],
+        listenAddrs={"control": "10.1.0.15:8306"},
+        dataDir="/data",
+        appAddr=None,
+        service=None,
+        bootstrap=False,
+        faultTolerance={"machines": machines},
+    )
+    machine = adapter_settings.load(path)
+    assert machine.node.is_control_replica
+    assert machine.node.caller_address is None
+    assert machine.node.control_group is not None
+    assert machine.node.control_group.target_voters == voters
+    assert not machine.node.control_group.may_found
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"bounds": []}'])
+def test_bad_settings_name_the_file(tmp_path: pathlib.Path, text: str) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(text)
+    with pytest.raises(exceptions.BadInputError, match="node.json"):
+        adapter_settings.load(str(path))
+
+
+def test_a_configuration_is_given_back_as_it_was_sent() -> None:
+    change = adapter_config.read_table(json.dumps(CONFIG).encode())
+    table = route_table.apply_change(route_table.RouteTable(), change)
+    (route,) = table.routes
+    assert route.kind is _decision_types.RequestKind.NON_IDEMPOTENT
+    assert (route.rank, route.objective_ms) == (2, 800)
+    assert [share.weight for share in route.shares] == [90, 10]
+    assert table.limits.idle_timeout_ms == 15000
+    written = json.loads(adapter_config.write_table(table))
+    assert written["version"] == 7
+    assert written["resources"] == CONFIG["resources"]
+
+
+def test_a_patch_names_items_to_change_and_to_remove() -> None:
+    patch = adapter_config.read_patch(
+        json.dumps(
+            {
+                "version": 9,
+                "baseVersion": 7,
+                "upsert": {"resources": [ROUTE]},
+                "remove": {"routes": ["r-old"]},
+            }
+        ).encode()
+    )
+    assert (patch.base_version, patch.version) == (7, 9)
+    assert [route.name for route in patch.routes] == ["r-1"]
+    assert patch.removed_routes == ("r-old",)
+    assert patch.limits is None
+
+
+def change_config(key: str, value: t.Any) -> bytes:
+    config = copy.deepcopy(CONFIG)
+    spec = config["resources"][0]["spec"]
+    if key in config:
+        config[key] = value
+    elif value is None:
+        del spec[key]
+    else:
+        spec[key] = value
+    return json.dumps(config).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "place"),
+    [
+        (b"", "no JSON"),
+        (json.dumps(CONFIG).encode()[:-9], "no JSON"),
+        (b"[]", "object"),
+        (change_config("version", "7"), "version"),
+        (change_config("baseVersion", 1.5), "baseVersion"),
+        (change_config("host", None), "host"),
+        (change_config("timeoutMs", True), "timeoutMs"),
+        (change_config("kind", "odd"), "kind"),
+        (change_config("split", [{"service": "one"}]), "weight"),
+        (change_config("maxAttempts", -1), "maxAttempts"),
+        (change_config("resources", [{"type": "odd"}]), "type"),
+    ],
+)
+def test_what_cannot_be_read_is_refused_with_its_place(
+    body: bytes, place: str
+) -> None:
+    with pytest.raises(exceptions.BadInputError, match=place):
+        adapter_config.read_table(body)
+
+
+class FakeNode:
+    """Takes what the endpoints hand to a node."""
+
+    def __init__(self) -> None:
+        self.announced: list[_decision_types.UpstreamAnnouncement] = []
+        self.withdrawn: list[tuple[str, int | None]] = []
+
+    def announce(
+        self, announcement: _decision_types.UpstreamAnnouncement
+    ) -> None:
+        self.announced.append(announcement)
+
+    def withdraw(self, instance: str, started_ms: int | None) -> None:
+        self.withdrawn.append((instance, started_ms))
+
+
+BEAT: dict[str, t.Any] = {
+    "service": "one",
+    "address": "10.1.0.8:8301",
+    "zone": "z-a",
+    "version": "v1",
+    "maxConcurrency": 7,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+async def call(
+    tmp_path: pathlib.Path, node: FakeNode, method: str, body: bytes
+) -> int:
+    machine = adapter_settings.load(write_settings(tmp_path))
+    endpoint = adapter_endpoints.UpstreamEndpoint(
+        t.cast(t.Any, node), lambda: machine
+    )
+    statuses: list[int] = []
+
+    async def receive() -> dict[str, t.Any]:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message: dict[str, t.Any]) -> None:
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+
+    path = adapter_endpoints.INSTANCES_PATH + "i-1"
+    await endpoint({"method": method, "path": path}, receive, send)
+    return statuses[0]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("changes", "state"),
+    [
+        ({}, _decision_types.UpstreamState.READY),
+        ({"coldRemainingMs": 90.5}, _decision_types.UpstreamState.COLD),
+        ({"state": "draining"}, _decision_types.UpstreamState.LEAVING),
+    ],
+)
+async def test_a_heartbeat_becomes_an_announcement(
+    tmp_path: pathlib.Path,
+    changes: dict[str, t.Any],
+    state: _decision_types.UpstreamState,
+) -> None:
+    node = FakeNode()
+    body = json.dumps({**BEAT, **changes}).encode()
+    assert await call(tmp_path, node, "PUT", body) == 200
+    (announcement,) = node.announced
+    assert announcement.state is state
+    assert announcement.name == "10.1.0.8:8301/i-1"
+    assert (announcement.slots, announcement.sequence) == (7, 4)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"service": "other"},
+        {"address": "10.1.0.9:8301"},
+        {"maxConcurrency": "7"},
+        {"sequence": None},
+        {"born": 1.5},
+    ],
+)
+async def test_a_heartbeat_that_cannot_be_read_names_nobody(
+    tmp_path: pathlib.Path, changes: dict[str, t.Any]
+) -> None:
+    node = FakeNode()
+    body = json.dumps({**BEAT, **changes}).encode()
+    assert await call(tmp_path, node, "PUT", body) == 400
+    assert not node.announced
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("body", "started_ms"), [(b"", None), (b'{"born": 12}', 12), (b"x", None)]
+)
+async def test_a_good_bye_is_taken_with_and_without_a_body(
+    tmp_path: pathlib.Path, body: bytes, started_ms: int | None
+) -> None:
+    node = FakeNode()
+    assert await call(tmp_path, node, "DELETE", body) == 200
+    assert node.withdrawn == [("i-1", started_ms)]
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -12,6 +12,7 @@
 from papayastall import _decision_types
 from papayastall import _upstream_client
 from papayastall import clock
+from papayastall import http_names
 
 pytestmark = pytest.mark.anyio
 
@@ -32,6 +33,7 @@
     def __init__(self, script: list[bytes | None]) -> None:
         self.script = script
         self.requests = 0
+        self.connections = 0
         self.received = bytearray()
         self.address = ""
         self._listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = (
@@ -56,6 +58,7 @@
             await listener.serve(self._handle)
 
     async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
         async with stream:
             with contextlib.suppress(anyio.EndOfStream):
                 while True:
@@ -66,7 +69,7 @@
                         await self.close()
                         return
                     await stream.send(answer)
-                    if answer is SHORT:
+                    if answer is SHORT or b"Connection: close" in answer:
                         return
 
 
@@ -170,3 +173,106 @@
         monkeypatch.undo()
         assert outcome is Outcome.EXPIRED
         assert upstream.received == b""
+
+
+NAMES = http_names.HeaderNames(
+    timeout=b"deadline-ms",
+    not_run=b"not-executed",
+    not_run_value=b"",
+    request_id=b"request-id",
+    instance=b"expect-instance",
+)
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nContent-Length: 2\r\n\r\nok"
+
+
+class KeepingSink(_upstream_client.AnswerSink):
+    """Keeps what an answer brought."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    async def send_head(
+        self, status: int, headers: _upstream_client.Headers
+    ) -> None:
+        self.status = status
+
+    async def send_chunk(self, data: bytes) -> None:
+        self.body += data
+
+
+async def run_named(
+    script: list[bytes | None], count: int = 1
+) -> tuple[list[Outcome], list[KeepingSink], FakeUpstream]:
+    """Run lookups with ids one after the other on kept connections."""
+    async with run_upstream(script) as upstream:
+        client = _upstream_client.UpstreamClient(NAMES)
+        outcomes, sinks = [], []
+        for number in range(count):
+            request = make_request(upstream, idempotent=True)
+            request.headers = [(b"request-id", b"id-%d" % number)]
+            request.instance = "i-1"
+            sinks.append(KeepingSink())
+            outcomes.append(await client.run(request, TIMEOUT_S, sinks[-1]))
+        await client.close()
+        return outcomes, sinks, upstream
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (OK % b"id-0", Outcome.ANSWERED),
+        (ANSWER, Outcome.ANSWERED),
+        (OK % b"id-9", Outcome.BROKEN),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+            b"Content-Length: 2\r\n\r\nok",
+            Outcome.BROKEN,
+        ),
+        (b"\x00\x01 these are no words of HTTP\r\n\r\n", Outcome.BROKEN),
+        (
+            b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n",
+            Outcome.SHED,
+        ),
+        (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", Outcome.FAILED),
+        (b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", Outcome.SHED),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\n" + OK % b"id-0",
+            Outcome.ANSWERED,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\n\r\n",
+            Outcome.ANSWERED,
+        ),
+    ],
+)
+async def test_what_an_answer_says(answer: bytes, outcome: Outcome) -> None:
+    outcomes, sinks, upstream = await run_named([answer])
+    assert outcomes == [outcome]
+    assert sinks[0].body == (b"ok" if outcome is Outcome.ANSWERED else b"")
+    assert b"expect-instance: i-1\r\n" in upstream.received
+    assert b"deadline-ms: " in upstream.received
+
+
+async def test_bytes_after_an_answer_belong_to_no_request() -> None:
+    """An upstream sends a second answer behind the first."""
+    twice = OK % b"id-0" + OK % b"id-0"
+    outcomes, sinks, upstream = await run_named([twice, OK % b"id-1"], 2)
+    assert outcomes == [Outcome.ANSWERED, Outcome.ANSWERED]
+    assert [sink.body for sink in sinks] == [b"ok", b"ok"]
+    assert upstream.connections == 2
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    bare = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"
+    outcomes, sinks, upstream = await run_named([bare, OK % b"id-1"], 2)
+    assert outcomes == [Outcome.ANSWERED, Outcome.ANSWERED]
+    assert sinks[0].body == b"ok"
+    assert upstream.connections == 2
+
+
+async def test_lookups_share_a_connection_that_stays_open() -> None:
+    _, _, upstream = await run_named([OK % b"id-0", OK % b"id-1"], 2)
+    assert upstream.connections == 1
