Run the whole path on the platform's protocol as real processes

Change: control and node processes on loopback addresses with stand-in upstreams that speak the platform's protocol; requests, orders, disks lost one after the other, draining, SIGHUP and SIGTERM. A first version lost the next disk before the last one counted as back; it then had no majority, which is allowed.

--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,242 @@
+"""The whole path on the users' platform, as real processes."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import contextlib
+import http.server
+import itertools
+import json
+import pathlib
+import signal
+import threading
+import time
+import typing as t
+
+import pytest
+
+from tests import platform_fleet
+
+LIMIT_S = 30.0
+CATCH_UP_S = 4.0
+"""A machine counts as lost for so long after it is back."""
+NETS = itertools.count(40)
+"""Second part of the loopback addresses: one net for each fleet."""
+
+
+class StandIn(http.server.ThreadingHTTPServer):
+    """An upstream that speaks the platform's protocol.
+
+    :ivar requests: the path and headers of each request that it ran.
+    :ivar gate: requests wait for it before they are answered.
+    """
+
+    daemon_threads = True
+
+    def __init__(self, address: str, instance: str) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__((host, int(port)), _Handler)
+        self.instance = instance
+        self.requests: list[tuple[str, dict[str, str]]] = []
+        self.gate = threading.Event()
+        self.gate.set()
+        self.started = threading.Event()
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: StandIn
+
+    def do_GET(self) -> None:
+        """Run a request, unless it is meant for another start."""
+        self.rfile.read(int(self.headers.get("content-length", 0)))
+        headers = {k.lower(): v for k, v in self.headers.items()}
+        expected = headers.get("expect-instance", self.server.instance)
+        if expected != self.server.instance:
+            self._answer(421, b"")
+            return
+        self.server.requests.append((self.path, headers))
+        self.server.started.set()
+        self.server.gate.wait(LIMIT_S)
+        self._answer(200, b"the whole answer")
+
+    do_POST = do_GET
+
+    def _answer(self, status: int, body: bytes) -> None:
+        self.send_response(status)
+        self.send_header("Request-Id", self.headers["request-id"])
+        self.send_header("Response-Stamp", "stamp")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: t.Any) -> None:
+        """Write nothing."""
+
+
+@pytest.fixture(scope="module")
+def running(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> cabc.Iterator[platform_fleet.PlatformFleet]:
+    folder: pathlib.Path = tmp_path_factory.mktemp("platform")
+    fleet = platform_fleet.PlatformFleet(
+        folder, ["visits", "orders"], next(NETS)
+    )
+    with contextlib.ExitStack() as stack:
+        stack.callback(fleet.close)
+        fleet.start()
+        yield fleet
+
+
+@pytest.fixture
+def upstreams(
+    running: platform_fleet.PlatformFleet,
+) -> cabc.Iterator[list[StandIn]]:
+    """Stand-ins of both machines, announced, and routes in force."""
+    stand_ins = [
+        StandIn(running.address(machine, "app"), f"i-{number}")
+        for number, machine in enumerate(running.nodes)
+    ]
+    config = platform_fleet.make_config(3, 0, visits=4000, orders=4000)
+    running.wait(
+        lambda: (
+            running.configure(running.control[1], "PUT", config).status == 200
+        ),
+        "the first configuration is accepted",
+        LIMIT_S,
+    )
+    for stand_in, machine in zip(stand_ins, running.nodes, strict=True):
+        running.wait(
+            lambda machine=machine: running.is_ready(machine),  # type: ignore[misc]
+            "a node is ready",
+            LIMIT_S,
+        )
+        assert running.beat(machine, stand_in.instance).status == 200
+    for service in ("visits", "orders"):
+        running.wait(
+            lambda service=service: all(  # type: ignore[misc]
+                running.ask(machine, f"/{service}/x").status == 200
+                for machine in running.nodes
+            ),
+            "requests are answered",
+            LIMIT_S,
+        )
+    yield stand_ins
+    for stand_in in stand_ins:
+        stand_in.gate.set()
+        stand_in.shutdown()
+        stand_in.server_close()
+
+
+def read_version(
+    fleet: platform_fleet.PlatformFleet, machine: platform_fleet.Machine
+) -> int:
+    answer = fleet.configure(machine, "GET")
+    assert answer.status in (200, 503)
+    if answer.status == 503:
+        return 0
+    return int(json.loads(answer.body)["version"])
+
+
+def test_a_request_is_answered_through_a_node_that_owns_nothing(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    answer = running.ask(
+        running.nodes[0], "/orders/y?z=1", **{"Caller-Service": "forged"}
+    )
+    assert answer.status == 200
+    assert answer.body == b"the whole answer"
+    assert answer.headers["response-stamp"] == "stamp"
+    path, headers = upstreams[1].requests[-1]
+    assert path == "/orders/y?z=1"
+    assert headers["caller-service"] == "visits"
+    assert headers["request-id"] == "id-1"
+    assert headers["expect-instance"] == "i-1"
+    assert 0 < int(headers["deadline-ms"]) <= 4000
+    assert running.ask(running.nodes[0], "/none/").status == 404
+
+
+def test_orders_of_operators(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    first = platform_fleet.make_config(3, 0, visits=4000, orders=4000)
+    for machine in running.control:
+        assert running.configure(machine, "PUT", first).status == 200
+    rival = platform_fleet.make_config(4, 0, visits=4000)
+    assert running.configure(running.control[0], "PUT", rival).status == 412
+    broken = platform_fleet.make_config(4, 3, visits=0)
+    assert running.configure(running.control[0], "PUT", broken).status == 400
+    assert read_version(running, running.control[2]) == 3
+
+
+def test_an_acknowledged_change_survives_a_lost_disk(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    version = read_version(running, running.control[0])
+    patch = {
+        "version": version + 4,
+        "baseVersion": version,
+        "upsert": {"resources": []},
+        "remove": {},
+    }
+    assert running.configure(running.control[0], "PATCH", patch).status == 200
+    for machine in running.control:
+        running.lose_disk(machine)
+        for reader in running.control:
+            running.wait(
+                lambda reader=reader: (
+                    read_version(running, reader)  # type: ignore[misc]
+                    == version + 4
+                ),
+                "the change is read",
+                LIMIT_S,
+            )
+        time.sleep(CATCH_UP_S)
+
+
+def test_a_draining_upstream_gets_no_request_after_its_acknowledgement(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    visits = running.nodes[0]
+    leaving = running.beat(visits, "i-0", state="draining", sequence=2)
+    assert leaving.status == 200
+    count = len(upstreams[0].requests)
+    for machine in running.nodes:
+        assert running.ask(machine, "/visits/x").status == 503
+    late = running.beat(visits, "i-0", sequence=1)
+    assert late.status == 200
+    assert running.ask(running.nodes[1], "/visits/x").status == 503
+    assert len(upstreams[0].requests) == count
+    assert running.beat(visits, "i-0", sequence=3).status == 200
+    running.wait(
+        lambda: running.ask(running.nodes[1], "/visits/x").status == 200,
+        "the upstream is back",
+        LIMIT_S,
+    )
+
+
+def test_a_planned_stop_cuts_nothing(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    """SIGHUP changes nothing; SIGTERM lets the request in flight end."""
+    node = running.nodes[0]
+    assert node.process is not None
+    node.process.send_signal(signal.SIGHUP)
+    assert running.is_ready(node)
+    upstreams[1].gate.clear()
+    upstreams[1].started.clear()
+    answers: list[platform_fleet.Answer] = []
+    caller = threading.Thread(
+        target=lambda: answers.append(running.ask(node, "/orders/slow"))
+    )
+    caller.start()
+    assert upstreams[1].started.wait(LIMIT_S)
+    node.process.send_signal(signal.SIGTERM)
+    running.wait(lambda: not running.is_ready(node), "not ready", LIMIT_S)
+    upstreams[1].gate.set()
+    caller.join(LIMIT_S)
+    assert [answer.status for answer in answers] == [200]
+    assert node.process.wait(LIMIT_S) == 0
+    running.start_machine(node)
+    running.wait(lambda: running.is_ready(node), "ready again", LIMIT_S)
