--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -8,6 +8,7 @@
 import collections.abc as cabc
 import dataclasses
 import random
+import typing as t
 
 import anyio
 import anyio.abc
@@ -17,12 +18,14 @@
 from papayastall import _control_calls
 from papayastall import _control_commands as commands
 from papayastall import _control_state
+from papayastall import _formation
 from papayastall import _peering
 from papayastall import _permits
-from papayastall import _raft_types as types
-from papayastall import _replica
 from papayastall import exceptions
 
+if t.TYPE_CHECKING:
+    from papayastall import _replica
+
 __all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
 
 CLOSE_TIMEOUT_S = 5.0
@@ -46,7 +49,7 @@
     claim_groups: int
     data_folder: str | None
     epoch: int
-    formation: types.Formation = types.Formation()
+    formation: _formation.Formation = _formation.Formation()
     with_permits: bool = True
 
 
@@ -84,6 +87,9 @@
         server = None
         state = _control_state.ControlState()
         if settings.data_folder is not None:
+            # Most nodes hold no replica and do without these modules.
+            from papayastall import _replica
+
             groups = range(settings.claim_groups)
             states: list[_control_calls.GroupState] = [
                 state,
--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -11,6 +11,7 @@
 
 import random
 
+from papayastall import _formation
 from papayastall import _raft_election
 from papayastall import _raft_follower
 from papayastall import _raft_join
@@ -41,7 +42,7 @@
         rng: random.Random,
         now_s: float,
         preference: int | None = None,
-        formation: types.Formation = types.Formation(),
+        formation: _formation.Formation = _formation.Formation(),
     ) -> None:
         state = _raft_state.RaftState(
             identity,
--- a/src/papayastall/_raft_state.py
+++ b/src/papayastall/_raft_state.py
@@ -8,6 +8,7 @@
 
 import google_crc32c
 
+from papayastall import _formation
 from papayastall import _raft_log
 from papayastall import _raft_types as types
 
@@ -71,7 +72,7 @@
         rng: random.Random,
         now_s: float,
         preference: int | None = None,
-        formation: types.Formation = types.Formation(),
+        formation: _formation.Formation = _formation.Formation(),
     ) -> None:
         self.identity = identity
         self.formation = formation
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -17,6 +17,7 @@
 import anyio.to_thread
 
 from papayastall import _files
+from papayastall import _formation
 from papayastall import _peering
 from papayastall import _proposals
 from papayastall import _raft_types as types
@@ -55,7 +56,7 @@
     data_folder: str
     timings: types.Timings = types.Timings()
     options: _replica_set.SetOptions = _replica_set.SetOptions()
-    formation: types.Formation = types.Formation()
+    formation: _formation.Formation = _formation.Formation()
 
 
 def _bug(error: Exception) -> exceptions.PapayastallError:
--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from papayastall import _data_folder
+from papayastall import _formation
 from papayastall import _raft
 from papayastall import _raft_types as types
 from papayastall import _storage
@@ -287,7 +288,7 @@
         options: SetOptions,
         rng: random.Random,
         now_s: float,
-        formation: types.Formation = types.Formation(),
+        formation: _formation.Formation = _formation.Formation(),
     ) -> None:
         self.identity = types.Sender(
             own_address, folder.folder_id, folder.boot, folder.boot_nonce
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -28,8 +28,8 @@
 from papayastall import _control_commands as commands
 from papayastall import _control_plane
 from papayastall import _credentials
-from papayastall import _data_folder
 from papayastall import _decision_types
+from papayastall import _formation
 from papayastall import _gossip
 from papayastall import _http_server
 from papayastall import _ingress_controller
@@ -41,7 +41,6 @@
 from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import _peering
-from papayastall import _raft_types
 from papayastall import _retry
 from papayastall import _route_lookup
 from papayastall import _service_policy
@@ -691,6 +690,8 @@
 
 def _try_folder(path: str, group_count: int) -> bool:
     """Make a data folder where there is none; false if it can't be now."""
+    from papayastall import _data_folder
+
     if _data_folder.has_identity(path):
         return True
     try:
@@ -710,10 +711,10 @@
 
 def _make_formation(
     group: settings.ControlGroupSettings | None,
-) -> _raft_types.Formation:
+) -> _formation.Formation:
     if group is None:
-        return _raft_types.Formation()
-    return _raft_types.Formation(
+        return _formation.Formation()
+    return _formation.Formation(
         may_found=group.may_found,
         admits=True,
         target_voters=group.target_voters,
--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -15,6 +15,7 @@
 import random
 
 from papayastall import _data_folder
+from papayastall import _formation
 from papayastall import _raft_codec as codec
 from papayastall import _raft_types as types
 from papayastall import _replica_set
@@ -87,7 +88,7 @@
     set_class = _replica_set.ReplicaSet
     timings = types.Timings(yield_s=math.inf)
     storage_class = _storage.Storage
-    formation = types.Formation()
+    formation = _formation.Formation()
 
     def __init__(self, seed: int, size: int = 3) -> None:
         self.rng = random.Random(seed)
--- a/tests/test_raft_growth.py
+++ b/tests/test_raft_growth.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from papayastall import _raft_types as types
+from papayastall import _formation
 from tests import raft_cluster
 
 SEEDS = 3
@@ -23,7 +23,7 @@
     """Three founders; all others ask to be let in."""
 
     def __init__(self, seed: int, size: int, target_voters: int) -> None:
-        self.formation = types.Formation(
+        self.formation = _formation.Formation(
             may_found=True,
             admits=True,
             target_voters=target_voters,
@@ -32,7 +32,7 @@
         super().__init__(seed, SEEDS)
         for number in range(SEEDS, size):
             self.add_node(f"10.0.0.{number + 1}:1")
-        self.formation = types.Formation(
+        self.formation = _formation.Formation(
             may_found=False,
             admits=True,
             target_voters=target_voters,
