Know all members within seconds of a common start; hold less; stop taking

Cause: of 21 nodes 10 were not ready for 9 to 12 s after a start, since nodes that start at once queue their news for few members and repaired tables every 3 s at most, so that they knew two control replicas of five and not the leader. Change: repairs at intervals that shrink with the fleet; the seeds are asked as well until the config is known; a stopping owner refuses at once, not run; nobody waits longer than half of the objective, and one whose forecast was wrong is refused.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 
 from papayastall import _decision_types as types
 
@@ -20,11 +21,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class QueuedRequest:
-    """A request that waits for a slot."""
+    """A request that waits for a slot.
+
+    :param latest_s: when it is refused rather than held any longer.
+    """
 
     request: types.OwnerRequest
     queued_s: float
     precedence: Precedence = (0, False)
+    latest_s: float = math.inf
 
 
 class TeamQueue:
@@ -116,16 +121,16 @@
         return None
 
     def take_late(self, latest_s: float) -> list[QueuedRequest]:
-        """Take out all requests whose deadline is before this time."""
+        """Take out all requests that must not wait beyond this time."""
         late: list[QueuedRequest] = []
         for team in list(self._by_team):
             waiting = self._by_team[team]
-            late.extend(
-                item for item in waiting if item.request.deadline_s < latest_s
-            )
-            kept = collections.deque(
-                item for item in waiting if item.request.deadline_s >= latest_s
-            )
+            kept: collections.deque[QueuedRequest] = collections.deque()
+            for item in waiting:
+                if min(item.latest_s, item.request.deadline_s) < latest_s:
+                    late.append(item)
+                else:
+                    kept.append(item)
             if kept:
                 self._by_team[team] = kept
             else:
@@ -199,7 +204,7 @@
         return None
 
     def take_late(self, latest_s: float) -> list[QueuedRequest]:
-        """Take out all requests whose deadline is before this time."""
+        """Take out all requests that must not wait beyond this time."""
         return [
             item
             for queue in self._queues.values()
--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -438,6 +438,14 @@
         self._note_up(peer)
 
 
+def _objective_left_ms(exchange: _exchange.Exchange) -> int:
+    objective_s = exchange.request.objective_s
+    if objective_s is None:
+        return 0
+    left_s = exchange.started_s + objective_s - clock.now_s()
+    return max(1, int(left_s * 1000))
+
+
 def _age_ms(exchange: _exchange.Exchange) -> float:
     return round((clock.now_s() - exchange.started_s) * 1000, 1)
 
@@ -477,6 +485,7 @@
         healthy_share=action.hints.healthy_share,
         last_resort=action.hints.last_resort,
         rank=request.rank,
+        objective_ms=_objective_left_ms(exchange),
     )
     for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
         end = start + BODY_PART_BYTES
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -110,6 +110,7 @@
         self._rng = rng
         self._host: _control_calls.GroupHost | None = None
         self._unreadable: set[str] = set()
+        self._was_ready = False
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
             node, control, clock.now_s()
@@ -301,12 +302,29 @@
             now_s = clock.now_s()
             members = self._list_members()
             self._start_fetches(self._controller.tick(now_s, members))
+            self._log_readiness(self._controller.is_ready(now_s))
             if not self._controller.is_ready(now_s):
                 await self._confirm_here()
                 await anyio.sleep(TICK_S)
             else:
                 await anyio.sleep(READY_TICK_S)
 
+    def _log_readiness(self, is_ready: bool) -> None:
+        if is_ready == self._was_ready:
+            return
+        self._was_ready = is_ready
+        words = {False: "unconfirmed", True: "confirmed"}
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.CONFIG,
+                self._node,
+                words[not is_ready],
+                words[is_ready],
+                f"index {self._controller.index}, heard of "
+                f"{self._controller.seen_index}",
+            )
+        )
+
     async def _confirm_here(self) -> None:
         if await self._leads_control():
             self._controller.note_authoritative(
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -152,10 +152,11 @@
     ) -> None:
         """Take in which nodes hold control, as membership knows them.
 
-        :param join_targets: whom a replica without a group asks.
+        :param join_targets: these and the seeds: whom a replica without a
+            group asks, and a node that does not know its config yet.
         """
         self.caller.set_control(replicas)
-        self.config.set_control(replicas)
+        self.config.set_control(join_targets)
         if self.host is not None:
             self.host.set_join_targets(tuple(join_targets))
 
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -146,6 +146,8 @@
     :param fingerprint: digest of service, method, target and body.
     :param hints: what the ingress knows of the whole service.
     :param rank: urgency; 0 is the most urgent.
+    :param objective_s: time left at its arrival in which an answer has its
+        full worth.
     """
 
     request_id: int
@@ -158,6 +160,7 @@
     fingerprint: int
     hints: RequestHints = RequestHints()
     rank: int = 0
+    objective_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -71,6 +71,8 @@
     :param body_follows: more of the body comes in :class:`BodyChunk`.
     :param sent_ms: on the sender's monotonic clock.
     :param rank: urgency; 0 is the most urgent.
+    :param objective_ms: time left in which an answer has its full worth;
+        0 where that is not known.
     :param claim_token: the holder of the idempotency key's claim, or "".
     """
 
@@ -94,6 +96,7 @@
     last_resort: bool = False
     sent_ms: int = 0
     rank: int = 0
+    objective_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -23,6 +23,9 @@
 
 _Code = exceptions.ErrorCode
 _SHED_PAUSE_S = 0.2
+_HELD_FACTOR = 1.5
+"""A request waits this much longer than the longest wait that is accepted
+when it comes, then it is refused: the forecast was wrong."""
 _MAX_SHED_PAUSE_S = 5.0
 
 
@@ -324,7 +327,12 @@
             )
         precedence = _placement.precedence(service, request)
         service.queue.push(
-            _admission.QueuedRequest(request, now_s, precedence)
+            _admission.QueuedRequest(
+                request,
+                now_s,
+                precedence,
+                now_s + _HELD_FACTOR * _placement.max_wait_s(now_s, request),
+            )
         )
         self._queued.add(request.request_id)
         return actions
@@ -361,7 +369,9 @@
         actions: list[types.OwnerAction] = []
         for item in service.queue.take_late(now_s):
             self._queued.remove(item.request.request_id)
-            code = _Code.DEADLINE_EXCEEDED
+            code = _Code.OVERLOADED
+            if item.request.deadline_s <= now_s:
+                code = _Code.DEADLINE_EXCEEDED
             actions.append(self._refuse(item.request, code))
         return actions
 
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -23,6 +23,7 @@
     "expected_run_s",
     "expected_wait_s",
     "has_time",
+    "max_wait_s",
     "precedence",
 ]
 
@@ -115,6 +116,14 @@
     return median.value
 
 
+def max_wait_s(now_s: float, request: types.OwnerRequest) -> float:
+    """Return how long a request may be expected to wait, seconds."""
+    left_s = request.deadline_s - now_s
+    if request.objective_s is not None:
+        left_s = min(left_s, request.objective_s)
+    return min(_MAX_WAIT_S, left_s / 2.0)
+
+
 def can_wait(
     now_s: float,
     service: state.ServiceState,
@@ -128,8 +137,7 @@
     for having a later deadline, or bookings would push lookups out.
     """
     wait_s = expected_wait_s(service, request, slots)
-    left_s = request.deadline_s - now_s
-    if wait_s > min(_MAX_WAIT_S, left_s / 2.0):
+    if wait_s > max_wait_s(now_s, request):
         return False
     return has_time(now_s + wait_s, service, request)
 
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -17,6 +17,9 @@
 __all__ = ["Reconciler", "RepairMessage"]
 
 EXCHANGE_INTERVAL_S = 3.0
+MIN_INTERVAL_S = 0.3
+FULL_INTERVAL_MEMBERS = 200
+"""From this size on a whole table is large beside the steady traffic."""
 PAGE_TIMEOUT_S = 0.5
 READ_INTERVAL_S = 10.0
 BRANCHES_PER_EXCHANGE = 3
@@ -83,7 +86,7 @@
             return []
         if now_s < self._next_exchange_s:
             return []
-        self._next_exchange_s = now_s + EXCHANGE_INTERVAL_S
+        self._next_exchange_s = now_s + self._scale_s(EXCHANGE_INTERVAL_S)
         digests = self._table.branch_digests()
         return [RepairMessage(source, types.BranchDigests(digests))]
 
@@ -150,10 +153,19 @@
             return []
         self._cursor = body.next_cursor
         if not self.is_reading:
-            self._next_read_s = now_s + READ_INTERVAL_S
+            self._next_read_s = now_s + self._scale_s(READ_INTERVAL_S)
             return []
         return self._ask(now_s)
 
+    def _scale_s(self, interval_s: float) -> float:
+        """Return an interval that is shorter in a small fleet.
+
+        There a repair costs little, and news was queued for few members
+        while all nodes started at once.
+        """
+        share = min(1.0, len(self._table.live) / FULL_INTERVAL_MEMBERS)
+        return max(MIN_INTERVAL_S, interval_s * share)
+
     def _ask(self, now_s: float) -> list[RepairMessage]:
         self._asked_s = now_s
         target = self._reading_from()
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -393,6 +393,7 @@
         """
         self._log_state("running", "leaving", "asked to stop")
         self.blackboard.stopping = True
+        self.owner.stop_taking()
         self.gossiper.send(self.membership.leave(clock.now_s()))
         timeout_s = self.settings.shutdown_timeout_ms / 1000
         with anyio.move_on_after(timeout_s):
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -95,6 +95,7 @@
         self._runs = _owner_runs.RunTable()
         self._client = _upstream_client.UpstreamClient(names)
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._is_stopping = False
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Take frames and run requests in ``tasks``."""
@@ -110,6 +111,13 @@
         """Close the connections to upstreams."""
         await self._client.close()
 
+    def stop_taking(self) -> None:
+        """Refuse what comes from now on, as the process will end.
+
+        What runs here would be cut when the process has to end.
+        """
+        self._is_stopping = True
+
     def running(self) -> int:
         """Return how many requests have not ended."""
         return self._runs.running()
@@ -150,6 +158,14 @@
         if run is None:
             return
         run.arrived_s = clock.now_s()
+        if self._is_stopping:
+            self._end(
+                run,
+                exceptions.ErrorCode.LEAVING,
+                ran_unknown=False,
+                retry_after_ms=0,
+            )
+            return
         run.body += frame.body
         if not frame.body_follows:
             self._submit(run)
@@ -185,6 +201,7 @@
                 last_resort=frame.last_resort,
             ),
             rank=frame.rank,
+            objective_s=frame.objective_ms / 1000 or None,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -45,6 +45,7 @@
   18: bool last_resort,
   19: i64 sent_ms,
   20: i32 rank,
+  21: i32 objective_ms,
 }
 
 struct BodyChunk {
