--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 test: .venv/.installed dist
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src tests bench demo
+	$(BIN)/flake8 src tests bench demo platform
 	$(BIN)/mypy
 	CI=true $(BIN)/python tests/run.py
 	$(BIN)/python -m pytest tests/smoke_dist.py
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -5,7 +5,6 @@
 import collections.abc as cabc
 import dataclasses
 import random
-import time
 import zlib
 
 import anyio
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -24,7 +24,7 @@
 from papayastall import exceptions
 
 if t.TYPE_CHECKING:
-    from papayastall import _replica
+    from papayastall._replica import ReplicaHost
 
 __all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
 
@@ -83,7 +83,7 @@
         hooks: ControlHooks,
         rng: random.Random,
     ) -> None:
-        self.host: _replica.ReplicaHost | None = None
+        self.host: ReplicaHost | None = None
         server = None
         state = _control_state.ControlState()
         if settings.data_folder is not None:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -13,7 +13,6 @@
 import enum
 import itertools
 import ssl
-import time
 import typing as t
 
 import anyio
--- a/src/papayastall/_thrift.py
+++ b/src/papayastall/_thrift.py
@@ -11,8 +11,8 @@
 import struct
 import typing as t
 
-from thriftpy2 import thrift
 from thriftpy2.protocol import cybin
+import thriftpy2.thrift
 from thriftpy2.transport import memory
 
 from papayastall import exceptions
@@ -39,7 +39,7 @@
         for struct_name in tables:
             self._structs[struct_name] = type(
                 struct_name,
-                (thrift.TPayload,),
+                (thriftpy2.thrift.TPayload,),
                 {"__module__": f"{name}_thrift"},
             )
         for struct_name, table in tables.items():
@@ -74,7 +74,7 @@
     def _fill(struct: t.Any, spec: dict[int, t.Any]) -> None:
         struct.thrift_spec = spec
         struct.default_spec = [(entry[1], None) for entry in spec.values()]
-        struct.__init__ = thrift.init_func_generator(
+        struct.__init__ = thriftpy2.thrift.init_func_generator(
             struct, struct.default_spec
         )
 
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import collections.abc as cabc
 import dataclasses
 
 import anyio
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -4,7 +4,6 @@
 
 import collections.abc as cabc
 import dataclasses
-import time
 import typing as t
 
 import anyio
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -75,6 +75,26 @@
         """Write nothing."""
 
 
+def wait_until_ready(
+    fleet: platform_fleet.PlatformFleet, machine: platform_fleet.Machine
+) -> None:
+    fleet.wait(
+        lambda: fleet.is_ready(machine), f"{machine.name} is ready", LIMIT_S
+    )
+
+
+def wait_for_answer(
+    fleet: platform_fleet.PlatformFleet,
+    machine: platform_fleet.Machine,
+    path: str,
+) -> None:
+    fleet.wait(
+        lambda: fleet.ask(machine, path).status == 200,
+        f"{machine.name} gets an answer to {path}",
+        LIMIT_S,
+    )
+
+
 @pytest.fixture(scope="module")
 def running(
     tmp_path_factory: pytest.TempPathFactory,
@@ -107,21 +127,11 @@
         LIMIT_S,
     )
     for stand_in, machine in zip(stand_ins, running.nodes, strict=True):
-        running.wait(
-            lambda machine=machine: running.is_ready(machine),  # type: ignore[misc]
-            "a node is ready",
-            LIMIT_S,
-        )
+        wait_until_ready(running, machine)
         assert running.beat(machine, stand_in.instance).status == 200
-    for service in ("visits", "orders"):
-        running.wait(
-            lambda service=service: all(  # type: ignore[misc]
-                running.ask(machine, f"/{service}/x").status == 200
-                for machine in running.nodes
-            ),
-            "requests are answered",
-            LIMIT_S,
-        )
+    for machine in running.nodes:
+        for service in ("visits", "orders"):
+            wait_for_answer(running, machine, f"/{service}/x")
     yield stand_ins
     for stand_in in stand_ins:
         stand_in.gate.set()
@@ -139,6 +149,18 @@
     return int(json.loads(answer.body)["version"])
 
 
+def wait_for_version(
+    fleet: platform_fleet.PlatformFleet,
+    machine: platform_fleet.Machine,
+    version: int,
+) -> None:
+    fleet.wait(
+        lambda: read_version(fleet, machine) == version,
+        f"version {version} is read at {machine.name}",
+        LIMIT_S,
+    )
+
+
 def test_a_request_is_answered_through_a_node_that_owns_nothing(
     running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
 ) -> None:
@@ -209,11 +231,7 @@
     assert running.ask(running.nodes[1], "/visits/x").status == 503
     assert len(upstreams[0].requests) == count
     assert running.beat(visits, "i-0", sequence=3).status == 200
-    running.wait(
-        lambda: running.ask(running.nodes[1], "/visits/x").status == 200,
-        "the upstream is back",
-        LIMIT_S,
-    )
+    wait_for_answer(running, running.nodes[1], "/visits/x")
 
 
 def test_a_planned_stop_cuts_nothing(
@@ -239,4 +257,4 @@
     assert [answer.status for answer in answers] == [200]
     assert node.process.wait(LIMIT_S) == 0
     running.start_machine(node)
-    running.wait(lambda: running.is_ready(node), "ready again", LIMIT_S)
+    wait_until_ready(running, node)
