--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -113,15 +113,22 @@
                 await node.start(tasks)
                 tasks.start_soon(_watch_failure, node)
                 async for number in signals:
-                    if number != signal.SIGHUP:
-                        break
-                    interfaces.reload(node)
-                await node.close()
-                tasks.cancel_scope.cancel()
+                    if number == signal.SIGHUP:
+                        interfaces.reload(node)
+                    elif node.blackboard.stopping:
+                        node.extend_stop()
+                    else:
+                        node.blackboard.stopping = True
+                        tasks.start_soon(_stop, node, tasks.cancel_scope)
     finally:
         log_file.close()
 
 
+async def _stop(node: Node, scope: anyio.CancelScope) -> None:
+    await node.close()
+    scope.cancel()
+
+
 async def _watch_failure(node: Node) -> None:
     """End a process that can't do its part any more."""
     await node.failed.wait()
@@ -158,6 +165,7 @@
         )
         self.histograms = histograms.HistogramTable()
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._stop_scope: anyio.CancelScope | None = None
         self._build_links()
         self._build_membership()
         self._build_control()
@@ -396,7 +404,7 @@
         self.owner.stop_taking()
         self.gossiper.send(self.membership.leave(clock.now_s()))
         timeout_s = self.settings.shutdown_timeout_ms / 1000
-        with anyio.move_on_after(timeout_s):
+        with anyio.move_on_after(timeout_s) as self._stop_scope:
             await anyio.sleep(self.settings.leave_notice_ms / 1000)
             # Callers that do not heed "Connection: close" would otherwise
             # keep this node busy for as long as they like.
@@ -414,6 +422,15 @@
         self.counters.close()
         self._log_state("leaving", "stopped", "nothing is in flight")
 
+    def extend_stop(self) -> None:
+        """Give what is in flight the whole time again, from now on.
+
+        Whoever asks for a stop that is under way counts its time from then.
+        """
+        timeout_s = self.settings.shutdown_timeout_ms / 1000
+        if self._stop_scope is not None:
+            self._stop_scope.deadline = anyio.current_time() + timeout_s
+
     def announce(
         self, announcement: _decision_types.UpstreamAnnouncement
     ) -> _announcements.AnnounceAnswer:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -18,6 +18,10 @@
 from tests import platform_fleet
 
 LIMIT_S = 30.0
+CONFIG_APPLY_S = 2.0
+"""An acknowledged configuration is in force everywhere after this."""
+GRACE_S = 6.0
+"""From SIGTERM to SIGKILL."""
 CATCH_UP_S = 4.0
 """A machine counts as lost for so long after it is back."""
 NETS = itertools.count(40)
@@ -258,3 +262,41 @@
     assert node.process.wait(LIMIT_S) == 0
     running.start_machine(node)
     wait_until_ready(running, node)
+
+
+def test_a_second_request_to_stop_starts_its_time_anew(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    """The answer comes after the first time has gone, within the second."""
+    node = running.nodes[0]
+    assert node.process is not None
+    upstreams[1].gate.clear()
+    upstreams[1].started.clear()
+    answers: list[platform_fleet.Answer] = []
+    caller = threading.Thread(
+        target=lambda: answers.append(
+            running.ask(node, "/orders/slow", **{"Deadline-Ms": "30000"})
+        )
+    )
+    config = platform_fleet.make_config(
+        99,
+        read_version(running, running.control[0]),
+        visits=4000,
+        orders=30_000,
+    )
+    assert running.configure(running.control[0], "PUT", config).status == 200
+    wait_for_version(running, running.control[0], 99)
+    time.sleep(CONFIG_APPLY_S)
+    caller.start()
+    assert upstreams[1].started.wait(LIMIT_S)
+    node.process.send_signal(signal.SIGTERM)
+    time.sleep(GRACE_S / 2)
+    node.process.send_signal(signal.SIGTERM)
+    time.sleep(GRACE_S / 2)
+    assert node.process.poll() is None, "it ended by its first time"
+    upstreams[1].gate.set()
+    caller.join(LIMIT_S)
+    assert [answer.status for answer in answers] == [200]
+    assert node.process.wait(LIMIT_S) == 0
+    running.start_machine(node)
+    wait_until_ready(running, node)
