--- a/src/papayastall/_control_app.py
+++ b/src/papayastall/_control_app.py
@@ -9,6 +9,7 @@
 
 from papayastall import _announcements
 from papayastall import _credentials
+from papayastall import _http_server
 from papayastall import _problem
 from papayastall import exceptions
 
@@ -56,15 +57,7 @@
             status = problem.status
             headers = problem.headers()
             body = problem.body()
-        headers.append((b"content-length", str(len(body)).encode()))
-        await send(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": headers,
-            }
-        )
-        await send({"type": "http.response.body", "body": body})
+        await _http_server.send_answer(send, status, headers, body)
 
     async def _call(self, scope: Scope, receive: Receive) -> object:
         authorization = dict(scope["headers"]).get(b"authorization")
--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -21,7 +21,15 @@
 
 from papayastall import clock
 
-__all__ = ["Application", "HttpLimits", "HttpServer"]
+__all__ = [
+    "Application",
+    "HttpLimits",
+    "HttpServer",
+    "Receive",
+    "Scope",
+    "Send",
+    "send_answer",
+]
 
 BACKLOG = 1024
 MAX_PIPELINED = 16
@@ -38,6 +46,21 @@
 Application = cabc.Callable[[Scope, Receive, Send], cabc.Awaitable[None]]
 
 
+async def send_answer(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    """Send a whole answer with its length."""
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, length],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
 class HttpLimits:
     """What callers may send; may be changed while the server runs.
 
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -6,10 +6,17 @@
 import math
 import random
 
-__all__ = ["BudgetLimits", "RetryBudget", "jittered_retry_after_s"]
+__all__ = [
+    "BudgetLimits",
+    "RetryBudget",
+    "jittered_retry_after_s",
+    "share_budget",
+]
 
 MIN_RETRY_AFTER_S = 2.0
 MAX_RETRY_AFTER_S = 30.0
+_MIN_BURST = 1.0
+"""Less than one attempt could never be made."""
 
 
 def jittered_retry_after_s(backlog_s: float, rng: random.Random) -> float:
@@ -36,6 +43,18 @@
     idle_per_s: float = 0.2
 
 
+def share_budget(
+    ratio: float, fleet_burst: float, ingresses: int
+) -> BudgetLimits:
+    """Return one ingress's part of a budget that the whole fleet shares.
+
+    :param fleet_burst: extra attempts that the fleet may save up.
+    :param ingresses: nodes that take requests of callers.
+    """
+    burst = max(_MIN_BURST, fleet_burst / max(1, ingresses))
+    return BudgetLimits(ratio, burst, idle_per_s=0.0)
+
+
 @dataclasses.dataclass(slots=True)
 class RetryBudget:
     """Allows extra attempts as a share of the callers' own requests."""
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -14,6 +14,7 @@
     "HealthTuning",
     "RoutingTuning",
     "ServicePolicy",
+    "for_table",
     "from_document",
     "health_tuning",
 ]
@@ -168,3 +169,30 @@
         ),
         failure_domain=failure_domain,
     )
+
+
+_TABLE_ROUTING = RoutingTuning(
+    choices=6,
+    trial_ratio=0.06,
+    hedge_factor=2.5,
+    min_hedge_s=0.3,
+    max_refusals=6,
+    steered_word_s=4.0,
+    far_penalty=0.5,
+)
+
+
+def for_table(
+    failure_domain: str, retry_budget: _retry.BudgetLimits
+) -> ServicePolicy:
+    """Return the policy of a service that no document describes.
+
+    :param failure_domain: of this node.
+    :param retry_budget: this node's part of the fleet's.
+    """
+    return ServicePolicy(
+        health_priority=documents.HealthPriority.GRAY,
+        retry_budget=retry_budget,
+        failure_domain=failure_domain,
+        routing=_TABLE_ROUTING,
+    )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -12,14 +12,12 @@
 import dataclasses
 import os
 import random
-import shutil
 import signal
 import ssl
 import time
 
 import anyio
 import anyio.abc
-import anyio.to_thread
 
 from papayastall import _announcements
 from papayastall import _attempts
@@ -31,6 +29,7 @@
 from papayastall import _decision_types
 from papayastall import _formation
 from papayastall import _gossip
+from papayastall import _group_folder
 from papayastall import _http_server
 from papayastall import _ingress_controller
 from papayastall import _journal
@@ -64,8 +63,6 @@
 CONTROL_SERVICE = "@control"
 """Under this name membership lists the control replicas."""
 FOLLOW_INTERVAL_S = 1.0
-FOLDER_RETRY_S = 0.5
-GROUP_FOLDER = "group"
 SUSPECT_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 MIN_RENEW_MS = 100
@@ -165,6 +162,11 @@
         )
         self.histograms = histograms.HistogramTable()
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._group_folder: _group_folder.GroupFolder | None = None
+        if node_settings.control_group and node_settings.data_folder:
+            self._group_folder = _group_folder.GroupFolder(
+                node_settings.data_folder, 1 + node_settings.claim_groups
+            )
         self._stop_scope: anyio.CancelScope | None = None
         self._build_links()
         self._build_membership()
@@ -215,13 +217,20 @@
     def _routes_by_table(self) -> bool:
         return self.settings.routing is settings.RoutingKind.TABLE
 
+    def _find_data_folder(self) -> str | None:
+        """Return where the replicas of this node keep their files."""
+        if self._group_folder is not None:
+            return self._group_folder.path
+        folder = self.settings.data_folder
+        return None if folder is None else str(folder)
+
     def _build_control(self) -> None:
         node_settings = self.settings
         control_settings = _control_plane.ControlSettings(
             node=node_settings.link_address,
             control=tuple(node_settings.control_replicas),
             claim_groups=node_settings.claim_groups,
-            data_folder=self._find_group_folder(),
+            data_folder=self._find_data_folder(),
             epoch=self.boot_ms,
             formation=_make_formation(node_settings.control_group),
             with_permits=not self._routes_by_table,
@@ -321,7 +330,8 @@
         await self.owner.start(tasks)
         await self.attempts.start(tasks)
         await self.gossiper.start(tasks)
-        await self._prepare_folder()
+        if self._group_folder is not None:
+            await self._group_folder.prepare()
         await self.control.start(tasks)
         if self.settings.control_group is not None:
             tasks.start_soon(self._follow_control)
@@ -334,33 +344,6 @@
             cause += "; insecure: keys and secrets may be left out"
         self._log_state("starting", "running", cause)
 
-    def _find_group_folder(self) -> str | None:
-        """Return where the replicas of this node keep their files.
-
-        A folder that the node makes itself lies inside the given one, so
-        that it can be given up as a whole.
-        """
-        folder = self.settings.data_folder
-        if folder is None:
-            return None
-        if self.settings.control_group is None:
-            return str(folder)
-        return str(folder / GROUP_FOLDER)
-
-    async def _prepare_folder(self) -> None:
-        """Make the data folder of a replica that admits itself.
-
-        A disk that takes no writes at the moment is tried again.
-        """
-        folder = self._find_group_folder()
-        if self.settings.control_group is None or folder is None:
-            return
-        group_count = 1 + self.settings.claim_groups
-        while not await anyio.to_thread.run_sync(
-            _try_folder, folder, group_count
-        ):
-            await anyio.sleep(FOLDER_RETRY_S)
-
     async def _follow_control(self) -> None:
         """Tell the clients of control which nodes hold it now."""
         while True:
@@ -505,38 +488,24 @@
         former = routing.lookup
         assert former is None or former.table.version < table.version
         routing.lookup = _route_lookup.RouteLookup(table, former)
+        members = self.membership.members()
+        control = self.membership.adverts(CONTROL_SERVICE)
+        policy = _service_policy.for_table(
+            self.settings.failure_domain,
+            _retry.share_budget(
+                self.settings.retry_ratio,
+                self.settings.retry_burst,
+                len(members) - len(control),
+            ),
+        )
         for service in table.services:
-            self._configure(service.name, self._make_table_policy())
+            self._configure(service.name, policy)
         if self.caller_server is not None:
             limits = self.caller_server.limits
             limits.max_header_bytes = table.limits.max_header_bytes
             limits.header_timeout_ms = table.limits.header_timeout_ms
             limits.idle_timeout_ms = table.limits.idle_timeout_ms
 
-    def _make_table_policy(self) -> _service_policy.ServicePolicy:
-        """Return the policy of a service that no document describes."""
-        members = self.membership.members()
-        control = self.membership.adverts(CONTROL_SERVICE)
-        ingresses = max(1, len(members) - len(control))
-        return _service_policy.ServicePolicy(
-            health_priority=documents.HealthPriority.GRAY,
-            routing=_service_policy.RoutingTuning(
-                choices=6,
-                hedge_factor=2.5,
-                min_hedge_s=0.3,
-                max_refusals=6,
-                trial_ratio=0.06,
-                steered_word_s=4.0,
-                far_penalty=0.5,
-            ),
-            retry_budget=_retry.BudgetLimits(
-                ratio=self.settings.retry_ratio,
-                burst=max(1.0, self.settings.retry_burst / ingresses),
-                idle_per_s=0.0,
-            ),
-            failure_domain=self.settings.failure_domain,
-        )
-
     def _configure(
         self, service: str, policy: _service_policy.ServicePolicy
     ) -> None:
@@ -678,9 +647,9 @@
         A folder that the group does not accept any more is given up: no
         operator is there to do so.
         """
-        folder = self.settings.data_folder
-        if error.code is exceptions.ErrorCode.STORAGE_DAMAGED and folder:
-            shutil.rmtree(folder / GROUP_FOLDER, ignore_errors=True)
+        damaged = error.code is exceptions.ErrorCode.STORAGE_DAMAGED
+        if damaged and self._group_folder is not None:
+            self._group_folder.give_up()
         self.failure = error
         self.failed.set()
 
@@ -707,27 +676,6 @@
         )
 
 
-def _try_folder(path: str, group_count: int) -> bool:
-    """Make a data folder where there is none; false if it can't be now."""
-    from papayastall import _data_folder
-
-    if _data_folder.has_identity(path):
-        return True
-    try:
-        # The identity is written last: whatever else is there was left by
-        # a start that broke off.
-        shutil.rmtree(path, ignore_errors=True)
-        _data_folder.create_data_folder(path, group_count)
-    except (exceptions.StorageError, OSError) as error:
-        logs.log_change(
-            logs.StateChange(
-                logs.ChangeKind.STORAGE, path, "", "not made", str(error)
-            )
-        )
-        return False
-    return True
-
-
 def _make_formation(
     group: settings.ControlGroupSettings | None,
 ) -> _formation.Formation:
