Tell from the logs what became of a request

Cause: on-call engineers have logs only; nothing joined the lines of many processes. While testing, a line that says what was dropped could itself be lost without a trace when nobody read the log. Result: tests of the timeline, of a log that nobody reads and of the room that requests leave for changes of state pass.

--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -13,6 +13,7 @@
 import orjson
 
 from papayastall import _control_client
+from papayastall import _explain
 from papayastall import _histogram_report
 from papayastall import _tables
 from papayastall import clock
@@ -24,6 +25,7 @@
     "apply",
     "demo",
     "drain",
+    "explain",
     "histograms",
     "print_data",
     "read_document",
@@ -178,6 +180,36 @@
     print_data(arguments, answer, text)
 
 
+def explain(arguments: Arguments) -> None:
+    """Print what the logs say of a request.
+
+    :raises papayastall.exceptions.BadInputError: a file can't be read, or
+        no line names the request.
+    """
+    request = arguments["<request-id>"]
+    lines = [
+        line
+        for path in arguments["<log-file>"]
+        for line in _explain.read_lines(_read_log(path))
+    ]
+    timeline = _explain.explain(request, lines)
+    text = _explain.format_timeline(request, timeline)
+    data = {"request": request, "timeline": timeline}
+    print_data(arguments, data, text)
+
+
+def _read_log(path: str) -> list[str]:
+    try:
+        text = pathlib.Path(path).read_text(errors="replace")
+    except OSError as error:
+        raise exceptions.BadInputError(
+            exceptions.ErrorCode.BAD_REQUEST,
+            f"can't read {path}: {error.strerror}; name a log file",
+            step="explain",
+        ) from error
+    return text.splitlines()
+
+
 def demo(arguments: Arguments) -> None:
     """Send a lookup and a booking through a node and print the answers.
 
--- a/src/papayastall/_cli_usage.py
+++ b/src/papayastall/_cli_usage.py
@@ -22,6 +22,7 @@
   drain       take an upstream out of service without cutting a request
   undrain     put a drained upstream back
   histograms  draw the time added, waiting and upstream time
+  explain     tell from log files what became of a request
   demo        send a lookup and a booking through a node
   version     print the version
 
@@ -136,6 +137,14 @@
     "  papayastall histograms --settings node.toml --service visits",
 )
 
+EXPLAIN_USAGE = _make_usage(
+    "Tells from the logs of all nodes what became of a request, and what the\n"
+    "nodes involved believed just before.",
+    "explain [--json] <request-id> <log-file>...",
+    "  --json              print JSON\n",
+    "  papayastall explain 9c41d07be2a35f68 logs/*.log",
+)
+
 DEMO_USAGE = _make_usage(
     "Sends a lookup and a booking through a node and prints the answers.",
     "demo [--json] <caller-address> <lookup-path> <booking-path>",
@@ -161,6 +170,7 @@
     "drain": DRAIN_USAGE,
     "undrain": UNDRAIN_USAGE,
     "histograms": HISTOGRAMS_USAGE,
+    "explain": EXPLAIN_USAGE,
     "demo": DEMO_USAGE,
     "version": VERSION_USAGE,
 }
--- a/src/papayastall/logs.py
+++ b/src/papayastall/logs.py
@@ -23,6 +23,7 @@
 from papayastall import exceptions
 
 __all__ = [
+    "MESSAGE_TYPE_PREFIX",
     "ChangeKind",
     "LogFile",
     "RequestEvent",
@@ -95,6 +96,7 @@
     """Writes lines to a descriptor without ever waiting for its reader."""
 
     def __init__(self) -> None:
+        self._node = ""
         self._descriptor: int | None = None
         self._waiting: collections.deque[bytes] = collections.deque()
         self._waiting_bytes = 0
@@ -102,9 +104,12 @@
         self._refilled_s = 0.0
         self._dropped: collections.Counter[str] = collections.Counter()
 
-    def open(self, descriptor: int) -> None:
-        """Write to this descriptor from now on."""
+    def open(self, descriptor: int, node: str) -> None:
+        """Write to this descriptor from now on, as this node."""
+        self._node = node
         self._descriptor = descriptor
+        self._lines = BURST_LINES
+        self._refilled_s = clock.now_s()
         if not stat.S_ISREG(os.fstat(descriptor).st_mode):
             os.set_blocking(descriptor, False)
 
@@ -130,27 +135,31 @@
         if self._lines < 1.0 + reserve_lines:
             self._dropped[event] += 1
             return
-        if self._dropped:
-            dropped, self._dropped = self._dropped, collections.Counter()
-            self._put("log", {"dropped_lines": dict(dropped)})
-        self._put(event, fields)
+        if self._dropped and self._put(
+            "log", {"dropped_lines": dict(self._dropped)}
+        ):
+            self._dropped.clear()
+        if not self._put(event, fields):
+            self._dropped[event] += 1
         self._flush()
 
-    def _put(self, event: str, fields: dict[str, t.Any]) -> None:
+    def _put(self, event: str, fields: dict[str, t.Any]) -> bool:
+        """Queue a line; return whether there was room for it."""
         line = orjson.dumps(
             {
                 "timestamp": round(time.time(), 4),
                 "message_type": MESSAGE_TYPE_PREFIX + event,
+                "node": self._node,
                 **fields,
             },
             option=orjson.OPT_APPEND_NEWLINE,
         )
         if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
-            self._dropped[event] += 1
-            return
+            return False
         self._lines -= 1.0
         self._waiting.append(line)
         self._waiting_bytes += len(line)
+        return True
 
     def _flush(self) -> None:
         assert self._descriptor is not None
@@ -204,10 +213,12 @@
     """The destination of the log lines.
 
     :param path: file to append to; ``None`` for standard output.
+    :param node: link address of the node that writes.
     """
 
-    def __init__(self, path: pathlib.Path | None) -> None:
+    def __init__(self, path: pathlib.Path | None, node: str = "") -> None:
         self._path = path
+        self._node = node
         self._stream: t.IO[bytes] | None = None
 
     def start(self) -> None:
@@ -216,7 +227,7 @@
         :raises papayastall.exceptions.BadInputError: it can't be opened.
         """
         if self._path is None:
-            _writer.open(sys.stdout.fileno())
+            _writer.open(sys.stdout.fileno(), self._node)
             return
         try:
             self._stream = self._path.open("ab", buffering=0)
@@ -226,7 +237,7 @@
                 f"log_file: can't append to {self._path}: {error.strerror}",
                 step="open log",
             ) from error
-        _writer.open(self._stream.fileno())
+        _writer.open(self._stream.fileno(), self._node)
 
     def close(self) -> None:
         """Stop writing log lines."""
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -99,7 +99,7 @@
 async def _run(
     node_settings: settings.NodeSettings, interfaces: Interfaces
 ) -> None:
-    log_file = logs.LogFile(node_settings.log_file)
+    log_file = logs.LogFile(node_settings.log_file, node_settings.link_address)
     log_file.start()
     try:
         with anyio.open_signal_receiver(
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -171,6 +171,7 @@
     """Compare keys with each other, also when single ones are wrong."""
     yield from _check_version(raw)
     yield from _check_control(raw)
+    yield from _check_roles(raw)
     yield from _check_ports(raw)
     yield from _check_security(raw)
 
@@ -220,6 +221,22 @@
         )
 
 
+def _check_roles(
+    raw: dict[str, t.Any],
+) -> cabc.Iterator[_checking.Problem]:
+    if "caller_address" not in raw and "data_folder" not in raw:
+        yield _checking.Problem(
+            "caller_address",
+            "is missing, and so is data_folder: the node would do nothing",
+            "add one of them",
+        )
+    groups = raw.get("claim_groups")
+    if type(groups) is int and groups < 0:
+        yield _checking.Problem(
+            "claim_groups", f"{groups} is below 0", "give 0 or more"
+        )
+
+
 def _check_ports(
     raw: dict[str, t.Any],
 ) -> cabc.Iterator[_checking.Problem]:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 
 import orjson
 import pytest
 
+from papayastall import clock
 from papayastall import exceptions
 from papayastall import logs
 
@@ -41,3 +43,55 @@
 ) -> None:
     with pytest.raises(exceptions.BadInputError, match="log_file"):
         logs.LogFile(tmp_path / "none" / "node.log").start()
+
+
+def test_a_log_that_nobody_reads_delays_nobody_and_counts_what_is_lost(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A pipe that is full; then its reader is back."""
+    now_s = 100.0
+    monkeypatch.setattr(clock, "now_s", lambda: now_s)
+    reader, writer = os.pipe()
+    log = logs._Writer()
+    log.open(writer, "10.0.0.1:1")
+    for number in range(2000):
+        log.write("member", {"text": "x" * 4000, "number": number}, 0.0)
+        now_s += 0.02
+    os.set_blocking(reader, False)
+    received = bytearray()
+    for _ in range(9):
+        now_s += 10.0
+        while True:
+            try:
+                received += os.read(reader, 1 << 20)
+            except BlockingIOError:
+                break
+        log.write("node", {}, 0.0)
+    entries = [orjson.loads(line) for line in received.splitlines()[:-1]]
+    numbers = [e["number"] for e in entries if "number" in e]
+    assert numbers == sorted(numbers)
+    dropped = sum(
+        entry["dropped_lines"].get("member", 0)
+        for entry in entries
+        if "dropped_lines" in entry
+    )
+    assert dropped + len(numbers) == 2000
+    os.close(reader)
+    os.close(writer)
+
+
+def test_requests_leave_room_for_changes_of_state(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clock, "now_s", lambda: 100.0)
+    path = tmp_path / "node.log"
+    log_file = logs.LogFile(path, "10.0.0.1:1")
+    log_file.start()
+    for number in range(1000):
+        logs.log_request(logs.RequestEvent.REFUSED, str(number), code="x")
+    logs.log_change(CHANGE)
+    log_file.close()
+    lines = [orjson.loads(line) for line in path.read_bytes().splitlines()]
+    assert len(lines) <= logs.BURST_LINES
+    assert lines[-1]["message_type"] == "papayastall:member"
+    assert lines[-2]["dropped_lines"]["request-refused"] > 0
