Join islands of a common start; share the retry budget by who is there

Found by papayastall explain on a refused request. The same line showed a retry budget of 10.2 for one node: the fleet's slack was divided by the few members known when the table came, so that all nodes together had four times their budget. Ruled out: repair by digests, which works within an island. Change: a young node tries seeds that are no members twice a second; budgets are divided anew as members come and go, and start with one attempt.

--- a/src/papayastall/_journal.py
+++ b/src/papayastall/_journal.py
@@ -19,9 +19,12 @@
 UNKNOWN = "unknown"
 GONE = "gone"
 LEAVING = "leaving"
+DOUBTED = "in doubt"
 
 Standing = _owner_state.Standing
 
+TRUSTED = (Standing.HEALTHY, Standing.RETURNING)
+
 COUNTERS = {
     (Standing.HEALTHY.value, Standing.STEERED.value): (
         metrics.Counter.STEERINGS
@@ -101,12 +104,19 @@
 def _describe(view: _owner_state.UpstreamView) -> str:
     if view.leaving or view.state is _decision_types.UpstreamState.LEAVING:
         return LEAVING
+    if view.is_doubted and view.standing in TRUSTED:
+        return DOUBTED
     return view.standing.value
 
 
 def _explain(view: _owner_state.UpstreamView) -> str:
     if _describe(view) == LEAVING:
         return f"{view.service}: it announced so, or operators drain it"
+    if _describe(view) == DOUBTED:
+        return (
+            f"{view.service}: requests in flight grow old or fail; lookups "
+            f"test it (score {view.score:.1f})"
+        )
     match view.standing:
         case Standing.STEERED:
             cause = "real work stalls, fails or is slower than elsewhere"
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -28,6 +28,10 @@
 GOSSIP_RECORDS_BYTES = 400
 FREEZE_GAP_S = 1.0
 RECONTACT_INTERVAL_S = 10.0
+YOUNG_S = 30.0
+YOUNG_RECONTACT_INTERVAL_S = 0.5
+"""Nodes that start together join through different seeds, and know only
+their island until one of them reaches another seed."""
 KEEP_GONE_S = 7200.0
 GOODBYE_COUNT = 5
 
@@ -80,7 +84,8 @@
             settings.address, self._table, rng, now_s
         )
         self._next_gossip_s = now_s
-        self._next_recontact_s = now_s + RECONTACT_INTERVAL_S
+        self._started_s = now_s
+        self._next_recontact_s = now_s + YOUNG_RECONTACT_INTERVAL_S
         incarnation = settings.boot_ms << types.BOOT_SHIFT
         self._version = incarnation
         self._own = types.MemberRecord(
@@ -391,7 +396,10 @@
         """Try a member thought dead, or a seed that is no member."""
         if now_s < self._next_recontact_s:
             return []
-        self._next_recontact_s = now_s + RECONTACT_INTERVAL_S
+        interval_s = RECONTACT_INTERVAL_S
+        if now_s - self._started_s < YOUNG_S:
+            interval_s = YOUNG_RECONTACT_INTERVAL_S
+        self._next_recontact_s = now_s + interval_s
         self._table.expire(now_s, KEEP_GONE_S)
         dead = self._table.dead
         live = {member.datagram_address for member in self.members()}
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -133,3 +133,4 @@
     standing: Standing
     out_until_s: float | None
     leaving: bool
+    is_doubted: bool = False
--- a/src/papayastall/_owner_views.py
+++ b/src/papayastall/_owner_views.py
@@ -76,4 +76,5 @@
         standing=upstream.standing,
         out_until_s=upstream.out_until_s if is_out else None,
         leaving=upstream.leaving_since_s is not None,
+        is_doubted=upstream.is_doubted,
     )
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -35,12 +35,14 @@
 
     :param ratio: extra attempts per request of its callers.
     :param burst: extra attempts that can be saved up.
+    :param initial: extra attempts of a node that has just started.
     :param idle_per_s: extra attempts gained each second without requests.
     """
 
     ratio: float = 0.1
     burst: float = 10.0
     idle_per_s: float = 0.2
+    initial: float = math.inf
 
 
 def share_budget(
@@ -52,7 +54,9 @@
     :param ingresses: nodes that take requests of callers.
     """
     burst = max(_MIN_BURST, fleet_burst / max(1, ingresses))
-    return BudgetLimits(ratio, burst, idle_per_s=0.0)
+    # A node that starts does not know yet how many share the budget, and
+    # one that starts again and again must not get its part each time.
+    return BudgetLimits(ratio, burst, idle_per_s=0.0, initial=_MIN_BURST)
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,9 +64,12 @@
     """Allows extra attempts as a share of the callers' own requests."""
 
     limits: BudgetLimits = BudgetLimits()
-    tokens: float = math.inf
+    tokens: float = dataclasses.field(init=False)
     updated_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.tokens = min(self.limits.initial, self.limits.burst)
+
     def deposit(self, now_s: float) -> None:
         """Count one request of a caller."""
         self._refill(now_s)
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -168,6 +168,7 @@
                 node_settings.data_folder, 1 + node_settings.claim_groups
             )
         self._stop_scope: anyio.CancelScope | None = None
+        self._budget_shares = 0
         self._build_links()
         self._build_membership()
         self._build_control()
@@ -354,6 +355,7 @@
             ]
             targets = list(dict.fromkeys([*known, *seeds]))
             self.control.set_control(known or seeds, targets)
+            self._follow_shares()
             await anyio.sleep(FOLLOW_INTERVAL_S)
 
     def _make_journal(self) -> _journal.Journal:
@@ -488,23 +490,42 @@
         former = routing.lookup
         assert former is None or former.table.version < table.version
         routing.lookup = _route_lookup.RouteLookup(table, former)
-        members = self.membership.members()
-        control = self.membership.adverts(CONTROL_SERVICE)
+        self._configure_table(table)
+        if self.caller_server is not None:
+            limits = self.caller_server.limits
+            limits.max_header_bytes = table.limits.max_header_bytes
+            limits.header_timeout_ms = table.limits.header_timeout_ms
+            limits.idle_timeout_ms = table.limits.idle_timeout_ms
+
+    def _configure_table(self, table: route_table.RouteTable) -> None:
+        """Set the policy of all services of a table.
+
+        It depends on how many nodes share the retry budget.
+        """
+        self._budget_shares = self._count_ingresses()
         policy = _service_policy.for_table(
             self.settings.failure_domain,
             _retry.share_budget(
                 self.settings.retry_ratio,
                 self.settings.retry_burst,
-                len(members) - len(control),
+                self._budget_shares,
             ),
         )
         for service in table.services:
             self._configure(service.name, policy)
-        if self.caller_server is not None:
-            limits = self.caller_server.limits
-            limits.max_header_bytes = table.limits.max_header_bytes
-            limits.header_timeout_ms = table.limits.header_timeout_ms
-            limits.idle_timeout_ms = table.limits.idle_timeout_ms
+
+    def _count_ingresses(self) -> int:
+        control = self.membership.adverts(CONTROL_SERVICE)
+        return len(self.membership.members()) - len(control)
+
+    def _follow_shares(self) -> None:
+        """Take in that more or fewer nodes share the retry budget."""
+        routing = self.blackboard.routing
+        if not isinstance(routing, blackboards.TableRouting):
+            return
+        shares = self._count_ingresses()
+        if routing.lookup is not None and shares != self._budget_shares:
+            self._configure_table(routing.lookup.table)
 
     def _configure(
         self, service: str, policy: _service_policy.ServicePolicy
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -64,6 +64,25 @@
     }
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_nodes_that_start_at_once_all_know_each_other_soon(
+    seed: int,
+) -> None:
+    """The seeds listen one after the other, later than they are asked.
+
+    Traffic begins 10 s after the machines do; nodes have to route by then.
+    """
+    fleet = gossip_fleet.GossipFleet(seed)
+    for number in range(3, 26):
+        fleet.start(number)
+    for number in range(3):
+        fleet.run(0.2)
+        fleet.start(number)
+    fleet.run(5.0)
+    sizes = {len(node.members()) for node in fleet.nodes.values()}
+    assert sizes == {26}
+
+
 def test_an_advert_reaches_every_node_and_is_withdrawn() -> None:
     fleet = start_fleet(20)
     offer(fleet, 3, visits=7, supplies=2)
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,46 @@
+"""The budget of extra attempts that a whole fleet shares."""
+
+from __future__ import annotations
+
+import pytest
+
+from papayastall import _retry
+
+RATIO, SLACK, WINDOW_S = 0.17, 51.0, 10.0
+
+
+@pytest.mark.parametrize("ingresses", [1, 5, 21, 30])
+def test_all_nodes_together_stay_in_the_budget_of_any_window(
+    ingresses: int,
+) -> None:
+    """Each node asks for a repeat with every request, for a minute."""
+    limits = _retry.share_budget(RATIO, SLACK, ingresses)
+    budgets = [_retry.RetryBudget(limits) for _ in range(ingresses)]
+    times_s: list[float] = []
+    step_s = 0.25
+    for step in range(int(60 / step_s)):
+        now_s = step * step_s
+        for budget in budgets:
+            budget.deposit(now_s)
+            if budget.take(now_s):
+                times_s.append(now_s)
+    requests = ingresses * WINDOW_S / step_s
+    allowed = 0.2 * requests + 60
+    for start in range(50):
+        taken = sum(start <= at_s < start + WINDOW_S for at_s in times_s)
+        assert taken <= allowed
+
+
+def test_a_node_that_starts_again_and_again_saves_up_nothing() -> None:
+    limits = _retry.share_budget(RATIO, SLACK, 1)
+    taken = 0
+    for _ in range(20):
+        budget = _retry.RetryBudget(limits)
+        while budget.take(0.0):
+            taken += 1
+    assert taken <= 20
+
+
+def test_nobody_is_left_without_any_attempt() -> None:
+    limits = _retry.share_budget(RATIO, SLACK, 2000)
+    assert _retry.RetryBudget(limits).take(0.0)
