--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -27,6 +27,9 @@
 MAX_HELD_ANSWER_BYTES = 64 << 10
 """Answers up to this size are passed on whole, so that one that breaks off
 can still be replaced by another attempt or an error."""
+IDLE_CLOSE_S = 0.02
+"""The close of an idle connection is seen within a round trip on the same
+VM; one that ends later ended while the request was worked on."""
 WRONG_INSTANCE_STATUS = 421
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 
@@ -131,8 +134,10 @@
             reused = self._take(request)
             if reused is None:
                 return await self._run_fresh(request, deadline_s, sink)
+            sent_s = clock.now_s()
             outcome = await self._run_on(reused, request, deadline_s, sink)
-            if outcome is Outcome.BROKEN and not sink.started:
+            was_idle = clock.now_s() - sent_s < IDLE_CLOSE_S
+            if outcome is Outcome.BROKEN and was_idle and not sink.started:
                 # Closed when idle, or dead at work: a fresh connection
                 # tells, but can't make the first try "not run".
                 outcome = await self._run_fresh(request, deadline_s, sink)
