--- a/bench/node_start.py
+++ b/bench/node_start.py
@@ -15,9 +15,9 @@
 import time
 
 import docopt
+from tests import platform_fleet
 
 from bench import node_process
-from tests import platform_fleet
 
 START_TARGET_S = 0.25
 MEMORY_TARGET_MB = 40.0
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -17,7 +17,6 @@
 
 import anyio
 import anyio.abc
-from anyio.streams import tls
 
 from papayastall import _channel_calls
 from papayastall import _connection
@@ -119,6 +118,8 @@
             local_host=host, local_port=int(port)
         )
         if self.settings.server_tls is not None:
+            from anyio.streams import tls
+
             listener = tls.TLSListener(
                 listener,
                 self.settings.server_tls,
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -1,4 +1,4 @@
-"""The operators' calls of a node, and small messages between nodes."""
+"""The operators' calls of a node."""
 
 from __future__ import annotations
 
@@ -8,20 +8,16 @@
 from papayastall import _config_service
 from papayastall import _control_app
 from papayastall import _control_commands as commands
-from papayastall import _decision_types
 from papayastall import _fleet_calls
 from papayastall import _histogram_report
 from papayastall import _owner_state
-from papayastall import _thrift
 from papayastall import clock
 from papayastall import exceptions
 
 if t.TYPE_CHECKING:
     from papayastall import node as nodes
 
-__all__ = ["decode_suspect", "encode_suspect", "make_calls"]
-
-wire = _thrift.load_module("wire")
+__all__ = ["make_calls"]
 
 
 def make_calls(node: nodes.Node) -> dict[str, _control_app.Handler]:
@@ -218,25 +214,3 @@
 
 def _read_upstream(body: t.Any) -> object:
     return body.get("upstream") if isinstance(body, dict) else None
-
-
-def encode_suspect(news: _decision_types.SuspectNews) -> bytes:
-    """Return the message that tells other nodes."""
-    return _thrift.encode(
-        wire.Suspect(
-            fingerprint=news.fingerprint,
-            upstream=news.upstream,
-            cleared=news.cleared,
-        )
-    )
-
-
-def decode_suspect(body: bytes) -> _decision_types.SuspectNews:
-    """Return what another node tells.
-
-    :raises papayastall.exceptions.ProtocolError: malformed.
-    """
-    value = _thrift.decode(wire.Suspect, body)
-    return _decision_types.SuspectNews(
-        value.fingerprint or 0, value.upstream or "", bool(value.cleared)
-    )
--- a/src/papayastall/_thrift.py
+++ b/src/papayastall/_thrift.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import importlib
 import struct
 import typing as t
@@ -79,6 +80,7 @@
         )
 
 
+@functools.cache
 def load_module(name: str) -> t.Any:
     """Return the structs of an IDL file of the package.
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -22,10 +22,8 @@
 from papayastall import _announcements
 from papayastall import _attempts
 from papayastall import _config_service
-from papayastall import _control_app
 from papayastall import _control_commands as commands
 from papayastall import _control_plane
-from papayastall import _credentials
 from papayastall import _decision_types
 from papayastall import _formation
 from papayastall import _gossip
@@ -36,13 +34,13 @@
 from papayastall import _links
 from papayastall import _membership
 from papayastall import _membership_types
-from papayastall import _node_calls
 from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import _peering
 from papayastall import _retry
 from papayastall import _route_lookup
 from papayastall import _service_policy
+from papayastall import _suspect_codec
 from papayastall import _tls
 from papayastall import blackboard as blackboards
 from papayastall import clock
@@ -206,6 +204,8 @@
         )
         key = b"insecure"
         if node_settings.cluster_key_file is not None:
+            from papayastall import _credentials
+
             key = _credentials.read_secret(node_settings.cluster_key_file)
         self.gossiper = _gossip.Gossiper(
             self.membership,
@@ -308,6 +308,11 @@
 
     def make_control_server(self) -> _http_server.HttpServer:
         """Return the server of the product's own control interface."""
+        # A node with an adapter's interface does without these modules.
+        from papayastall import _control_app
+        from papayastall import _credentials
+        from papayastall import _node_calls
+
         application = _control_app.ControlApp(
             _credentials.load_credentials(self.settings),
             _node_calls.make_calls(self),
@@ -569,7 +574,7 @@
     def spread_suspect(self, news: _decision_types.SuspectNews) -> None:
         """Tell every member of a request that may crash upstreams."""
         self.ingress_controller.suspect(clock.now_s(), news)
-        body = _node_calls.encode_suspect(news)
+        body = _suspect_codec.encode_suspect(news)
         assert self._tasks is not None
         for member in self.list_others():
             self._tasks.start_soon(self._tell_suspect, member, body)
@@ -581,7 +586,7 @@
             )
 
     async def _receive_suspect(self, _peer: str, body: bytes) -> bytes:
-        news = _node_calls.decode_suspect(body)
+        news = _suspect_codec.decode_suspect(body)
         now_s = clock.now_s()
         self.owner.perform(self.owner_controller.suspect(now_s, news))
         self.ingress_controller.suspect(now_s, news)
