Send hedges that were refused or unpaid; let the shared slack come back

A hedge that found the budget empty at that instant was dropped for good, and so was one that an owner refused ("unproven", "steered-away"), as the first attempt was still open. The budget was empty more often than it had to be: the slack that the fleet may use in any window was a store that each node could use up once.

Ruled out: second attempts that hang as well (2 of 45); late hedges (sent at 300 to 450 ms).

Change: an unpaid hedge is tried again after 0.1 s; a refused one goes to another owner without being paid again, unless the upstream itself refused it. 0.6 of the slack can be saved up, the rest comes back over the window. Bounds that a deployment does not state have defaults.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -22,6 +22,9 @@
 _Ran = exceptions.RanState
 _Actions = list[types.IngressAction]
 
+_HEDGE_RETRY_S = 0.1
+"""A hedge for which the budget had nothing left is tried again so soon."""
+
 
 class IngressController:
     """Decides which owner runs a caller's request, and what comes next.
@@ -327,7 +330,7 @@
         outcome: types.AttemptOutcome,
     ) -> _Actions:
         if pending.open:
-            return []
+            return self._move_hedge(now_s, pending, outcome)
         request = pending.request
         service = self._service(request.service)
         code = outcome.code or _Code.UPSTREAM_FAILED
@@ -397,12 +400,28 @@
         if not _retry_rules.is_late(now_s, pending):
             if not _service_view.has_room(now_s, service, pending):
                 return []
-        pending.hedge_due_s = None
+        pending.hedge_due_s = now_s + _HEDGE_RETRY_S
         if not service.budget.take(now_s):
             return []
         forward = self._forward(now_s, pending)
         return [forward] if forward is not None else []
 
+    def _move_hedge(
+        self,
+        now_s: float,
+        pending: state.PendingRequest,
+        outcome: types.AttemptOutcome,
+    ) -> _Actions:
+        """Send a hedge that an owner refused to another one.
+
+        It did not reach an upstream, so it is still paid for.
+        """
+        service = self._service(pending.request.service)
+        if not _retry_rules.may_move_hedge(service, pending, outcome):
+            return []
+        forward = self._forward(now_s, pending)
+        return [forward] if forward is not None else []
+
     def _end(
         self,
         now_s: float,
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -17,6 +17,9 @@
 MAX_RETRY_AFTER_S = 30.0
 _MIN_BURST = 1.0
 """Less than one attempt could never be made."""
+_SAVED_SHARE = 0.6
+"""Of a shared slack: enough for the two or three attempts that one node
+repeats at once when an upstream begins to hang."""
 
 
 def jittered_retry_after_s(backlog_s: float, rng: random.Random) -> float:
@@ -46,17 +49,25 @@
 
 
 def share_budget(
-    ratio: float, fleet_burst: float, ingresses: int
+    ratio: float, fleet_slack: float, window_s: float, ingresses: int
 ) -> BudgetLimits:
     """Return one ingress's part of a budget that the whole fleet shares.
 
-    :param fleet_burst: extra attempts that the fleet may save up.
+    Part of the slack can be saved up and spent at once; the rest comes back
+    evenly, so that any window holds the whole slack at most.
+
+    :param fleet_slack: extra attempts in any window, beyond the ratio.
+    :param window_s: length of the windows, seconds.
     :param ingresses: nodes that take requests of callers.
     """
-    burst = max(_MIN_BURST, fleet_burst / max(1, ingresses))
+    ingresses = max(1, ingresses)
+    burst = max(_MIN_BURST, _SAVED_SHARE * fleet_slack / ingresses)
+    spread = max(0.0, fleet_slack / ingresses - burst)
     # A node that starts does not know yet how many share the budget, and
     # one that starts again and again must not get its part each time.
-    return BudgetLimits(ratio, burst, idle_per_s=0.0, initial=_MIN_BURST)
+    return BudgetLimits(
+        ratio, burst, idle_per_s=spread / window_s, initial=_MIN_BURST
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_retry_rules.py
+++ b/src/papayastall/_retry_rules.py
@@ -7,7 +7,13 @@
 from papayastall import _service_view
 from papayastall import exceptions
 
-__all__ = ["has_attempts_left", "is_hedge_due", "is_late", "may_try_again"]
+__all__ = [
+    "has_attempts_left",
+    "is_hedge_due",
+    "is_late",
+    "may_move_hedge",
+    "may_try_again",
+]
 
 _Code = exceptions.ErrorCode
 _FREE_REFUSALS = 2
@@ -52,6 +58,27 @@
     return sent < pending.request.max_attempts
 
 
+def may_move_hedge(
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    outcome: types.AttemptOutcome,
+) -> bool:
+    """Return whether a refused hedge goes on to another owner.
+
+    The other attempt is still open.
+    """
+    if pending.request.kind is not types.RequestKind.LOOKUP:
+        return False
+    if pending.chosen is not None or len(pending.open) != 1:
+        return False
+    if outcome.result is not types.AttemptResult.NOT_RUN:
+        return False
+    # A refusal of the upstream itself was an arrival there.
+    if outcome.code is _Code.UPSTREAM_FULL or outcome.code in _FINAL_CODES:
+        return False
+    return pending.refusals <= service.policy.routing.max_refusals
+
+
 def may_try_again(
     now_s: float,
     service: state.ServiceView,
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -530,7 +530,8 @@
             self.settings.failure_domain,
             _retry.share_budget(
                 self.settings.retry_ratio,
-                self.settings.retry_burst,
+                self.settings.retry_slack,
+                self.settings.retry_window_s,
                 self._budget_shares,
             ),
         )
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -84,7 +84,9 @@
     :param control_group: how control forms where its members are not all
         known at the start; ``control_replicas`` found it then.
     :param retry_ratio: extra attempts per request, with a route table.
-    :param retry_burst: extra attempts saved up by the whole fleet.
+    :param retry_slack: extra attempts of the whole fleet in any window,
+        beyond the ratio.
+    :param retry_window_s: length of these windows, seconds.
     :param leave_notice_ms: for how long a stopping node takes requests.
     :param log_file: where log lines go; standard error when left out.
     """
@@ -102,7 +104,8 @@
     local_service: str = ""
     control_group: ControlGroupSettings | None = None
     retry_ratio: float = 0.1
-    retry_burst: float = 10.0
+    retry_slack: float = 10.0
+    retry_window_s: float = 10.0
     link_listen_address: _checking.Address | None = None
     data_folder: pathlib.Path | None = None
     claim_groups: int = 4
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -195,3 +195,82 @@
     owner.submit(0.0, helpers.owner_request(2))
     waiting = owner.submit(0.0, helpers.owner_request(3))
     assert _refusals(waiting) == {3: _Code.LEAVING}
+
+
+def test_hedges_needed_for_minutes_by_few_nodes() -> None:
+    """A node with few requests of its own gets its part of the slack anew."""
+    limits = _retry.share_budget(0.17, 51.0, 10.0, 21)
+    budget = _retry.RetryBudget(limits)
+    taken = [now_s for now_s in range(60) if budget.take(float(now_s))]
+    assert len([at_s for at_s in taken if at_s >= 50]) >= 0.3 * 51 / 21
+    for start in range(50):
+        window = [at_s for at_s in taken if start <= at_s < start + 10]
+        assert len(window) <= 51 / 21 + 1
+
+
+def _refuse_attempt(
+    attempt: types.ForwardAttempt, code: exceptions.ErrorCode
+) -> types.AttemptOutcome:
+    return types.AttemptOutcome(
+        attempt.request_id,
+        attempt.attempt,
+        types.AttemptResult.NOT_RUN,
+        None,
+        code,
+        2.0,
+        None,
+    )
+
+
+def _forwards(
+    actions: list[types.IngressAction],
+) -> list[types.ForwardAttempt]:
+    return [
+        action
+        for action in actions
+        if isinstance(action, types.ForwardAttempt)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("code", "moves"),
+    [
+        (_Code.UNPROVEN, True),
+        (_Code.STEERED_AWAY, True),
+        (_Code.OVERLOADED, True),
+        (_Code.UPSTREAM_FULL, False),
+    ],
+)
+def test_hedge_meets_an_owner_in_doubt(
+    code: exceptions.ErrorCode, moves: bool
+) -> None:
+    """The lookup that hangs gets its second attempt at another owner."""
+    ingress = helpers.ingress(owners=4, policy=GRAY)
+    request = dataclasses.replace(
+        helpers.ingress_request(1), max_attempts=2, objective_s=0.6
+    )
+    ingress.begin(0.0, request)
+    [hedge] = _forwards(ingress.tick(1.0))
+    moved = _forwards(ingress.attempt_ended(1.0, _refuse_attempt(hedge, code)))
+    assert bool(moved) is moves
+    if moves:
+        assert moved[0].owner != hedge.owner
+
+
+def test_hedges_of_many_lookups_that_hang_at_once() -> None:
+    """Those that the budget can't pay at first are sent as it fills again."""
+    policy = _service_policy.for_table(
+        "domain-1", _retry.BudgetLimits(0.0, burst=1.0, idle_per_s=1.0)
+    )
+    ingress = helpers.ingress(owners=6, policy=policy)
+    for number in (1, 2, 3):
+        request = dataclasses.replace(
+            helpers.ingress_request(number), max_attempts=2, objective_s=0.6
+        )
+        ingress.begin(0.0, request)
+    hedged = {
+        forward.request_id
+        for step in range(1, 50)
+        for forward in _forwards(ingress.tick(step * 0.1))
+    }
+    assert hedged == {1, 2, 3}
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -14,7 +14,7 @@
     ingresses: int,
 ) -> None:
     """Each node asks for a repeat with every request, for a minute."""
-    limits = _retry.share_budget(RATIO, SLACK, ingresses)
+    limits = _retry.share_budget(RATIO, SLACK, WINDOW_S, ingresses)
     budgets = [_retry.RetryBudget(limits) for _ in range(ingresses)]
     times_s: list[float] = []
     step_s = 0.25
@@ -32,7 +32,7 @@
 
 
 def test_a_node_that_starts_again_and_again_saves_up_nothing() -> None:
-    limits = _retry.share_budget(RATIO, SLACK, 1)
+    limits = _retry.share_budget(RATIO, SLACK, WINDOW_S, 1)
     taken = 0
     for _ in range(20):
         budget = _retry.RetryBudget(limits)
@@ -42,5 +42,5 @@
 
 
 def test_nobody_is_left_without_any_attempt() -> None:
-    limits = _retry.share_budget(RATIO, SLACK, 2000)
+    limits = _retry.share_budget(RATIO, SLACK, WINDOW_S, 2000)
     assert _retry.RetryBudget(limits).take(0.0)
