Forecast waits by the work ahead; keep hedges from full owners; metrics as text

An owner forecast the wait as the number of requests ahead times the mean time of a slot, so that eight of them made it refuse all others ("overloaded", 5 ms old).

Change: the wait is the next free slot and the time that the requests ahead will likely run. A hedge refused for want of room waits instead.

Also, apart from the requests' path: a node answers scrapes at `metrics_address` in the text format of Prometheus (counters, gauges, histograms of latency since the start); the library is loaded at the first scrape.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 
 from papayastall import _decision_types as types
@@ -24,12 +25,14 @@
     """A request that waits for a slot.
 
     :param latest_s: when it is refused rather than held any longer.
+    :param run_s: how long it will likely run.
     """
 
     request: types.OwnerRequest
     queued_s: float
     precedence: Precedence = (0, False)
     latest_s: float = math.inf
+    run_s: float = 0.0
 
 
 class TeamQueue:
@@ -46,12 +49,21 @@
     def __len__(self) -> int:
         return self._size
 
-    def ahead_of(self, team: str) -> int:
-        """Return how many run before a new request of this team."""
+    def ahead_of_s(self, team: str) -> float:
+        """Return the work that runs before a new request, seconds."""
         own = len(self._by_team.get(team, ()))
         return sum(
-            min(len(waiting), own + (name != team))
+            item.run_s
             for name, waiting in self._by_team.items()
+            for item in itertools.islice(waiting, own + (name != team))
+        )
+
+    def work_s(self) -> float:
+        """Return the work of all that wait, seconds."""
+        return sum(
+            item.run_s
+            for waiting in self._by_team.values()
+            for item in waiting
         )
 
     def push(self, item: QueuedRequest) -> None:
@@ -159,10 +171,10 @@
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
-    def ahead_of(self, team: str, precedence: Precedence) -> int:
-        """Return how many run before a new request."""
+    def ahead_of_s(self, team: str, precedence: Precedence) -> float:
+        """Return the work that runs before a new request, seconds."""
         return sum(
-            queue.ahead_of(team) if known == precedence else len(queue)
+            queue.ahead_of_s(team) if known == precedence else queue.work_s()
             for known, queue in self._queues.items()
             if known <= precedence
         )
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -363,7 +363,11 @@
         max_wait_s = _placement.max_wait_s(now_s, service, request)
         service.queue.push(
             _admission.QueuedRequest(
-                request, now_s, precedence, now_s + _HELD_FACTOR * max_wait_s
+                request,
+                now_s,
+                precedence,
+                now_s + _HELD_FACTOR * max_wait_s,
+                _placement.expected_run_s(service, request),
             )
         )
         self._queued.add(request.request_id)
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -115,9 +115,14 @@
 def expected_wait_s(
     service: state.ServiceState, request: types.OwnerRequest, slots: int
 ) -> float:
-    """Return how long a new request would wait, seconds."""
-    ahead = service.queue.ahead_of(request.team, precedence(service, request))
-    return (ahead + 1) * service.busy_s / max(1, slots)
+    """Return how long a new request would wait, seconds.
+
+    It waits for the next slot, and for the work that goes before it.
+    """
+    ahead_s = service.queue.ahead_of_s(
+        request.team, precedence(service, request)
+    )
+    return (service.busy_s + ahead_s) / max(1, slots)
 
 
 def expected_run_s(
--- a/src/papayastall/_retry_rules.py
+++ b/src/papayastall/_retry_rules.py
@@ -32,6 +32,8 @@
     }
 )
 """Refusals that another owner would repeat."""
+_FULL_CODES = (_Code.OVERLOADED, _Code.UPSTREAM_FULL)
+"""Refusals for want of room: a hedge elsewhere would take room as well."""
 _MAX_LOSSES = 2
 
 
@@ -73,8 +75,7 @@
         return False
     if outcome.result is not types.AttemptResult.NOT_RUN:
         return False
-    # A refusal of the upstream itself was an arrival there.
-    if outcome.code is _Code.UPSTREAM_FULL or outcome.code in _FINAL_CODES:
+    if outcome.code in _FULL_CODES or outcome.code in _FINAL_CODES:
         return False
     return pending.refusals <= service.policy.routing.max_refusals
 
@@ -112,7 +113,6 @@
         return False
     if code is _Code.UPSTREAM_FULL and not service.budget.take(now_s):
         return False
-    overloaded = (_Code.OVERLOADED, _Code.UPSTREAM_FULL)
-    if code not in overloaded or pending.refusals <= _FREE_REFUSALS:
+    if code not in _FULL_CODES or pending.refusals <= _FREE_REFUSALS:
         return True
     return _service_view.has_room(now_s, service, pending)
--- /dev/null
+++ b/src/papayastall/exposition.py
@@ -0,0 +1,158 @@
+"""The metrics of a node as text, in the format that scrapers read.
+
+The library that writes the format is loaded at the first scrape, so that a
+node that nobody scrapes does without it.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc as cabc
+import typing as t
+
+from papayastall import _http_server
+from papayastall import _problem
+from papayastall import clock
+from papayastall import exceptions
+from papayastall import histograms
+from papayastall import metrics
+
+if t.TYPE_CHECKING:
+    from prometheus_client import metrics_core
+
+__all__ = ["DURATION_NAME", "METRICS_PATH", "MetricsEndpoint"]
+
+METRICS_PATH = "/metrics"
+DURATION_NAME = f"{metrics.NAME_PREFIX}_request_duration_seconds"
+_DURATION_HELP = (
+    "times of answered requests by measure: added by the fleet, waiting in "
+    "an owner's queue, at the upstream"
+)
+_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+"""From the time that a hop adds to the longest time limits in use."""
+_UNITS_PER_S = histograms.UNITS_PER_MS * 1000
+
+
+class MetricsEndpoint:
+    """An ASGI application that answers scrapes.
+
+    :param read_gauges: returns the gauges as they are now.
+    """
+
+    def __init__(
+        self,
+        counters: metrics.Metrics,
+        times: histograms.HistogramTable,
+        read_gauges: cabc.Callable[[], dict[metrics.Gauge, float]],
+    ) -> None:
+        self._counters = counters
+        self._times = times
+        self._read_gauges = read_gauges
+
+    async def __call__(
+        self,
+        scope: _http_server.Scope,
+        receive: _http_server.Receive,
+        send: _http_server.Send,
+    ) -> None:
+        """Answer one scrape (the ASGI entry point)."""
+        if scope["path"] != METRICS_PATH:
+            problem = _problem.problem_of(
+                exceptions.BadInputError(
+                    exceptions.ErrorCode.BAD_REQUEST,
+                    f"metrics are at {METRICS_PATH}",
+                    step="scrape",
+                )
+            )
+            await _http_server.send_answer(
+                send, problem.status, problem.headers(), problem.body()
+            )
+            return
+        from prometheus_client import exposition
+
+        headers = [(b"content-type", exposition.CONTENT_TYPE_LATEST.encode())]
+        body: bytes = exposition.generate_latest(self)
+        await _http_server.send_answer(send, 200, headers, body)
+
+    def collect(self) -> cabc.Iterator[metrics_core.Metric]:
+        """Yield all metrics, as the library's registries do."""
+        yield from self._collect_counters()
+        yield from self._collect_gauges()
+        yield self._collect_durations()
+
+    def _collect_counters(self) -> cabc.Iterator[metrics_core.Metric]:
+        from prometheus_client import metrics_core
+
+        families = {
+            counter: metrics_core.CounterMetricFamily(
+                f"{metrics.NAME_PREFIX}_{counter.value.name}",
+                f"{counter.value.unit} {counter.value.meaning}",
+                labels=["service"] if counter.value.by_service else [],
+            )
+            for counter in metrics.Counter
+        }
+        for (counter, service), total in self._counters.totals().items():
+            by_service = counter.value.by_service
+            labels = [service or ""] if by_service else []
+            families[counter].add_metric(labels, total)
+        yield from families.values()
+
+    def _collect_gauges(self) -> cabc.Iterator[metrics_core.Metric]:
+        from prometheus_client import metrics_core
+
+        values = self._counters.gauges() | self._read_gauges()
+        for gauge, value in values.items():
+            yield metrics_core.GaugeMetricFamily(
+                f"{metrics.NAME_PREFIX}_{gauge.value.name}",
+                f"{gauge.value.unit} {gauge.value.meaning}",
+                value=value,
+            )
+
+    def _collect_durations(self) -> metrics_core.Metric:
+        from prometheus_client import metrics_core
+
+        family = metrics_core.HistogramMetricFamily(
+            DURATION_NAME,
+            _DURATION_HELP,
+            labels=["service", "kind", "measure"],
+        )
+        for key in self._times.class_keys(clock.now_s()):
+            for measure, histogram in self._times.total(key).items():
+                buckets, sum_s = _sum_up(histogram)
+                family.add_metric(
+                    [key.service, key.kind, measure.value], buckets, sum_s
+                )
+        return family
+
+
+def _sum_up(histogram: t.Any) -> tuple[list[tuple[str, float]], float]:
+    """Return the cumulative buckets of an HDR histogram and its sum, s."""
+    counts = [0] * (len(_BUCKETS_S) + 1)
+    sum_units = 0.0
+    for item in histogram.get_recorded_iterator():
+        count = item.count_at_value_iterated_to
+        value_s = item.value_iterated_to / _UNITS_PER_S
+        counts[bisect.bisect_left(_BUCKETS_S, value_s)] += count
+        sum_units += item.value_iterated_to * count
+    names = [*map(str, _BUCKETS_S), "+Inf"]
+    buckets: list[tuple[str, float]] = []
+    below = 0
+    for name, count in zip(names, counts, strict=True):
+        below += count
+        buckets.append((name, below))
+    return buckets, sum_units / _UNITS_PER_S
--- a/src/papayastall/histograms.py
+++ b/src/papayastall/histograms.py
@@ -143,6 +143,7 @@
     def __init__(self) -> None:
         self._current = _Window()
         self._previous = _Window()
+        self._closed: dict[SeriesKey, _Series] = {}
         self._own_teams: set[str] = set()
         self._counted_teams: collections.Counter[str] = collections.Counter()
         self._window_ends_s = 0.0
@@ -182,6 +183,30 @@
                 merged.add(series)
         return list(merged.read(key))
 
+    def class_keys(self, now_s: float) -> list[SeriesKey]:
+        """Return the keys of all classes since the start."""
+        self._advance(now_s)
+        keys = dict.fromkeys(self._closed)
+        for window in (self._previous, self._current):
+            keys.update(dict.fromkeys(window.classes))
+        return list(keys)
+
+    def total(self, key: SeriesKey) -> dict[Measure, hdr.HdrHistogram]:
+        """Return the histograms of one class since the start."""
+        merged = _Series()
+        for classes in (
+            self._closed,
+            self._previous.classes,
+            self._current.classes,
+        ):
+            if key in classes:
+                merged.add(classes[key])
+        return {
+            Measure.ADDED: merged.added,
+            Measure.WAITING: merged.waiting,
+            Measure.UPSTREAM: merged.upstream,
+        }
+
     @property
     def series_count(self) -> int:
         """How many series are held, three histograms each."""
@@ -196,10 +221,21 @@
             self._interval_ends_s = now_s + TEAM_INTERVAL_S
         if now_s >= self._window_ends_s:
             is_stale = now_s >= self._window_ends_s + WINDOW_S
+            self._close(self._previous)
+            if is_stale:
+                self._close(self._current)
             self._previous = _Window() if is_stale else self._current
             self._current = _Window()
             self._window_ends_s = now_s + WINDOW_S
 
+    def _close(self, window: _Window) -> None:
+        """Add a window that ends to what was before all windows."""
+        for key, series in window.classes.items():
+            known = self._closed.get(key)
+            if known is None and len(self._closed) >= MAX_CLASSES:
+                key = SeriesKey(OTHER_SERVICES, key.kind, key.team)
+            self._closed.setdefault(key, _Series()).add(series)
+
     def _find_class(self, sample: Sample) -> _Series:
         classes = self._current.classes
         key = SeriesKey(sample.service, sample.kind.value, ALL_TEAMS)
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -1,8 +1,9 @@
-"""Counters and gauges, sent to statsd in batches.
+"""Counters and gauges, kept in memory for scrapes and sent to statsd.
 
-Counting adds to a dictionary in memory; once a second the sums since the
-last time leave in as few datagrams as they fit. ``docs/metrics.md`` lists
-the names; it is compared with this module by a test.
+Counting adds to a dictionary; once a second the sums since the last time
+go to the totals and, where statsd is used, leave in as few datagrams as
+they fit. ``docs/metrics.md`` lists the names; it is compared with this
+module by a test.
 """
 
 from __future__ import annotations
@@ -15,7 +16,14 @@
 
 from papayastall import _checking
 
-__all__ = ["Counter", "Description", "Gauge", "Metrics"]
+__all__ = [
+    "Counter",
+    "Description",
+    "Gauge",
+    "Metrics",
+    "NAME_PREFIX",
+    "Series",
+]
 
 FLUSH_INTERVAL_S = 1.0
 MAX_DATAGRAM_BYTES = 1_400
@@ -138,8 +146,12 @@
     )
 
 
+Series = tuple[Counter, str | None]
+"""A counter and the service that it is counted for, if any."""
+
+
 class Metrics:
-    """Sums counters in memory and sends them to statsd.
+    """Sums counters in memory for scrapes, and sends them to statsd.
 
     :param address: of statsd; ``None`` counts without sending.
     :param node: the node's link address, part of the names of gauges.
@@ -149,7 +161,8 @@
         self._node = _clean(node)
         self._address = address
         self._client: statsd.StatsClient | None = None
-        self._sums: dict[tuple[Counter, str | None], int] = {}
+        self._sums: dict[Series, int] = {}
+        self._totals: dict[Series, int] = {}
         self._gauges: dict[Gauge, float] = {}
 
     def start(self) -> None:
@@ -190,6 +203,10 @@
     def flush(self) -> None:
         """Send all sums since the last flush and the gauges."""
         sums, self._sums = self._sums, {}
+        for key, amount in sums.items():
+            if key not in self._totals and len(self._totals) >= MAX_SERIES:
+                key, amount = (Counter.METRICS_DROPPED, None), 1
+            self._totals[key] = self._totals.get(key, 0) + amount
         if self._client is None:
             return
         with self._client.pipeline() as pipeline:
@@ -198,6 +215,15 @@
             for gauge, value in self._gauges.items():
                 pipeline.gauge(f"{gauge.value.name}.{self._node}", value)
 
+    def totals(self) -> dict[Series, int]:
+        """Return the counters since the start of this process."""
+        self.flush()
+        return dict(self._totals)
+
+    def gauges(self) -> dict[Gauge, float]:
+        """Return the gauges as they were set last."""
+        return dict(self._gauges)
+
     async def run(self) -> None:
         """Flush once a second until cancelled."""
         while True:
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -46,6 +46,7 @@
 from papayastall import clock
 from papayastall import documents
 from papayastall import exceptions
+from papayastall import exposition
 from papayastall import histograms
 from papayastall import http_names
 from papayastall import ingress
@@ -298,6 +299,13 @@
             )
             self.servers.append(self.caller_server)
         self.servers += self.interfaces.make_servers(self)
+        if self.settings.metrics_address is not None:
+            endpoint = exposition.MetricsEndpoint(
+                self.counters, self.histograms, self._read_gauges
+            )
+            self.servers.append(
+                self.make_server(endpoint, self.settings.metrics_address)
+            )
 
     def make_server(
         self,
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -87,6 +87,8 @@
     :param retry_slack: extra attempts of the whole fleet in any window,
         beyond the ratio.
     :param retry_window_s: length of these windows, seconds.
+    :param statsd_address: UDP that metrics are sent to, if any.
+    :param metrics_address: HTTP where metrics are scraped, if anywhere.
     :param leave_notice_ms: for how long a stopping node takes requests.
     :param log_file: where log lines go; standard error when left out.
     """
@@ -115,6 +117,7 @@
     upstream_token_file: pathlib.Path | None = None
     insecure: bool = False
     statsd_address: _checking.Address | None = None
+    metrics_address: _checking.Address | None = None
     log_file: pathlib.Path | None = None
     leave_notice_ms: _checking.Milliseconds = _checking.Milliseconds(2_000)
     shutdown_timeout_ms: _checking.Milliseconds = _checking.Milliseconds(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -11,6 +11,7 @@
 import signal
 import threading
 import time
+import tomllib
 import typing as t
 
 import pytest
@@ -18,6 +19,7 @@
 from tests import platform_fleet
 
 LIMIT_S = 30.0
+DEPLOY_FILE = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
 CONFIG_APPLY_S = 2.0
 """An acknowledged configuration is in force everywhere after this."""
 GRACE_S = 6.0
@@ -183,6 +185,24 @@
     assert running.ask(running.nodes[0], "/none/").status == 404
 
 
+def test_every_role_shows_its_metrics(
+    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+) -> None:
+    """The deploy file names one port and path for all machines."""
+    deploy = tomllib.loads(DEPLOY_FILE.read_text())
+    assert running.ask(running.nodes[0], "/orders/y").status == 200
+    node, control = (
+        running.call(f"{machine.ip}:{port}", "GET", f"/{path}").body.decode()
+        for machine, role in (
+            (running.nodes[0], "node"),
+            (running.control[0], "control"),
+        )
+        for port, _, path in [deploy["roles"][role]["metrics"].partition("/")]
+    )
+    assert 'papayastall_answers_total{service="orders"}' in node
+    assert "papayastall_members_alive" in control
+
+
 def test_orders_of_operators(
     running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
 ) -> None:
