--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -24,6 +24,8 @@
 TICK_INTERVAL_S = 0.05
 IDLE_TICK_INTERVAL_S = 0.25
 REDIAL_INTERVAL_S = 1.0
+FAILED_STATUS = 500
+"""Of an answer that says that the upstream failed."""
 LATE_GRACE_S = 1.0
 PING_INTERVAL_S = 0.25
 BODY_PART_BYTES = 256 << 10
@@ -74,6 +76,12 @@
 
     def close(self, exchange: _exchange.Exchange) -> None:
         """End a request; what is left of it is cancelled."""
+        if exchange.chosen is None and exchange.refusal is None:
+            self._log(
+                logs.RequestEvent.CANCELLED,
+                exchange,
+                attempts_open=len(exchange.attempts),
+            )
         request_id = exchange.request.request_id
         now_s = clock.now_s()
         self.perform(self.controller.caller_gone(now_s, request_id))
@@ -108,6 +116,7 @@
                 case _decision_types.AnswerChosen():
                     assert exchange.chosen is None, "one answer is chosen"
                     exchange.chosen = exchange.attempts[action.attempt]
+                    self._log_failure(exchange, exchange.chosen)
                     exchange.notify()
                 case _decision_types.RefuseRequest():
                     self._log_refusal(exchange, action)
@@ -143,17 +152,26 @@
         event = logs.RequestEvent.REFUSED
         if refusal.ran is exceptions.RanState.UNKNOWN:
             event = logs.RequestEvent.UNKNOWN
-        request = exchange.request
-        logs.log_request(
+        self._log(
             event,
-            exchange.name,
-            service=request.service,
-            route=request.route,
+            exchange,
             code=refusal.code.value,
-            age_ms=_age_ms(exchange),
-            owners=" ".join(exchange.tried),
             retry_after_s=refusal.retry_after_s,
-            **self.controller.explain(clock.now_s(), request.service),
+            **self._explain(exchange),
+        )
+
+    def _log_failure(
+        self, exchange: _exchange.Exchange, attempt: _exchange.Attempt
+    ) -> None:
+        """Log that an upstream's failure is passed on, if it is one."""
+        if attempt.head is None or attempt.head.status < FAILED_STATUS:
+            return
+        self._log(
+            logs.RequestEvent.FAILED,
+            exchange,
+            status=attempt.head.status,
+            owner=attempt.owner,
+            **self._explain(exchange),
         )
 
     def _log_repeat(
@@ -161,16 +179,34 @@
         exchange: _exchange.Exchange,
         action: _decision_types.ForwardAttempt,
     ) -> None:
-        logs.log_request(
+        cause = "no answer yet" if action.cause is None else action.cause.value
+        self._log(
             logs.RequestEvent.REPEATED,
+            exchange,
+            attempt=action.attempt,
+            cause=cause,
+            beside=len(exchange.attempts),
+            to=action.owner,
+            reference_ms=action.reference_ms,
+        )
+
+    def _explain(self, exchange: _exchange.Exchange) -> dict[str, float]:
+        return self.controller.explain(clock.now_s(), exchange.request.service)
+
+    def _log(
+        self,
+        event: logs.RequestEvent,
+        exchange: _exchange.Exchange,
+        **fields: str | float | None,
+    ) -> None:
+        logs.log_request(
+            event,
             exchange.name,
             service=exchange.request.service,
             route=exchange.request.route,
-            attempt=action.attempt,
-            beside=len(exchange.attempts),
             age_ms=_age_ms(exchange),
-            owners=" ".join([*exchange.tried, action.owner]),
-            reference_ms=action.reference_ms,
+            owners=" ".join(exchange.tried),
+            **fields,
         )
 
     def _count_attempt(
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -273,13 +273,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ForwardAttempt:
-    """Send the request to this owner as the numbered attempt."""
+    """Send the request to this owner as the numbered attempt.
+
+    :param cause: why the former attempt was not enough; ``None`` for a
+        first one, and for a hedge beside one without an answer yet.
+    """
 
     request_id: int
     attempt: int
     owner: str
     reference_ms: float | None
     hints: RequestHints = RequestHints()
+    cause: exceptions.ErrorCode | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_explain.py
+++ b/src/papayastall/_explain.py
@@ -82,6 +82,8 @@
     involved = {line.node for line in own}
     for line in own:
         involved.update(str(line.fields.get("owners", "")).split())
+        if "to" in line.fields:
+            involved.add(str(line.fields["to"]))
     first_s = min(line.timestamp for line in own) - BEFORE_S
     last_s = max(line.timestamp for line in own) + AFTER_S
     around = [
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -278,6 +278,7 @@
             attempt.owner,
             _service_view.reference_ms(service, request.route),
             _service_view.hints(now_s, service, request.route, choice),
+            pending.last_code,
         )
 
     def _select(
@@ -354,6 +355,7 @@
             return []
         if not service.budget.take(now_s):
             return []
+        pending.last_code = _Code.UPSTREAM_FAILED
         forward = self._forward(now_s, pending)
         if forward is None:
             return []
@@ -403,6 +405,7 @@
         pending.hedge_due_s = now_s + _HEDGE_RETRY_S
         if not service.budget.take(now_s):
             return []
+        pending.last_code = None
         forward = self._forward(now_s, pending)
         return [forward] if forward is not None else []
 
--- a/src/papayastall/logs.py
+++ b/src/papayastall/logs.py
@@ -39,6 +39,9 @@
 CHANGE_RESERVE_LINES = 100.0
 """Lines of a burst that only changes of state may use: they explain many
 requests, and there are few of them."""
+DETAIL_RESERVE_LINES = 150.0
+"""Lines of a burst that are kept for changes and for how requests ended:
+each of these explains a failed request by itself."""
 MAX_WAITING_BYTES = 256 << 10
 """Kept while nobody reads the log; what comes after is dropped."""
 
@@ -71,8 +74,12 @@
     """It was not run and its caller was told so."""
     UNKNOWN = "request-unknown"
     """It may have run and its caller was told so."""
+    FAILED = "request-failed"
+    """An upstream's own failure was passed on to its caller."""
     REPEATED = "request-repeated"
     """It was sent to another owner, as a retry or a hedge."""
+    CANCELLED = "request-cancelled"
+    """Its caller went away before there was an answer."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -204,9 +211,12 @@
     :param request: the id that its caller gave it, or the node's own.
     :param fields: what decided it, with units in the names.
     """
-    _writer.write(
-        event.value, {"request": request, **fields}, CHANGE_RESERVE_LINES
-    )
+    match event:
+        case RequestEvent.REPEATED | RequestEvent.CANCELLED:
+            reserve_lines = DETAIL_RESERVE_LINES
+        case _:
+            reserve_lines = CHANGE_RESERVE_LINES
+    _writer.write(event.value, {"request": request, **fields}, reserve_lines)
 
 
 class LogFile:
--- a/tests/raft_cluster.py
+++ b/tests/raft_cluster.py
@@ -64,6 +64,8 @@
     senders: list[str] = dataclasses.field(default_factory=list)
     folder_id: int = 0
     frozen_until_s: float = 0.0
+    disk_hangs_until_s: float = 0.0
+    waiting_turn: _replica_set.Turn | None = None
     failure: exceptions.PapayastallError | None = None
 
     @property
@@ -165,6 +167,7 @@
         """Kill a node's process and lose what was not synced."""
         node.replicas = None
         node.storage = None
+        node.waiting_turn = None
         node.files.crash()
 
     def restart(self, node: Node) -> None:
@@ -233,6 +236,10 @@
         replicas, storage = node.replicas, node.storage
         assert replicas is not None and storage is not None
         now_s = self.clock_s(node)
+        if node.waiting_turn is not None:
+            self._end_turn(node, now_s, node.waiting_turn)
+            if node.waiting_turn is not None or node.replicas is None:
+                return
         pairs = list(zip(node.senders, node.inbox, strict=True))
         node.inbox.clear()
         node.senders.clear()
@@ -254,22 +261,36 @@
                 )
                 self.crash(node)
                 return
-            try:
-                turn.run(storage)
-            except exceptions.StorageError as error:
-                node.failure = error
-                self.crash(node)
+            self._end_turn(node, now_s, turn)
+            if node.waiting_turn is not None or node.replicas is None:
                 return
-            for resolved in replicas.finish(now_s, turn):
-                if isinstance(resolved.resolution, _replica_set.Applied):
-                    self.acknowledged.append(str(resolved.token))
-                    self.acknowledged_index = max(
-                        self.acknowledged_index, node.group.applied_index
-                    )
-            self._send(node, turn.messages)
             if not replicas.has_work():
                 return
 
+    def _end_turn(
+        self, node: Node, now_s: float, turn: _replica_set.Turn
+    ) -> None:
+        """Write what a turn has to write; while the disk hangs, wait."""
+        replicas, storage = node.replicas, node.storage
+        assert replicas is not None and storage is not None
+        node.waiting_turn = turn
+        if node.disk_hangs_until_s > self.now_s:
+            return
+        node.waiting_turn = None
+        try:
+            turn.run(storage)
+        except exceptions.StorageError as error:
+            node.failure = error
+            self.crash(node)
+            return
+        for resolved in replicas.finish(now_s, turn):
+            if isinstance(resolved.resolution, _replica_set.Applied):
+                self.acknowledged.append(str(resolved.token))
+                self.acknowledged_index = max(
+                    self.acknowledged_index, node.group.applied_index
+                )
+        self._send(node, turn.messages)
+
     def _send(
         self, node: Node, messages: list[tuple[int, types.Message]]
     ) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -47,7 +47,9 @@
         ]
 
 
-def start_lookup() -> tuple[t.Any, FakeLinks, _exchange.Exchange]:
+def start_lookup(
+    max_attempts: int = 1_000,
+) -> tuple[t.Any, FakeLinks, _exchange.Exchange]:
     links = FakeLinks()
     controller = _ingress_controller.IngressController(
         "127.0.0.1:9", random.Random(1)
@@ -70,6 +72,7 @@
         _decision_types.RequestKind.LOOKUP,
         now_s + 10.0,
         1,
+        max_attempts,
     )
     exchange = _exchange.Exchange(request, b"GET", b"/", [], b"")
     sender.open(exchange)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,6 +13,7 @@
 import pytest
 
 from papayastall import _http_server
+from papayastall import clock
 from tests import fleet
 
 pytestmark = pytest.mark.anyio
@@ -188,3 +189,47 @@
         with anyio.fail_after(CLOSE_TIMEOUT_S):
             await gone.wait()
     assert seen[-1] == "http.disconnect"
+
+
+async def open_partly(
+    server: _http_server.HttpServer, address: str, data: bytes
+) -> tuple[socket.socket, t.Any]:
+    """Send part of a request; return both ends once it was read."""
+    caller = connect(address)
+    caller.sendall(data)
+    while not server.connections:
+        await anyio.sleep(0.01)
+    [connection] = server.connections
+    while data and connection.is_idle:
+        await anyio.sleep(0.01)
+    return caller, connection
+
+
+@pytest.mark.parametrize(
+    ("limit_share", "status"), [(0.5, b"200"), (1.5, b"408")]
+)
+async def test_a_caller_that_is_slow_with_its_headers(
+    limit_share: float, status: bytes
+) -> None:
+    """It has the whole time of the limit, and is told when that is over."""
+    async with run_server() as (server, address):
+        caller, connection = await open_partly(server, address, REQUEST[:20])
+        limit_s = server.limits.header_timeout_ms / 1000
+        connection.sweep(clock.now_s() + limit_share * limit_s)
+        if status == b"200":
+            caller.sendall(REQUEST[20:])
+        answer = await read_answer(caller)
+        caller.close()
+    assert answer.startswith(b"HTTP/1.1 " + status)
+
+
+async def test_a_caller_that_sends_nothing_for_long_is_let_go() -> None:
+    """Nothing is written, as no request waits for an answer."""
+    async with run_server() as (server, address):
+        caller, connection = await open_partly(server, address, b"")
+        idle_s = server.limits.idle_timeout_ms / 1000
+        connection.sweep(clock.now_s() + idle_s / 2)
+        assert server.connections
+        connection.sweep(clock.now_s() + 2 * idle_s)
+        assert await anyio.to_thread.run_sync(caller.recv, 100) == b""
+        caller.close()
