Let owners keep the budget of repeats

Calls begin on the 9 nodes beside the service that makes them, while the budget was divided among all 21 ingresses. The fleet used 97 repeats of supplies in 32 s, of some 80 to 140 that it may use in each 10 s.

Ruled out: sharing by demand among ingresses (needs a talk between them); a larger part for each (the fleet's bound could be passed).

Change: whatever reaches an upstream passes its owner, so owners give the budget out: each has an equal part for its service, filled by the first attempts that it hands over. An ingress marks what may have reached an upstream before; an owner whose part is spent refuses it unrun ("repeats-spent") and another owner may still take it.

Also: a node that is not ready asks control at each tick (0.2 s, before 0.5), as its links are being made at the first one.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -532,6 +532,7 @@
         healthy_share=action.hints.healthy_share,
         last_resort=action.hints.last_resort,
         wants_proof=action.hints.wants_proof,
+        is_repeat=action.is_repeat,
         rank=request.rank,
         objective_ms=_objective_left_ms(exchange),
     )
--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -25,7 +25,9 @@
 MESSAGE_VERSION = 1
 FETCH_TIMEOUT_S = 1.0
 FREEZE_S = 5.0
-CONFIRM_INTERVAL_S = 0.5
+CONFIRM_INTERVAL_S = 0.2
+"""Below a tick of a node that is not ready: it asks again at each of them,
+as its links to control are being made at the first."""
 CONTROL_FIRST_S = 2.0
 MEMBERS_SETTLED_S = 3.0
 MAX_CONFIRM_FETCHES = 16
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -151,6 +151,7 @@
     :param rank: urgency; 0 is the most urgent.
     :param objective_s: time left at its arrival in which an answer has its
         full worth.
+    :param is_repeat: another attempt may have reached an upstream.
     """
 
     request_id: int
@@ -164,6 +165,7 @@
     hints: RequestHints = RequestHints()
     rank: int = 0
     objective_s: float | None = None
+    is_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -277,6 +279,7 @@
 
     :param cause: why the former attempt was not enough; ``None`` for a
         first one, and for a hedge beside one without an answer yet.
+    :param is_repeat: see :class:`OwnerRequest`.
     """
 
     request_id: int
@@ -285,6 +288,7 @@
     reference_ms: float | None
     hints: RequestHints = RequestHints()
     cause: exceptions.ErrorCode | None = None
+    is_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -99,6 +99,7 @@
     rank: int = 0
     objective_ms: int = 0
     wants_proof: bool = False
+    is_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from papayastall import _decision_types as types
@@ -229,11 +230,13 @@
         avoided = sum(
             owner.is_avoided(now_s) for owner in view.owners.values()
         )
-        return {
+        inputs: dict[str, float] = {
             "owners_known": len(view.owners),
             "owners_avoided": avoided,
-            "repeats_left": round(min(view.budget.tokens, 1e6), 2),
         }
+        if math.isfinite(view.budget.tokens):
+            inputs["repeats_left"] = round(view.budget.tokens, 2)
+        return inputs
 
     def has_work(self) -> bool:
         """Return whether any request is open, so that ticks matter."""
@@ -266,6 +269,7 @@
         choice = self._select(now_s, service, pending)
         if choice is None:
             return None
+        is_repeat = _retry_rules.is_repeat(pending)
         attempt = _open_attempts.open_attempt(
             now_s, service, pending, choice.view
         )
@@ -279,6 +283,7 @@
             _service_view.reference_ms(service, request.route),
             _service_view.hints(now_s, service, request.route, choice),
             pending.last_code,
+            is_repeat,
         )
 
     def _select(
@@ -317,6 +322,7 @@
         if outcome.result is types.AttemptResult.NOT_RUN:
             pending.refusals += 1
             pending.unproven += outcome.code is _Code.UNPROVEN
+            pending.was_shed |= outcome.code is _Code.UPSTREAM_FULL
             service = self._service(pending.request.service)
             _service_view.note_refusal(now_s, service, attempt.owner, outcome)
             return
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -29,6 +29,7 @@
 
     :param has_unknown: an attempt may have run it and gave no answer.
     :param losses: attempts that ended with the loss of an upstream.
+    :param was_shed: an upstream itself refused it, which was an arrival.
     :param unproven: owners without an upstream that was shown to be healthy.
     """
 
@@ -40,6 +41,7 @@
     has_unknown: bool = False
     losses: int = 0
     unproven: int = 0
+    was_shed: bool = False
     chosen: int | None = None
     last_code: exceptions.ErrorCode | None = None
     retry_after_s: float | None = None
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -14,6 +14,7 @@
 from papayastall import _owner_views
 from papayastall import _placement
 from papayastall import _refusals
+from papayastall import _retry
 from papayastall import _service_policy
 from papayastall import _suspect_gate
 from papayastall import _suspects
@@ -58,9 +59,15 @@
         """Set the policy of a service; work in hand is kept."""
         known = self._services.get(service)
         if known is None:
-            self._services[service] = state.ServiceState(policy)
-        else:
-            known.policy = policy
+            known = self._services[service] = state.ServiceState(policy)
+        known.policy = policy
+        match policy.repeat_budget, known.repeats:
+            case None, _:
+                known.repeats = None
+            case limits, None:
+                known.repeats = _retry.RetryBudget(limits)
+            case limits, budget:
+                budget.limits = limits
         self._registry.use_model(service, policy.thresholds().evidence)
 
     def announce(
@@ -320,11 +327,13 @@
         upstream: state.Upstream,
         is_trial: bool = False,
         is_suspect: bool = False,
-    ) -> types.Dispatch:
+    ) -> types.Dispatch | types.RefuseRequest:
         assert upstream.free_slots(now_s) > 0, "slots exceeded"
         assert not _leaving.is_leaving(upstream), "work for a leaving one"
         assert request.request_id not in self._running, "dispatched twice"
         assert request.deadline_s > now_s, "dispatched after its deadline"
+        if not self._pay(now_s, request):
+            return self._refuse(request, _Code.REPEATS_SPENT)
         if is_trial:
             assert request.kind is types.RequestKind.LOOKUP
             _ejection.note_trial_sent(upstream, now_s)
@@ -337,6 +346,16 @@
         _owner_evidence.note_start(now_s, service, upstream, run)
         return types.Dispatch(request.request_id, upstream.name)
 
+    def _pay(self, now_s: float, request: types.OwnerRequest) -> bool:
+        """Take a repeat out of the budget; first attempts fill it."""
+        budget = self._service(request.service).repeats
+        if budget is None:
+            return True
+        if request.is_repeat:
+            return budget.take(now_s)
+        budget.deposit(now_s)
+        return True
+
     def _enqueue(
         self,
         now_s: float,
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -10,6 +10,7 @@
 from papayastall import _decision_types as types
 from papayastall import _gray_filter
 from papayastall import _health
+from papayastall import _retry
 from papayastall import _service_policy
 
 __all__ = [
@@ -106,7 +107,12 @@
 
 @dataclasses.dataclass(slots=True)
 class ServiceState:
-    """One service at one owner."""
+    """One service at one owner.
+
+    :param busy_s: mean time for which a request holds its slot.
+    :param healthy_share: see :class:`RequestHints`, as told last.
+    :param repeats: this owner's part of the budget of further attempts.
+    """
 
     policy: _service_policy.ServicePolicy
     queue: _admission.RankedQueue = dataclasses.field(
@@ -117,6 +123,7 @@
     )
     busy_s: float = 0.1
     healthy_share: float = 1.0
+    repeats: _retry.RetryBudget | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -9,6 +9,7 @@
 __all__ = [
     "BudgetLimits",
     "RetryBudget",
+    "UNLIMITED",
     "jittered_retry_after_s",
     "share_budget",
 ]
@@ -34,9 +35,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class BudgetLimits:
-    """How many extra attempts one ingress may make for one service.
+    """How many extra attempts one node may make or take for one service.
 
-    :param ratio: extra attempts per request of its callers.
+    :param ratio: extra attempts per first attempt.
     :param burst: extra attempts that can be saved up.
     :param initial: extra attempts of a node that has just started.
     :param idle_per_s: extra attempts gained each second without requests.
@@ -48,21 +49,25 @@
     initial: float = math.inf
 
 
+UNLIMITED = BudgetLimits(ratio=0.0, burst=math.inf)
+"""Of an ingress where owners keep the budget."""
+
+
 def share_budget(
-    ratio: float, fleet_slack: float, window_s: float, ingresses: int
+    ratio: float, fleet_slack: float, window_s: float, parts: int
 ) -> BudgetLimits:
-    """Return one ingress's part of a budget that the whole fleet shares.
+    """Return one node's part of a budget that the whole fleet shares.
 
     Part of the slack can be saved up and spent at once; the rest comes back
     evenly, so that any window holds the whole slack at most.
 
     :param fleet_slack: extra attempts in any window, beyond the ratio.
     :param window_s: length of the windows, seconds.
-    :param ingresses: nodes that take requests of callers.
+    :param parts: nodes that share it.
     """
-    ingresses = max(1, ingresses)
-    burst = max(_MIN_BURST, _SAVED_SHARE * fleet_slack / ingresses)
-    spread = max(0.0, fleet_slack / ingresses - burst)
+    part = fleet_slack / max(1, parts)
+    burst = max(_MIN_BURST, _SAVED_SHARE * part)
+    spread = max(0.0, part - burst)
     # A node that starts does not know yet how many share the budget, and
     # one that starts again and again must not get its part each time.
     return BudgetLimits(
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -141,6 +141,8 @@
     :param floor_slots: healthy slots that must always remain.
     :param max_queued: requests that may wait at one owner.
     :param retry_budget: retries and hedges that an ingress may make.
+    :param repeat_budget: retries and hedges that an owner may take, where
+        the budget is the fleet's; ``None`` where each ingress has its own.
     :param failure_domain: of this node; breaks ties in routing.
     """
 
@@ -150,6 +152,7 @@
     )
     max_queued: int = 64
     retry_budget: _retry.BudgetLimits = _retry.BudgetLimits()
+    repeat_budget: _retry.BudgetLimits | None = None
     failure_domain: str = ""
     health: HealthTuning | None = None
     routing: RoutingTuning = RoutingTuning()
@@ -189,16 +192,20 @@
 
 
 def for_table(
-    failure_domain: str, retry_budget: _retry.BudgetLimits
+    failure_domain: str, repeat_budget: _retry.BudgetLimits
 ) -> ServicePolicy:
     """Return the policy of a service that no document describes.
 
+    Owners keep the budget, as all that reaches an upstream passes them:
+    ingresses see too little of a service to share it well.
+
     :param failure_domain: of this node.
-    :param retry_budget: this node's part of the fleet's.
+    :param repeat_budget: an owner's part of the fleet's.
     """
     return ServicePolicy(
         health_priority=documents.HealthPriority.GRAY,
-        retry_budget=retry_budget,
+        retry_budget=_retry.UNLIMITED,
+        repeat_budget=repeat_budget,
         failure_domain=failure_domain,
         routing=_TABLE_ROUTING,
     )
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -212,6 +212,9 @@
             pause_s = _OVERLOADED_PAUSE_S
         case _Code.LEAVING | _Code.NO_UPSTREAM:
             pause_s = _LEAVING_PAUSE_S
+        case _Code.REPEATS_SPENT:
+            # It says nothing of the owner's room for first attempts.
+            return
         case _Code.UNPROVEN:
             view.unproven_until_s = now_s + _UNPROVEN_PAUSE_S
             return
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -58,6 +58,7 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     STEERED_AWAY = "steered-away"
     UNPROVEN = "unproven"
+    REPEATS_SPENT = "repeats-spent"
     UPSTREAM_FULL = "upstream-full"
 
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -172,7 +172,7 @@
                 node_settings.data_folder, 1 + node_settings.claim_groups
             )
         self._stop_scope: anyio.CancelScope | None = None
-        self._budget_shares = 0
+        self._budget_parts: dict[str, int] = {}
         self._build_links()
         self._build_membership()
         self._build_control()
@@ -373,7 +373,7 @@
             ]
             targets = list(dict.fromkeys([*known, *seeds]))
             self.control.set_control(known or seeds, targets)
-            self._follow_shares()
+            self._follow_parts()
             await anyio.sleep(FOLLOW_INTERVAL_S)
 
     def _make_journal(self) -> _journal.Journal:
@@ -531,32 +531,34 @@
     def _configure_table(self, table: route_table.RouteTable) -> None:
         """Set the policy of all services of a table.
 
-        It depends on how many nodes share the retry budget.
+        It depends on how many owners share a service's retry budget.
         """
-        self._budget_shares = self._count_ingresses()
-        policy = _service_policy.for_table(
-            self.settings.failure_domain,
-            _retry.share_budget(
-                self.settings.retry_ratio,
-                self.settings.retry_slack,
-                self.settings.retry_window_s,
-                self._budget_shares,
-            ),
-        )
-        for service in table.services:
-            self._configure(service.name, policy)
-
-    def _count_ingresses(self) -> int:
-        control = self.membership.adverts(CONTROL_SERVICE)
-        return len(self.membership.members()) - len(control)
+        self._budget_parts = {
+            service.name: len(self.membership.adverts(service.name))
+            for service in table.services
+        }
+        for service, owners in self._budget_parts.items():
+            policy = _service_policy.for_table(
+                self.settings.failure_domain,
+                _retry.share_budget(
+                    self.settings.retry_ratio,
+                    self.settings.retry_slack,
+                    self.settings.retry_window_s,
+                    owners,
+                ),
+            )
+            self._configure(service, policy)
 
-    def _follow_shares(self) -> None:
-        """Take in that more or fewer nodes share the retry budget."""
+    def _follow_parts(self) -> None:
+        """Take in that more or fewer owners share a retry budget."""
         routing = self.blackboard.routing
         if not isinstance(routing, blackboards.TableRouting):
             return
-        shares = self._count_ingresses()
-        if routing.lookup is not None and shares != self._budget_shares:
+        if any(
+            len(self.membership.adverts(service)) != owners
+            for service, owners in self._budget_parts.items()
+        ):
+            assert routing.lookup is not None, "parts without a table"
             self._configure_table(routing.lookup.table)
 
     def _configure(
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -217,6 +217,7 @@
             ),
             rank=frame.rank,
             objective_s=frame.objective_ms / 1000 or None,
+            is_repeat=frame.is_repeat,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -47,6 +47,7 @@
   20: i32 rank,
   21: i32 objective_ms,
   22: bool wants_proof,
+  23: bool is_repeat,
 }
 
 struct BodyChunk {
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -16,9 +16,8 @@
 from tests import decision_helpers as helpers
 
 _Code = exceptions.ErrorCode
-GRAY = _service_policy.for_table(
-    "domain-1", _retry.BudgetLimits(ratio=0.2, burst=5.0)
-)
+REPEAT_LIMITS = _retry.BudgetLimits(ratio=0.2, burst=5.0, idle_per_s=0.0)
+GRAY = _service_policy.for_table("domain-1", REPEAT_LIMITS)
 
 
 def _refusals(
@@ -259,8 +258,8 @@
 
 def test_hedges_of_many_lookups_that_hang_at_once() -> None:
     """Those that the budget can't pay at first are sent as it fills again."""
-    policy = _service_policy.for_table(
-        "domain-1", _retry.BudgetLimits(0.0, burst=1.0, idle_per_s=1.0)
+    policy = dataclasses.replace(
+        GRAY, retry_budget=_retry.BudgetLimits(0.0, burst=1.0, idle_per_s=1.0)
     )
     ingress = helpers.ingress(owners=6, policy=policy)
     for number in (1, 2, 3):
@@ -276,6 +275,65 @@
     assert hedged == {1, 2, 3}
 
 
+def _repeat(number: int) -> types.OwnerRequest:
+    return dataclasses.replace(helpers.owner_request(number), is_repeat=True)
+
+
+def test_calls_that_begin_on_few_nodes_and_hang() -> None:
+    """The owner's part of the budget serves whoever needs it.
+
+    First attempts fill it, wherever they come from.
+    """
+    owner = helpers.owner(policy=GRAY, slots=50)
+    paid = [
+        number
+        for number in range(10)
+        if not _refusals(owner.submit(0.0, _repeat(number)))
+    ]
+    assert len(paid) == int(REPEAT_LIMITS.burst)
+    for number in range(10, 15):
+        owner.submit(0.0, helpers.owner_request(number))
+    assert _refusals(owner.submit(0.0, _repeat(20))) == {}
+    spent = _refusals(owner.submit(0.0, _repeat(21)))
+    assert spent == {21: _Code.REPEATS_SPENT}
+
+
+@pytest.mark.parametrize(
+    ("code", "is_repeat"),
+    [
+        (_Code.STEERED_AWAY, False),
+        (_Code.OVERLOADED, False),
+        (_Code.UPSTREAM_FULL, True),
+    ],
+)
+def test_refused_requests_that_are_sent_on(
+    code: exceptions.ErrorCode, is_repeat: bool
+) -> None:
+    """Only what has reached an upstream before counts as a repeat."""
+    ingress = helpers.ingress(owners=4, policy=GRAY)
+    [first] = _forwards(ingress.begin(0.0, helpers.ingress_request(1)))
+    [second] = _forwards(
+        ingress.attempt_ended(0.0, _refuse_attempt(first, code))
+    )
+    assert not first.is_repeat
+    assert second.is_repeat is is_repeat
+
+
+def test_hedges_are_repeats_and_find_an_owner_that_can_pay() -> None:
+    """Where one owner's part is spent, another one's may not be."""
+    ingress = helpers.ingress(owners=4, policy=GRAY)
+    request = dataclasses.replace(
+        helpers.ingress_request(1), max_attempts=2, objective_s=0.6
+    )
+    ingress.begin(0.0, request)
+    [hedge] = _forwards(ingress.tick(1.0))
+    assert hedge.is_repeat
+    spent = _refuse_attempt(hedge, _Code.REPEATS_SPENT)
+    [moved] = _forwards(ingress.attempt_ended(1.0, spent))
+    assert moved.is_repeat
+    assert moved.owner != hedge.owner
+
+
 def test_many_urgent_requests_of_no_length_at_a_full_owner() -> None:
     """All of them fit behind the next slot that comes free."""
     owner = helpers.owner(policy=GRAY, slots=2)
