Send no hedge beside full queues unless the owner is in doubt

A lookup of which half the time had gone was hedged although every owner was full: under load most of these wait in a queue, and the hedge made the queues longer.

Change: without room elsewhere a late hedge is sent only where the owner of the open attempt is avoided by now (silent, in doubt, cut off).

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -405,8 +405,11 @@
 
     def _hedge(self, now_s: float, pending: state.PendingRequest) -> _Actions:
         service = self._service(pending.request.service)
-        if not _retry_rules.is_late(now_s, pending):
-            if not _service_view.has_room(now_s, service, pending):
+        # Where all owners are full the request is most likely queued.
+        if not _service_view.has_room(now_s, service, pending):
+            if not _retry_rules.is_late(now_s, pending):
+                return []
+            if not _service_view.is_in_doubt(now_s, service, pending):
                 return []
         pending.hedge_due_s = now_s + _HEDGE_RETRY_S
         if not service.budget.take(now_s):
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -16,6 +16,7 @@
     "has_room",
     "hedge_due_s",
     "hints",
+    "is_in_doubt",
     "note_answer",
     "note_refusal",
     "patience_s",
@@ -134,6 +135,16 @@
     )
 
 
+def is_in_doubt(
+    now_s: float, service: state.ServiceView, pending: state.PendingRequest
+) -> bool:
+    """Return whether an owner with an open attempt is avoided by now."""
+    owners = [
+        service.owners.get(attempt.owner) for attempt in pending.open.values()
+    ]
+    return any(view is None or view.is_avoided(now_s) for view in owners)
+
+
 def reference_ms(service: state.ServiceView, route: str) -> float | None:
     """Return the median time of a route over all owners, milliseconds."""
     known = service.references.get(route)
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -348,3 +348,23 @@
         assert owner.submit(now_s, _timed_request(number, 2.0, now_s)) == []
     long = _timed_request(300, 1000.0, now_s)
     assert _refusals(owner.submit(now_s, long)) == {300: _Code.OVERLOADED}
+
+
+@pytest.mark.parametrize(("weight", "hedged"), [(3.0, False), (0.0, True)])
+def test_lookups_that_wait_in_full_queues(weight: float, hedged: bool) -> None:
+    """They get no second attempt, which would only lengthen the queues.
+
+    One whose owner has come to doubt its upstream does.
+    """
+    ingress = helpers.ingress(owners=3, policy=GRAY)
+    request = dataclasses.replace(
+        helpers.ingress_request(1, deadline_s=2.0), max_attempts=2
+    )
+    [first] = _forwards(ingress.begin(0.0, request))
+    for number in (1, 2, 3):
+        owner = f"10.0.0.{number}:7000"
+        is_own = owner == first.owner
+        ingress.note_load(
+            1.4, helpers.load(owner, weight if is_own else 3.0, in_flight=9)
+        )
+    assert bool(_forwards(ingress.tick(1.5))) is hedged
