Start budgets at their first use, and lift limits at once

Change: nothing is gained before the first use; lifting the limits fills the budget. The count of attempts that may have run stands once, with the request. Tests: tests/test_retry.py, both failed before.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -52,7 +52,7 @@
             self._services[service] = state.ServiceView(policy, budget)
         else:
             known.policy = policy
-            known.budget.limits = policy.retry_budget
+            known.budget.change_limits(policy.retry_budget)
 
     def set_owner(self, now_s: float, advert: types.OwnerAdvert) -> None:
         """Take in what membership tells of an owner."""
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -47,6 +47,11 @@
     retry_after_s: float | None = None
     hedge_due_s: float | None = None
 
+    @property
+    def sent(self) -> int:
+        """How many attempts may have been run by an upstream."""
+        return self.next_number - 1 - self.refusals
+
 
 @dataclasses.dataclass(slots=True)
 class RouteReference:
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -67,7 +67,7 @@
             case limits, None:
                 known.repeats = _retry.RetryBudget(limits)
             case limits, budget:
-                budget.limits = limits
+                budget.change_limits(limits)
         self._registry.use_model(service, policy.thresholds().evidence)
 
     def announce(
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -81,11 +81,18 @@
 
     limits: BudgetLimits = BudgetLimits()
     tokens: float = dataclasses.field(init=False)
-    updated_s: float = 0.0
+    updated_s: float | None = None
 
     def __post_init__(self) -> None:
         self.tokens = min(self.limits.initial, self.limits.burst)
 
+    def change_limits(self, limits: BudgetLimits) -> None:
+        """Go by other limits; what was saved up is kept within them."""
+        self.limits = limits
+        if math.isinf(limits.burst):
+            self.tokens = limits.burst
+        self.tokens = min(limits.burst, self.tokens)
+
     def deposit(self, now_s: float) -> None:
         """Count one request of a caller."""
         self._refill(now_s)
@@ -101,7 +108,9 @@
         return True
 
     def _refill(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self.updated_s)
+        # Nothing is gained for the time before the first use.
+        since_s = now_s if self.updated_s is None else self.updated_s
+        elapsed_s = max(0.0, now_s - since_s)
         self.updated_s = now_s
         added = elapsed_s * self.limits.idle_per_s
         self.tokens = min(self.limits.burst, self.tokens + added)
--- a/src/papayastall/_retry_rules.py
+++ b/src/papayastall/_retry_rules.py
@@ -8,7 +8,6 @@
 from papayastall import exceptions
 
 __all__ = [
-    "count_sent",
     "has_attempts_left",
     "is_hedge_due",
     "is_late",
@@ -56,19 +55,14 @@
     return now_s >= (sent_s + pending.request.deadline_s) / 2.0
 
 
-def count_sent(pending: state.PendingRequest) -> int:
-    """Return how many attempts may have been run by an upstream."""
-    return pending.next_number - 1 - pending.refusals
-
-
 def is_repeat(pending: state.PendingRequest) -> bool:
     """Return whether an attempt may have reached an upstream before."""
-    return count_sent(pending) > 0 or pending.was_shed
+    return pending.sent > 0 or pending.was_shed
 
 
 def has_attempts_left(pending: state.PendingRequest) -> bool:
     """Return whether another upstream may run the request."""
-    return count_sent(pending) < pending.request.max_attempts
+    return pending.sent < pending.request.max_attempts
 
 
 def may_move_hedge(
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -106,8 +106,7 @@
         return False
     if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
         return True
-    sent = pending.next_number - 1 - pending.refusals
-    return sent > 0 and sent + 1 >= pending.request.max_attempts
+    return 0 < pending.sent >= pending.request.max_attempts - 1
 
 
 def _candidates(
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -44,3 +44,23 @@
 def test_nobody_is_left_without_any_attempt() -> None:
     limits = _retry.share_budget(RATIO, SLACK, WINDOW_S, 2000)
     assert _retry.RetryBudget(limits).take(0.0)
+
+
+def test_a_node_that_starts_late_gains_nothing_for_the_time_before() -> None:
+    """Clocks of nodes count from the start of the machine."""
+    limits = _retry.share_budget(RATIO, SLACK, WINDOW_S, 6)
+    budget = _retry.RetryBudget(limits)
+    assert budget.take(1e6)
+    assert not budget.take(1e6)
+    assert budget.take(1e6 + 2.0 / limits.idle_per_s)
+
+
+@pytest.mark.parametrize("now_s", [0.0, 1e6])
+def test_no_limit_holds_from_the_moment_that_it_is_set(now_s: float) -> None:
+    """Whatever was saved up under the limits before."""
+    budget = _retry.RetryBudget(_retry.BudgetLimits(burst=1.0))
+    assert budget.take(now_s)
+    budget.change_limits(_retry.UNLIMITED)
+    assert all(budget.take(now_s) for _ in range(1000))
+    budget.change_limits(_retry.BudgetLimits(burst=2.0))
+    assert budget.tokens == 2.0
