--- a/src/papayastall/_explain.py
+++ b/src/papayastall/_explain.py
@@ -22,6 +22,11 @@
 """What nodes believed so long before a request may have decided it."""
 AFTER_S = 1.0
 _LINE_START = '{"timestamp"'
+_END_EVENTS = frozenset(
+    event.value
+    for event in logs.RequestEvent
+    if event is not logs.RequestEvent.REPEATED
+)
 _OWN_FIELDS = ("timestamp", "message_type", "node", "request")
 
 
@@ -65,7 +70,9 @@
     """Return what the logs say of a request, in the order of time.
 
     These are its own lines, and what its ingress and the owners that it was
-    sent to said of themselves, and others of them, shortly before.
+    sent to said of themselves, and others of them, shortly before. Where an
+    upstream failed it, also the requests that failed meanwhile and had begun
+    on that upstream's VM: its own calls are among them.
 
     :raises papayastall.exceptions.BadInputError: no line names it.
     """
@@ -93,7 +100,28 @@
         and first_s <= line.timestamp <= last_s
         and involved & _names(line)
     ]
-    return sorted([*own, *around], key=lambda line: line.timestamp)
+    calls = [
+        line
+        for failure in own
+        if failure.event == logs.RequestEvent.FAILED.value
+        for line in everything
+        if _may_be_call(failure, line)
+    ]
+    return sorted([*own, *around, *calls], key=lambda line: line.timestamp)
+
+
+def _may_be_call(failure: LogLine, line: LogLine) -> bool:
+    """Return whether a failed request may be why an upstream failed.
+
+    It began on the VM of that upstream and ended during its run.
+    """
+    run_s = float(failure.fields["age_ms"]) / 1000
+    return (
+        line.event in _END_EVENTS
+        and line.node == failure.fields["owner"]
+        and line.request != failure.request
+        and failure.timestamp - run_s <= line.timestamp <= failure.timestamp
+    )
 
 
 def _names(line: LogLine) -> set[str]:
@@ -115,15 +143,17 @@
                 f"{line.timestamp - start_s:+.3f}",
                 line.node,
                 line.event,
-                _describe(line),
+                _describe(line, request),
             )
             for line in timeline
         ],
     )
 
 
-def _describe(line: LogLine) -> str:
+def _describe(line: LogLine, request: str) -> str:
     fields = line.fields
+    if line.request not in ("", request):
+        fields = {"request": line.request, **fields}
     if "before" in fields:
         change = f"{fields['subject']}: {fields['before'] or '-'}"
         return f"{change} -> {fields['after']}: {fields['cause']}"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,6 +65,22 @@
     assert "code=leaving" in text
 
 
+def test_a_failed_run_shows_what_failed_on_its_own_vm_meanwhile() -> None:
+    """One of these may be the call that it waited for."""
+    failed = {"status": 500, "owner": OWNER, "age_ms": 900.0}
+    texts = [
+        line(100.0, "request-failed", INGRESS, request="id-1", **failed),
+        line(99.9, "request-cancelled", OWNER, request="call-1"),
+        line(99.5, "request-repeated", OWNER, request="call-1"),
+        line(99.0, "request-refused", OWNER, request="before-it"),
+        line(99.9, "request-refused", OTHER, request="elsewhere"),
+    ]
+    timeline = _explain.explain("id-1", _explain.read_lines(texts))
+    assert [entry.request for entry in timeline] == ["call-1", "id-1"]
+    text = _explain.format_timeline("id-1", timeline)
+    assert "request=call-1" in text
+
+
 def test_a_request_without_a_line_is_bad_input() -> None:
     with pytest.raises(exceptions.BadInputError, match="first attempt"):
         _explain.explain("id-9", _explain.read_lines(TEXTS))
