Share builders in the new tests; drop a queue method that nothing calls

A last read of the change found the same lookup with two attempts built four times, a refusal built by hand beside its builder, and the caller of a slow order written out three times. Each stands once now; all assertions are as they were. TeamQueue.take_all had no caller.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -150,15 +150,6 @@
         self._size -= len(late)
         return late
 
-    def take_all(self) -> list[QueuedRequest]:
-        """Take out everything."""
-        items = [
-            item for waiting in self._by_team.values() for item in waiting
-        ]
-        self._by_team.clear()
-        self._size = 0
-        return items
-
 
 class RankedQueue:
     """Team queues by precedence."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -30,6 +30,37 @@
     }
 
 
+def _refuse_attempt(
+    attempt: types.ForwardAttempt, code: exceptions.ErrorCode
+) -> types.AttemptOutcome:
+    return types.AttemptOutcome(
+        attempt.request_id,
+        attempt.attempt,
+        types.AttemptResult.NOT_RUN,
+        None,
+        code,
+        2.0,
+        None,
+    )
+
+
+def _forwards(
+    actions: list[types.IngressAction],
+) -> list[types.ForwardAttempt]:
+    return [
+        action
+        for action in actions
+        if isinstance(action, types.ForwardAttempt)
+    ]
+
+
+def _two_attempts(number: int) -> types.IngressRequest:
+    """Return a lookup that two upstreams may run, due within 0.6 s."""
+    return dataclasses.replace(
+        helpers.ingress_request(number), max_attempts=2, objective_s=0.6
+    )
+
+
 def _timed_request(
     number: int, reference_ms: float, now_s: float
 ) -> types.OwnerRequest:
@@ -102,27 +133,15 @@
         [forward] = actions
         assert isinstance(forward, types.ForwardAttempt)
         wanted.append(forward.hints.wants_proof)
-        actions = ingress.attempt_ended(
-            0.0,
-            types.AttemptOutcome(
-                1,
-                forward.attempt,
-                types.AttemptResult.NOT_RUN,
-                None,
-                _Code.UNPROVEN,
-                2.0,
-                None,
-            ),
-        )
+        refused = _refuse_attempt(forward, _Code.UNPROVEN)
+        actions = ingress.attempt_ended(0.0, refused)
     assert wanted == [True, True, False]
 
 
 def test_last_attempt_of_a_lookup_that_hung_once() -> None:
     """The second of two attempts asks for proof, the first one does not."""
     ingress = helpers.ingress(owners=4, policy=GRAY)
-    request = dataclasses.replace(
-        helpers.ingress_request(1), max_attempts=2, objective_s=0.6
-    )
+    request = _two_attempts(1)
     [first] = ingress.begin(0.0, request)
     [second] = ingress.tick(1.0)
     assert isinstance(first, types.ForwardAttempt)
@@ -207,30 +226,6 @@
         assert len(window) <= 51 / 21 + 1
 
 
-def _refuse_attempt(
-    attempt: types.ForwardAttempt, code: exceptions.ErrorCode
-) -> types.AttemptOutcome:
-    return types.AttemptOutcome(
-        attempt.request_id,
-        attempt.attempt,
-        types.AttemptResult.NOT_RUN,
-        None,
-        code,
-        2.0,
-        None,
-    )
-
-
-def _forwards(
-    actions: list[types.IngressAction],
-) -> list[types.ForwardAttempt]:
-    return [
-        action
-        for action in actions
-        if isinstance(action, types.ForwardAttempt)
-    ]
-
-
 @pytest.mark.parametrize(
     ("code", "moves"),
     [
@@ -245,9 +240,7 @@
 ) -> None:
     """The lookup that hangs gets its second attempt at another owner."""
     ingress = helpers.ingress(owners=4, policy=GRAY)
-    request = dataclasses.replace(
-        helpers.ingress_request(1), max_attempts=2, objective_s=0.6
-    )
+    request = _two_attempts(1)
     ingress.begin(0.0, request)
     [hedge] = _forwards(ingress.tick(1.0))
     moved = _forwards(ingress.attempt_ended(1.0, _refuse_attempt(hedge, code)))
@@ -263,10 +256,7 @@
     )
     ingress = helpers.ingress(owners=6, policy=policy)
     for number in (1, 2, 3):
-        request = dataclasses.replace(
-            helpers.ingress_request(number), max_attempts=2, objective_s=0.6
-        )
-        ingress.begin(0.0, request)
+        ingress.begin(0.0, _two_attempts(number))
     hedged = {
         forward.request_id
         for step in range(1, 50)
@@ -322,9 +312,7 @@
 def test_hedges_are_repeats_and_find_an_owner_that_can_pay() -> None:
     """Where one owner's part is spent, another one's may not be."""
     ingress = helpers.ingress(owners=4, policy=GRAY)
-    request = dataclasses.replace(
-        helpers.ingress_request(1), max_attempts=2, objective_s=0.6
-    )
+    request = _two_attempts(1)
     ingress.begin(0.0, request)
     [hedge] = _forwards(ingress.tick(1.0))
     assert hedge.is_repeat
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -258,6 +258,30 @@
     wait_for_answer(running, running.nodes[1], "/visits/x")
 
 
+def start_slow_order(
+    running: platform_fleet.PlatformFleet,
+    node: platform_fleet.Machine,
+    upstream: StandIn,
+    deadline_ms: int = 30_000,
+) -> tuple[threading.Thread, list[platform_fleet.Answer]]:
+    """Send an order and wait until the upstream holds it at its gate.
+
+    :returns: the caller's thread, and the list that will hold its answer.
+    """
+    upstream.gate.clear()
+    upstream.started.clear()
+    answers: list[platform_fleet.Answer] = []
+    headers = {"Deadline-Ms": str(deadline_ms)}
+    caller = threading.Thread(
+        target=lambda: answers.append(
+            running.ask(node, "/orders/slow", **headers)
+        )
+    )
+    caller.start()
+    assert upstream.started.wait(LIMIT_S)
+    return caller, answers
+
+
 def test_a_planned_stop_cuts_nothing(
     running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
 ) -> None:
@@ -266,14 +290,7 @@
     assert node.process is not None
     node.process.send_signal(signal.SIGHUP)
     assert running.is_ready(node)
-    upstreams[1].gate.clear()
-    upstreams[1].started.clear()
-    answers: list[platform_fleet.Answer] = []
-    caller = threading.Thread(
-        target=lambda: answers.append(running.ask(node, "/orders/slow"))
-    )
-    caller.start()
-    assert upstreams[1].started.wait(LIMIT_S)
+    caller, answers = start_slow_order(running, node, upstreams[1], 5_000)
     node.process.send_signal(signal.SIGTERM)
     running.wait(lambda: not running.is_ready(node), "not ready", LIMIT_S)
     upstreams[1].gate.set()
@@ -306,16 +323,7 @@
     node = running.nodes[0]
     assert node.process is not None
     allow_long_orders(running, 90)
-    upstreams[1].gate.clear()
-    upstreams[1].started.clear()
-    answers: list[platform_fleet.Answer] = []
-    caller = threading.Thread(
-        target=lambda: answers.append(
-            running.ask(node, "/orders/slow", **{"Deadline-Ms": "30000"})
-        )
-    )
-    caller.start()
-    assert upstreams[1].started.wait(LIMIT_S)
+    caller, answers = start_slow_order(running, node, upstreams[1])
     node.process.send_signal(signal.SIGTERM)
     caller.join(LIMIT_S)
     upstreams[1].gate.set()
@@ -331,17 +339,8 @@
     """The answer comes after the first time has gone, within the second."""
     node = running.nodes[0]
     assert node.process is not None
-    upstreams[1].gate.clear()
-    upstreams[1].started.clear()
-    answers: list[platform_fleet.Answer] = []
-    caller = threading.Thread(
-        target=lambda: answers.append(
-            running.ask(node, "/orders/slow", **{"Deadline-Ms": "30000"})
-        )
-    )
     allow_long_orders(running, 99)
-    caller.start()
-    assert upstreams[1].started.wait(LIMIT_S)
+    caller, answers = start_slow_order(running, node, upstreams[1])
     node.process.send_signal(signal.SIGTERM)
     time.sleep(GRACE_S / 2)
     node.process.send_signal(signal.SIGTERM)
