Answer connections that the kernel completed as a listener closes

A connection that had just been made and had sent nothing yet was closed as an idle one.

Ruled out: the order of the stop (the node had told everybody to leave and the owner went on; the reset came at the ingress, 0.14 s after the caller began, before its upstream could have ended).

Change: new connections are kept out first (a socket filter that drops SYN), those made are accepted and handed over, and only then the socket is closed. A new connection has a second for its first request.

Conclusion: a request that comes on a kept connection while its close is on the network is still reset; HTTP/1.1 has no way to avoid that.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -19,6 +19,7 @@
 import anyio.abc
 import httptools
 
+from papayastall import _listener
 from papayastall import clock
 
 __all__ = [
@@ -38,6 +39,9 @@
 """Body bytes that are kept for an application that does not read them."""
 SWEEP_INTERVAL_S = 1.0
 CLOSE_POLL_S = 0.02
+FIRST_REQUEST_S = 1.0
+"""Time that a new connection has for its first request while the server
+closes; a caller that is slow between connecting and sending needs it."""
 
 Scope = dict[str, t.Any]
 Message = dict[str, t.Any]
@@ -142,6 +146,7 @@
         self._writable.set()
         self._is_lost = False
         self._closes = False
+        self._is_new = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
@@ -165,6 +170,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._used_s = clock.now_s()
+        self._is_new = False
         if self._closes and self._answering is None:
             return
         if self._request is None or self._head_since_s is not None:
@@ -247,6 +253,13 @@
         poll.register(descriptor, select.POLLIN)
         return bool(poll.poll(0))
 
+    def may_close(self, now_s: float) -> bool:
+        """Whether a closing server has nothing to answer here."""
+        awaits_first = self._is_new and now_s - self._used_s < FIRST_REQUEST_S
+        return (
+            self.is_idle and not awaits_first and not self.has_unread_bytes()
+        )
+
     def sweep(self, now_s: float) -> None:
         """End a connection that is idle, or slow with its headers."""
         limits = self._server.limits
@@ -450,17 +463,18 @@
 
         Where it is cancelled on its way, a further call goes on with it.
         """
-        server, self._server = self._server, None
-        if server is not None:
-            server.close()
         with anyio.move_on_after(self._close_timeout_s):
+            if self._server is not None:
+                await _listener.close_listener(self._server, self.note_failure)
             while self.connections:
+                now_s = clock.now_s()
                 for connection in list(self.connections):
-                    if connection.is_idle and not (
-                        connection.has_unread_bytes()
-                    ):
+                    if connection.may_close(now_s):
                         connection.close()
                 await anyio.sleep(CLOSE_POLL_S)
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         for connection in list(self.connections):
             connection.abort()
         for task in list(self.tasks):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -91,6 +91,76 @@
         caller.close()
 
 
+async def test_a_connection_that_is_not_accepted_yet_is_answered() -> None:
+    """It waits in the kernel with its request as the server closes."""
+    async with run_server() as (server, address):
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        # No await between the two: the loop has not accepted it.
+        await server.close()
+        assert (await read_answer(caller)).startswith(b"HTTP/1.1 200")
+        caller.close()
+
+
+@pytest.mark.parametrize("turns", [1, 2, 3])
+async def test_a_connection_that_was_just_accepted_is_answered(
+    turns: int,
+) -> None:
+    """The loop knows of it, the server does not or only just."""
+    async with run_server() as (server, address):
+        caller = connect(address)
+        caller.sendall(REQUEST)
+        for _ in range(turns):
+            await anyio.sleep(0)
+        await server.close()
+        assert (await read_answer(caller)).startswith(b"HTTP/1.1 200")
+        caller.close()
+
+
+async def test_a_caller_that_has_just_connected_may_still_ask() -> None:
+    """Its request comes after the server has begun to close."""
+    async with run_server() as (server, address):
+        caller = connect(address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.close)
+            # Some rounds over the open connections.
+            await anyio.sleep(10 * _http_server.CLOSE_POLL_S)
+            caller.sendall(REQUEST)
+            answer = await read_answer(caller)
+        assert answer.startswith(b"HTTP/1.1 200")
+        caller.close()
+
+
+async def test_a_stop_lets_no_connection_in_that_it_would_reset() -> None:
+    """Each caller is answered, or was never connected."""
+    ends: list[str] = []
+
+    def call_again_and_again(address: str) -> None:
+        while True:
+            try:
+                caller = connect(address)
+            except OSError:
+                return
+            with caller:
+                caller.sendall(REQUEST)
+                try:
+                    data = caller.recv(65536)
+                except ConnectionResetError:
+                    data = b"reset"
+            ends.append(data.decode("latin-1")[:12])
+
+    async with anyio.create_task_group() as tasks:
+        async with run_server() as (server, address):
+            for _ in range(4):
+                tasks.start_soon(
+                    anyio.to_thread.run_sync, call_again_and_again, address
+                )
+            while len(ends) < 20:
+                await anyio.sleep(0.01)
+            await server.close()
+    assert set(ends) == {"HTTP/1.1 200"}
+
+
 async def test_a_request_in_flight_is_answered_before_the_stop_ends() -> None:
     started, go_on = anyio.Event(), anyio.Event()
 
