--- a/bench/_decision_driver.py
+++ b/bench/_decision_driver.py
@@ -14,6 +14,8 @@
 import itertools
 import random
 
+import msgspec.structs
+
 from bench import _decision_model as model
 from papayastall import _decision_types as types
 from papayastall import _ingress_controller
@@ -165,7 +167,9 @@
             )
             ingress.configure(
                 SERVICE,
-                dataclasses.replace(scenario.policy, failure_domain=domain),
+                msgspec.structs.replace(
+                    scenario.policy, failure_domain=domain
+                ),
             )
             for number in range(scenario.upstreams):
                 advert = types.OwnerAdvert(
--- a/bench/_decision_policies.py
+++ b/bench/_decision_policies.py
@@ -9,6 +9,8 @@
 import random
 import typing as t
 
+import msgspec.structs
+
 from bench import _decision_model as model
 from papayastall import _decision_types as types
 from papayastall import _ingress_controller
@@ -161,11 +163,7 @@
 
 
 def _replace(values: Tuning, changes: dict[str, float | bool]) -> Tuning:
-    known = {
-        field.name: getattr(values, field.name)
-        for field in dataclasses.fields(values)
-    }
-    return type(values)(**(known | changes))
+    return msgspec.structs.replace(values, **changes)
 
 
 def make_policy(
--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import itertools
 import math
 
+import msgspec
+
 from papayastall import _decision_types as types
 
 __all__ = ["QueuedRequest", "RankedQueue", "TeamQueue"]
@@ -20,8 +21,7 @@
 """Rank of a request and whether its work is long; the least goes first."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class QueuedRequest:
+class QueuedRequest(msgspec.Struct, frozen=True):
     """A request that waits for a slot.
 
     :param latest_s: when it is refused rather than held any longer.
--- a/src/papayastall/_channel_calls.py
+++ b/src/papayastall/_channel_calls.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 
 import anyio
+import msgspec
 
 from papayastall import _frames
 from papayastall import _peering
@@ -14,8 +14,7 @@
 __all__ = ["ChannelCalls", "PendingCall"]
 
 
-@dataclasses.dataclass(slots=True)
-class PendingCall:
+class PendingCall(msgspec.Struct):
     """A call that waits for its answer."""
 
     frame: _frames.Call
--- a/src/papayastall/_claim_state.py
+++ b/src/papayastall/_claim_state.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import heapq
 
+import msgspec
+
 from papayastall import _control_commands as commands
 
 __all__ = ["CLAIM_KEPT_MS", "ClaimTable", "StoredClaim"]
@@ -26,8 +27,7 @@
 _State = commands.ClaimState
 
 
-@dataclasses.dataclass(slots=True)
-class StoredClaim:
+class StoredClaim(msgspec.Struct):
     """What is known of one key.
 
     :param state: ``GRANTED``, ``ANSWERED`` or ``RELEASED``.
--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -10,6 +10,7 @@
 import urllib.parse
 
 import httpcore
+import msgspec.structs
 import orjson
 
 from papayastall import _control_client
@@ -63,7 +64,8 @@
     """Print the data as JSON if asked for, else the text."""
     if arguments["--json"]:
         options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
-        print(orjson.dumps(data, option=options).decode())
+        content = orjson.dumps(data, msgspec.structs.asdict, options)
+        print(content.decode())
     elif text:
         print(text)
 
--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
+
+import msgspec
 
 from papayastall import _control_commands as commands
 
@@ -34,16 +35,14 @@
 MAX_PAGE_BYTES = 192 * 1024
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class IndexedDocument:
+class IndexedDocument(msgspec.Struct, frozen=True):
     """A document with the index of its last change."""
 
     index: int
     document: commands.DocumentText
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class FetchDocuments:
+class FetchDocuments(msgspec.Struct, frozen=True):
     """Asks a peer for the documents changed after an index.
 
     :param confirm: a control leader must make sure that it leads.
@@ -54,8 +53,7 @@
     confirm: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class FetchedDocuments:
+class FetchedDocuments(msgspec.Struct, frozen=True):
     """A page of documents in the order of their index.
 
     :param index: that the page reaches; in force at the peer if no more.
@@ -71,16 +69,14 @@
     confirmed: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class IndexNotice:
+class IndexNotice(msgspec.Struct, frozen=True):
     """Tells a peer that a config index is in force here."""
 
     version: int
     index: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Fetch:
+class Fetch(msgspec.Struct, frozen=True):
     """Ask this peer for the documents changed after an index.
 
     :param confirmation: number of the confirmation that it is for; zero
@@ -92,8 +88,7 @@
     confirmation: int = 0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ConfigUpdate:
+class ConfigUpdate(msgspec.Struct, frozen=True):
     """Put these documents in force together."""
 
     index: int
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 import zlib
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _config
 from papayastall import _control_calls
@@ -47,8 +47,7 @@
 PutInForce = cabc.Callable[[int, list[ConfigItem]], None]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DocumentSource:
+class DocumentSource(msgspec.Struct, frozen=True):
     """A document as an operator sends it.
 
     :param source: where the text is from, for messages.
@@ -58,8 +57,7 @@
     text: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ApplyOutcome:
+class ApplyOutcome(msgspec.Struct, frozen=True):
     """Documents that are in force, and since which index."""
 
     index: int
--- a/src/papayastall/_control_app.py
+++ b/src/papayastall/_control_app.py
@@ -5,6 +5,7 @@
 import collections.abc as cabc
 import typing as t
 
+import msgspec.structs
 import orjson
 
 from papayastall import _announcements
@@ -51,7 +52,10 @@
         headers = [(b"content-type", b"application/json")]
         status = 200
         try:
-            body = orjson.dumps(await self._call(scope, receive))
+            body = orjson.dumps(
+                await self._call(scope, receive),
+                default=msgspec.structs.asdict,
+            )
         except exceptions.PapayastallError as error:
             problem = _problem.problem_of(error)
             status = problem.status
--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from papayastall import _thrift
 from papayastall import _thrift_codec
 from papayastall import exceptions
@@ -150,8 +151,7 @@
     REFUSED = 4
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DocumentText:
+class DocumentText(msgspec.Struct, frozen=True):
     """The checked text of a document with what the state needs of it."""
 
     name: str
@@ -161,15 +161,13 @@
     text: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ApplyDocuments:
+class ApplyDocuments(msgspec.Struct, frozen=True):
     """Put all of these documents in force, or none."""
 
     documents: tuple[DocumentText, ...]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ChangeRoutes:
+class ChangeRoutes(msgspec.Struct, frozen=True):
     """Change the route table.
 
     :param digest: tells a change that is sent again.
@@ -180,8 +178,7 @@
     text: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class UpstreamReport:
+class UpstreamReport(msgspec.Struct, frozen=True):
     """What an owner says of one of its upstreams."""
 
     upstream: str
@@ -190,8 +187,7 @@
     state: UpstreamReportState
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReportUpstreams:
+class ReportUpstreams(msgspec.Struct, frozen=True):
     """Changes of an owner's upstreams, or all of them.
 
     :param epoch: start of the owner's process; later starts are greater.
@@ -205,8 +201,7 @@
     upstreams: tuple[UpstreamReport, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AskPermit:
+class AskPermit(msgspec.Struct, frozen=True):
     """Ask to take an upstream out of its service's healthy capacity.
 
     :param config_index: of the config in force at the owner.
@@ -221,8 +216,7 @@
     config_index: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """Claim an idempotency key for one run.
 
     :param key: digest of service, team and key.
@@ -237,16 +231,14 @@
     timeout_ms: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Header:
+class Header(msgspec.Struct, frozen=True):
     """One header of an answer."""
 
     name: bytes
     value: bytes
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A whole answer of an upstream."""
 
     status: int
@@ -254,8 +246,7 @@
     body: bytes = b""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RecordOutcome:
+class RecordOutcome(msgspec.Struct, frozen=True):
     """Record that a claimed request ran.
 
     :param answer: with its body and headers only where they are kept.
@@ -269,16 +260,14 @@
     size_bytes: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReleaseClaim:
+class ReleaseClaim(msgspec.Struct, frozen=True):
     """Give a claim back; only where the request certainly did not run."""
 
     key: bytes
     token: bytes
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Command:
+class Command(msgspec.Struct, frozen=True):
     """Exactly one of the commands."""
 
     version: int = COMMAND_VERSION
@@ -291,16 +280,14 @@
     change_routes: ChangeRoutes | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ObservedSlots:
+class ObservedSlots(msgspec.Struct, frozen=True):
     """Healthy slots of an owner in a service, as membership sees them."""
 
     owner: str
     slots: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LogEntry:
+class LogEntry(msgspec.Struct, frozen=True):
     """A command with what the leader adds to it.
 
     :param time_ms: the replicated clock, which never runs fast.
@@ -314,8 +301,7 @@
     observed: tuple[ObservedSlots, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DocumentVerdict:
+class DocumentVerdict(msgspec.Struct, frozen=True):
     """What became of one document, and which one is in force."""
 
     name: str
@@ -325,8 +311,7 @@
     current_digest: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class DocumentsResult:
+class DocumentsResult(msgspec.Struct, frozen=True):
     """What became of an apply.
 
     :param index: of the change that holds these documents.
@@ -337,8 +322,7 @@
     verdicts: tuple[DocumentVerdict, ...]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RoutesResult:
+class RoutesResult(msgspec.Struct, frozen=True):
     """What became of a change of the route table.
 
     :param index: of the change, or of the config in force if refused.
@@ -350,8 +334,7 @@
     problem: str = ""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReportResult:
+class ReportResult(msgspec.Struct, frozen=True):
     """What became of a report.
 
     :param epoch: the greatest epoch known of the owner.
@@ -361,8 +344,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PermitResult:
+class PermitResult(msgspec.Struct, frozen=True):
     """What became of a permit that was asked for.
 
     :param healthy_slots: of the service, after the decision.
@@ -375,8 +357,7 @@
     config_index: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ClaimResult:
+class ClaimResult(msgspec.Struct, frozen=True):
     """What is known of a claim.
 
     :param retry_after_ms: when to ask again, while it runs.
@@ -387,8 +368,7 @@
     retry_after_ms: int = 0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Result:
+class Result(msgspec.Struct, frozen=True):
     """The result of the command of the same kind."""
 
     version: int = COMMAND_VERSION
@@ -399,8 +379,7 @@
     routes: RoutesResult | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GroupCall:
+class GroupCall(msgspec.Struct, frozen=True):
     """A node asks a control replica to commit a command."""
 
     version: int
@@ -408,8 +387,7 @@
     command: Command
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GroupAnswer:
+class GroupAnswer(msgspec.Struct, frozen=True):
     """A control replica's answer to a call.
 
     :param leader: whom to ask instead, if known.
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 import typing as t
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _claims
 from papayastall import _config_service
@@ -31,8 +31,7 @@
 CLOSE_TIMEOUT_S = 5.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlSettings:
+class ControlSettings(msgspec.Struct, frozen=True):
     """What a node knows of control.
 
     :param node: its own link address.
@@ -53,8 +52,7 @@
     with_permits: bool = True
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlHooks:
+class ControlHooks(msgspec.Struct, frozen=True):
     """What control asks of the rest of the node and tells it.
 
     :param list_members: link addresses of the other live members.
--- a/src/papayastall/_control_state.py
+++ b/src/papayastall/_control_state.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _claim_state
 from papayastall import _control_commands as commands
@@ -24,8 +24,7 @@
 SNAPSHOT_VERSION = 1
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ControlSnapshot:
+class ControlSnapshot(msgspec.Struct, frozen=True):
     """All of group 0."""
 
     version: int
@@ -35,8 +34,7 @@
     upstreams: tuple[_permit_state.StoredUpstream, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ClaimSnapshot:
+class ClaimSnapshot(msgspec.Struct, frozen=True):
     """All of one group of claims, each encoded by itself."""
 
     version: int
--- a/src/papayastall/_data_folder.py
+++ b/src/papayastall/_data_folder.py
@@ -4,12 +4,12 @@
 
 import collections.abc as cabc
 import contextlib
-import dataclasses
 import os
 import secrets
 import struct
 
 import google_crc32c
+import msgspec
 
 from papayastall import _files
 from papayastall import _raft_log
@@ -41,8 +41,7 @@
 _CHECKSUM = struct.Struct("<I")
 
 
-@dataclasses.dataclass(slots=True)
-class GroupCheckpoint:
+class GroupCheckpoint(msgspec.Struct):
     """All that a new generation must hold of one group."""
 
     base: types.SnapshotMeta
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from papayastall import exceptions
 
 __all__ = [
@@ -82,8 +83,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class UpstreamAnnouncement:
+class UpstreamAnnouncement(msgspec.Struct, frozen=True):
     """What an upstream announces to its owner.
 
     :param upstream: address as ``ip:port``.
@@ -120,8 +120,7 @@
     return address, instance
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RequestHints:
+class RequestHints(msgspec.Struct, frozen=True):
     """What an ingress knows of the whole service, sent with each request.
 
     :param reference_error_ratio: share of failed answers on this route over
@@ -139,8 +138,7 @@
     wants_proof: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class OwnerRequest:
+class OwnerRequest(msgspec.Struct, frozen=True):
     """A request that an ingress asks an owner to run.
 
     :param deadline_s: on the owner's own clock.
@@ -168,8 +166,7 @@
     is_repeat: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class OwnerLoad:
+class OwnerLoad(msgspec.Struct, frozen=True):
     """The load of one owner for one service, carried on answers.
 
     :param weight: sum over its upstreams of slots times steering weight.
@@ -186,8 +183,7 @@
     latency_ms: float | None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class OwnerAdvert:
+class OwnerAdvert(msgspec.Struct, frozen=True):
     """What membership tells every node of one owner and one service."""
 
     owner: str
@@ -196,8 +192,7 @@
     slots: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class IngressRequest:
+class IngressRequest(msgspec.Struct, frozen=True):
     """A caller's request at its ingress.
 
     :param max_attempts: upstreams that may run it.
@@ -217,8 +212,7 @@
     objective_s: float | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AttemptOutcome:
+class AttemptOutcome(msgspec.Struct, frozen=True):
     """How one attempt ended.
 
     :param code: why it was refused or failed; ``None`` when answered.
@@ -234,16 +228,14 @@
     load: OwnerLoad | None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """Hand the request to this upstream now."""
 
     request_id: int
     upstream: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RefuseRequest:
+class RefuseRequest(msgspec.Struct, frozen=True):
     """Tell whoever sent the request that it did not run, or may have.
 
     :param final: coming back or trying elsewhere does not help.
@@ -256,8 +248,7 @@
     final: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AskPermit:
+class AskPermit(msgspec.Struct, frozen=True):
     """Ask the control state for a permit to eject this upstream."""
 
     upstream: str
@@ -265,16 +256,14 @@
     slots: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReleasePermit:
+class ReleasePermit(msgspec.Struct, frozen=True):
     """Give back the permit of an upstream that returns or is gone."""
 
     upstream: str
     service: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ForwardAttempt:
+class ForwardAttempt(msgspec.Struct, frozen=True):
     """Send the request to this owner as the numbered attempt.
 
     :param cause: why the former attempt was not enough; ``None`` for a
@@ -291,24 +280,21 @@
     is_repeat: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CancelAttempt:
+class CancelAttempt(msgspec.Struct, frozen=True):
     """Cancel an attempt that is no longer wanted."""
 
     request_id: int
     attempt: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AnswerChosen:
+class AnswerChosen(msgspec.Struct, frozen=True):
     """Relay this attempt's answer to the caller."""
 
     request_id: int
     attempt: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SuspectNews:
+class SuspectNews(msgspec.Struct, frozen=True):
     """Tell every node that a request may crash upstreams, or does not.
 
     :param upstream: the upstream that was lost with it, as ``ip:port``.
--- a/src/papayastall/_document_state.py
+++ b/src/papayastall/_document_state.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
+
+import msgspec
 
 from papayastall import _control_commands as commands
 
@@ -19,8 +20,7 @@
 _State = commands.DocumentState
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StoredRevision:
+class StoredRevision(msgspec.Struct, frozen=True):
     """A revision that was accepted, so that a resend is known."""
 
     revision: int
@@ -28,8 +28,7 @@
     index: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StoredDocument:
+class StoredDocument(msgspec.Struct, frozen=True):
     """A document in force and its last revisions, oldest first."""
 
     document: commands.DocumentText
@@ -37,8 +36,7 @@
     history: tuple[StoredRevision, ...]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ConfigChange:
+class ConfigChange(msgspec.Struct, frozen=True):
     """Documents that came in force together.
 
     :param index: orders all changes; gaps are normal.
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 
 import anyio
+import msgspec
 
 from papayastall import _decision_types
 from papayastall import _frames
@@ -15,8 +15,7 @@
 __all__ = ["Attempt", "Exchange"]
 
 
-@dataclasses.dataclass(slots=True)
-class Attempt:
+class Attempt(msgspec.Struct):
     """One attempt at one owner.
 
     :param wire_id: number of the attempt on the links.
@@ -33,7 +32,7 @@
     owner_boot_id: int = 0
     head: _frames.AnswerHead | None = None
     started: bool = False
-    chunks: collections.deque[bytes] = dataclasses.field(
+    chunks: collections.deque[bytes] = msgspec.field(
         default_factory=collections.deque
     )
     received_bytes: int = 0
@@ -43,8 +42,7 @@
     upstream_ms: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class Exchange:
+class Exchange(msgspec.Struct):
     """A caller's request while it waits for its answer.
 
     :param name: the id that its caller gave it, for log lines.
@@ -60,13 +58,13 @@
     key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.ACCEPTED
     name: str = ""
     started_s: float = 0.0
-    tried: list[str] = dataclasses.field(default_factory=list)
+    tried: list[str] = msgspec.field(default_factory=list)
     claim_key: str = ""
     claim_token: str = ""
-    attempts: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    attempts: dict[int, Attempt] = msgspec.field(default_factory=dict)
     chosen: Attempt | None = None
     refusal: _decision_types.RefuseRequest | None = None
-    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
     async def wait_for_outcome(self) -> None:
         """Wait until an answer is chosen or the request is refused."""
--- a/src/papayastall/_explain.py
+++ b/src/papayastall/_explain.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import typing as t
 
+import msgspec
 import orjson
 
 from papayastall import _tables
@@ -30,8 +30,7 @@
 _OWN_FIELDS = ("timestamp", "message_type", "node", "request")
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LogLine:
+class LogLine(msgspec.Struct, frozen=True):
     """One line of a node's log.
 
     :param node: link address of the node that wrote it.
--- a/src/papayastall/_fleet_calls.py
+++ b/src/papayastall/_fleet_calls.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import anyio
+import msgspec.structs
 import orjson
 
 from papayastall import _peering
@@ -91,7 +92,9 @@
     async def _receive(self, peer: str, body: bytes) -> bytes:
         call = _thrift.decode(wire.OperatorCall, body)
         if call.name == LIST:
-            return orjson.dumps(self._list_own())
+            return orjson.dumps(
+                self._list_own(), default=msgspec.structs.asdict
+            )
         change = self._changes.get(call.name)
         if change is None:
             raise exceptions.ProtocolError(
@@ -100,7 +103,9 @@
                 step="operator call",
                 peer=peer,
             )
-        return orjson.dumps(await change(call.upstream or ""))
+        return orjson.dumps(
+            await change(call.upstream or ""), default=msgspec.structs.asdict
+        )
 
 
 def _unknown(
--- a/src/papayastall/_formation.py
+++ b/src/papayastall/_formation.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 __all__ = ["Formation"]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Formation:
+class Formation(msgspec.Struct, frozen=True):
     """How a group forms, grows and shrinks without operators.
 
     :param may_found: this process may found a group that does not exist.
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import struct
 import typing as t
 
+import msgspec
+
 from papayastall import _decision_types
 from papayastall import _thrift
 from papayastall import exceptions
@@ -50,8 +51,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclasses.dataclass(slots=True)
-class Hello:
+class Hello(msgspec.Struct):
     """Opens a link; ``boot_id`` tells a restarted node from its former.
 
     :param sent_ms: on the sender's monotonic clock.
@@ -63,8 +63,7 @@
     sent_ms: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class Open:
+class Open(msgspec.Struct):
     """Asks an owner to run a request.
 
     :param reference_ms: median answer time of the service; 0 if unknown.
@@ -102,8 +101,7 @@
     is_repeat: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class BodyChunk:
+class BodyChunk(msgspec.Struct):
     """A further part of a request's body."""
 
     request_id: int
@@ -111,15 +109,13 @@
     last: bool
 
 
-@dataclasses.dataclass(slots=True)
-class Cancel:
+class Cancel(msgspec.Struct):
     """The caller no longer waits for this request."""
 
     request_id: int
 
 
-@dataclasses.dataclass(slots=True)
-class Credit:
+class Credit(msgspec.Struct):
     """Acknowledges answer bytes; ``done`` lets the owner forget it all."""
 
     request_id: int
@@ -127,8 +123,7 @@
     done: bool
 
 
-@dataclasses.dataclass(slots=True)
-class Query:
+class Query(msgspec.Struct):
     """Asks, on a new link, what became of a request."""
 
     request_id: int
@@ -136,8 +131,7 @@
     received_bytes: int
 
 
-@dataclasses.dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct):
     """Status and headers of an answer."""
 
     request_id: int
@@ -146,8 +140,7 @@
     load: _decision_types.OwnerLoad | None
 
 
-@dataclasses.dataclass(slots=True)
-class AnswerChunk:
+class AnswerChunk(msgspec.Struct):
     """A part of an answer's body at its offset.
 
     :param waiting_ms: time in the owner's queue, on the last part.
@@ -162,8 +155,7 @@
     upstream_ms: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class Refuse:
+class Refuse(msgspec.Struct):
     """Ends a request without a whole answer.
 
     :param ran_unknown: false means that the request did not run.
@@ -179,44 +171,38 @@
     message: str
 
 
-@dataclasses.dataclass(slots=True)
-class Running:
+class Running(msgspec.Struct):
     """Answers a query: the request is queued or runs."""
 
     request_id: int
 
 
-@dataclasses.dataclass(slots=True)
-class LoadNotice:
+class LoadNotice(msgspec.Struct):
     """Tells an ingress that the owner takes work again, or none."""
 
     load: _decision_types.OwnerLoad | None
 
 
-@dataclasses.dataclass(slots=True)
-class Ping:
+class Ping(msgspec.Struct):
     """Asks for a sign of life while work is outstanding."""
 
     number: int
 
 
-@dataclasses.dataclass(slots=True)
-class Pong:
+class Pong(msgspec.Struct):
     """Answers a ping."""
 
     number: int
 
 
-@dataclasses.dataclass(slots=True)
-class Cast:
+class Cast(msgspec.Struct):
     """A one-way message of a subsystem."""
 
     channel: int
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class Call:
+class Call(msgspec.Struct):
     """A message of a subsystem that wants an answer."""
 
     call_id: int
@@ -224,8 +210,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class CallAnswer:
+class CallAnswer(msgspec.Struct):
     """The answer to a call; ``error_code`` is "" where it went well."""
 
     call_id: int
@@ -272,9 +257,7 @@
     LoadNotice,
 ]
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS, 1)}
-_FIELDS = {
-    kind: [field.name for field in dataclasses.fields(kind)] for kind in _KINDS
-}
+_FIELDS = {kind: kind.__struct_fields__ for kind in _KINDS}
 _CHECKS = {
     "int": int,
     "str": str,
@@ -284,16 +267,15 @@
 }
 _SCALARS = {
     kind: [
-        (field.name, _CHECKS[field.type])
-        for field in dataclasses.fields(kind)
-        if isinstance(field.type, str) and field.type in _CHECKS
+        (name, _CHECKS[hint])
+        for name, hint in kind.__annotations__.items()
+        if hint in _CHECKS
     ]
     for kind in _KINDS
 }
 
 
-@dataclasses.dataclass(slots=True)
-class ReceivedFrame:
+class ReceivedFrame(msgspec.Struct):
     """The header of a frame that is being received.
 
     :param size_bytes: length of the struct that follows.
--- a/src/papayastall/_gossip.py
+++ b/src/papayastall/_gossip.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import socket
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _gossip_codec
 from papayastall import _membership
@@ -20,8 +20,7 @@
 RECEIVE_SIZE_BYTES = 2048
 
 
-@dataclasses.dataclass(slots=True)
-class GossipCounters:
+class GossipCounters(msgspec.Struct):
     """What went through the socket of a gossiper."""
 
     sent: int = 0
--- a/src/papayastall/_gossip_queue.py
+++ b/src/papayastall/_gossip_queue.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 
+import msgspec
+
 from papayastall import _member_table
 from papayastall import _membership_types as types
 
@@ -16,8 +17,7 @@
 MAX_QUEUED = 512
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Key:
+class _Key(msgspec.Struct, frozen=True):
     address: str
     service: str | None
 
--- a/src/papayastall/_gray_filter.py
+++ b/src/papayastall/_gray_filter.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
+
 __all__ = ["GrayFilter", "GrayModel"]
 
 _MAX_LOG_ODDS = 6.0
@@ -21,8 +22,7 @@
 """Shorter work is dominated by queueing and the network."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GrayModel:
+class GrayModel(msgspec.Struct, frozen=True):
     """How sound and gray upstreams are taken to behave.
 
     :param gray_share: share of the requests that a gray one leaves hanging.
@@ -62,8 +62,7 @@
         return self.gray_s / (self.gray_s + self.sound_s)
 
 
-@dataclasses.dataclass(slots=True)
-class _InFlight:
+class _InFlight(msgspec.Struct):
     started_s: float
     reference_s: float
 
--- a/src/papayastall/_health.py
+++ b/src/papayastall/_health.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
+
 __all__ = [
     "Evidence",
     "MedianEstimate",
@@ -36,8 +37,7 @@
 _HALF_LIFE_S = 60.0
 
 
-@dataclasses.dataclass(slots=True)
-class MedianEstimate:
+class MedianEstimate(msgspec.Struct):
     """Running median of a stream in constant memory."""
 
     value: float | None = None
@@ -56,8 +56,7 @@
             self.value /= 1.0 + step
 
 
-@dataclasses.dataclass(slots=True)
-class RatioEstimate:
+class RatioEstimate(msgspec.Struct):
     """Running share of failures, 0 to 1."""
 
     value: float = 0.0
@@ -70,8 +69,7 @@
         self.value += step * (float(failed) - self.value)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SequentialTest:
+class SequentialTest(msgspec.Struct, frozen=True):
     """Evidence adds up until a threshold; see :class:`Evidence`.
 
     :param per_route: whether each route has a score of its own, too.
@@ -80,8 +78,7 @@
     per_route: bool = True
 
 
-@dataclasses.dataclass(slots=True)
-class _InFlight:
+class _InFlight(msgspec.Struct):
     """A request in flight and what of its age has been settled.
 
     An answer that shows the upstream at work settles the ages of all
@@ -99,8 +96,7 @@
         return gain - self.settled.get(key, 0.0)
 
 
-@dataclasses.dataclass(slots=True)
-class _Scores:
+class _Scores(msgspec.Struct):
     latency: float = 0.0
     errors: float = 0.0
 
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _decision_types as types
 from papayastall import _health
@@ -14,8 +14,7 @@
 __all__ = ["Attempt", "PendingRequest", "RouteReference", "ServiceView"]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Attempt:
+class Attempt(msgspec.Struct, frozen=True):
     """One attempt that is still open."""
 
     number: int
@@ -23,8 +22,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class PendingRequest:
+class PendingRequest(msgspec.Struct):
     """A caller's request and its attempts.
 
     :param has_unknown: an attempt may have run it and gave no answer.
@@ -34,8 +32,8 @@
     """
 
     request: types.IngressRequest
-    open: dict[int, Attempt] = dataclasses.field(default_factory=dict)
-    tried: set[str] = dataclasses.field(default_factory=set)
+    open: dict[int, Attempt] = msgspec.field(default_factory=dict)
+    tried: set[str] = msgspec.field(default_factory=set)
     next_number: int = 1
     refusals: int = 0
     has_unknown: bool = False
@@ -53,27 +51,21 @@
         return self.next_number - 1 - self.refusals
 
 
-@dataclasses.dataclass(slots=True)
-class RouteReference:
+class RouteReference(msgspec.Struct):
     """Time and share of failures of one route over all owners."""
 
-    median: _health.MedianEstimate = dataclasses.field(
+    median: _health.MedianEstimate = msgspec.field(
         default_factory=_health.MedianEstimate
     )
-    errors: _health.RatioEstimate = dataclasses.field(
+    errors: _health.RatioEstimate = msgspec.field(
         default_factory=_health.RatioEstimate
     )
 
 
-@dataclasses.dataclass(slots=True)
-class ServiceView:
+class ServiceView(msgspec.Struct):
     """One service as an ingress sees it."""
 
     policy: _service_policy.ServicePolicy
     budget: _retry.RetryBudget
-    owners: dict[str, _routing.OwnerView] = dataclasses.field(
-        default_factory=dict
-    )
-    references: dict[str, RouteReference] = dataclasses.field(
-        default_factory=dict
-    )
+    owners: dict[str, _routing.OwnerView] = msgspec.field(default_factory=dict)
+    references: dict[str, RouteReference] = msgspec.field(default_factory=dict)
--- a/src/papayastall/_link_peer.py
+++ b/src/papayastall/_link_peer.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import anyio
+import msgspec
 
 from papayastall import _connection
 
@@ -20,8 +19,7 @@
 REDIAL_INTERVAL_S = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class LinkPeer:
+class LinkPeer(msgspec.Struct):
     """One peer, its connections and the work outstanding there.
 
     :param boot_id: of the peer's last hello; 0 before one.
@@ -42,10 +40,8 @@
     dialled_s: float = -REDIAL_INTERVAL_S
     dial_timeout_s: float = DIAL_TIMEOUT_S
     lost_connection: bool = False
-    former: list[_connection.Connection] = dataclasses.field(
-        default_factory=list
-    )
-    ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    former: list[_connection.Connection] = msgspec.field(default_factory=list)
+    ready: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
     @property
     def is_connected(self) -> bool:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections.abc as cabc
-import dataclasses
 import enum
 import itertools
 import ssl
@@ -17,6 +16,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _channel_calls
 from papayastall import _connection
@@ -52,8 +52,7 @@
     """No connection can be made at present."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LinkSettings:
+class LinkSettings(msgspec.Struct, frozen=True):
     """Who this node is on its links.
 
     :param address: own link address, ``ip:port``.
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -10,9 +10,11 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 
+import msgspec
+import msgspec.structs
+
 from papayastall import _decision_types
 from papayastall import _gossip_queue
 from papayastall import _member_table
@@ -36,8 +38,7 @@
 GOODBYE_COUNT = 5
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MembershipSettings:
+class MembershipSettings(msgspec.Struct, frozen=True):
     """Who this node is and whom it asks first.
 
     :param address: own link address, ``ip:port``.
@@ -219,7 +220,7 @@
             return []
         if not self._suspicions.trusts_itself(now_s):
             return []
-        suspicion = dataclasses.replace(
+        suspicion = msgspec.structs.replace(
             record,
             state=types.MemberState.SUSPECT,
             suspecters=(self._address,),
@@ -231,7 +232,9 @@
         for address in self._suspicions.ended(now_s):
             record = self._table.member_record(address)
             assert record is not None
-            dead = dataclasses.replace(record, state=types.MemberState.DEAD)
+            dead = msgspec.structs.replace(
+                record, state=types.MemberState.DEAD
+            )
             actions.extend(self._take_member(now_s, dead))
         return actions
 
@@ -307,7 +310,7 @@
         self, now_s: float, incarnation: int
     ) -> list[types.MembershipAction]:
         assert incarnation > self._own.incarnation, incarnation
-        self._own = dataclasses.replace(
+        self._own = msgspec.structs.replace(
             self._own, incarnation=incarnation, state=self._state
         )
         self._version = max(self._version, incarnation)
--- a/src/papayastall/_membership_types.py
+++ b/src/papayastall/_membership_types.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from papayastall import _decision_types
 
 __all__ = [
@@ -57,8 +58,7 @@
     return incarnation >> BOOT_SHIFT
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MemberRecord:
+class MemberRecord(msgspec.Struct, frozen=True):
     """One statement about a member, as it travels.
 
     :param address: link address of the member, ``ip:port``.
@@ -83,8 +83,7 @@
         return size_bytes + sum(len(peer) for peer in self.suspecters)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AdvertRecord:
+class AdvertRecord(msgspec.Struct, frozen=True):
     """What an owner offers of one service, as it travels.
 
     :param slots: of its upstreams of the service; 0 withdraws the advert.
@@ -106,57 +105,49 @@
 Record = MemberRecord | AdvertRecord
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True):
     """Asks the receiver for an :class:`Ack` of the same sequence."""
 
     sequence: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True):
     """Answers a ping, directly or through a helper."""
 
     sequence: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PingRequest:
+class PingRequest(msgspec.Struct, frozen=True):
     """Asks a helper to ping the target, given by its datagram address."""
 
     sequence: int
     target: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Nack:
+class Nack(msgspec.Struct, frozen=True):
     """A helper's word that the target did not answer it either."""
 
     sequence: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Gossip:
+class Gossip(msgspec.Struct, frozen=True):
     """Carries records only."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class BranchDigests:
+class BranchDigests(msgspec.Struct, frozen=True):
     """Opens an exchange: the digest of every branch of the table."""
 
     digests: tuple[int, ...]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class LeafDigests:
+class LeafDigests(msgspec.Struct, frozen=True):
     """The digest of every leaf of one branch that differs."""
 
     branch: int
     digests: tuple[int, ...]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Leaves:
+class Leaves(msgspec.Struct, frozen=True):
     """The sender's records of leaves that differ.
 
     :param wants_reply: whether the receiver sends its own in return.
@@ -166,15 +157,13 @@
     wants_reply: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PageRequest:
+class PageRequest(msgspec.Struct, frozen=True):
     """Asks for the records from the cursor on."""
 
     cursor: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """Records from the cursor on; ``next_cursor`` is -1 at the end."""
 
     cursor: int
@@ -195,8 +184,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Datagram:
+class Datagram(msgspec.Struct, frozen=True):
     """One message between two nodes.
 
     :param sender: link address of the sender.
@@ -212,8 +200,7 @@
     body: Body
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """What this node knows of one member.
 
     :param config_index: highest config index heard from it directly.
@@ -230,8 +217,7 @@
     answers: bool = True
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MemberJoined:
+class MemberJoined(msgspec.Struct, frozen=True):
     """A member is new, back, or restarted under its old address."""
 
     address: str
@@ -239,45 +225,39 @@
     restarted: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MemberLeft:
+class MemberLeft(msgspec.Struct, frozen=True):
     """A member is leaving, has left or is dead, as ``state`` tells."""
 
     address: str
     state: MemberState
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MemberSuspect:
+class MemberSuspect(msgspec.Struct, frozen=True):
     """Probes of this member failed; it may still refute that."""
 
     address: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class MemberRefuted:
+class MemberRefuted(msgspec.Struct, frozen=True):
     """A suspected member has shown that it is alive."""
 
     address: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AdvertChanged:
+class AdvertChanged(msgspec.Struct, frozen=True):
     """An owner's offer changed; no slots mean that it is withdrawn."""
 
     advert: _decision_types.OwnerAdvert
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PeerConfigIndex:
+class PeerConfigIndex(msgspec.Struct, frozen=True):
     """A peer has seen a higher config index than this node."""
 
     address: str
     config_index: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SendDatagram:
+class SendDatagram(msgspec.Struct, frozen=True):
     """Send this datagram to this datagram address."""
 
     datagram_address: str
--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 
 import anyio
+import msgspec
 
 from papayastall import _frames
 
@@ -18,8 +18,7 @@
 """Address and boot id of the ingress, and its number of the request."""
 
 
-@dataclasses.dataclass(slots=True)
-class Run:
+class Run(msgspec.Struct):
     """One request at its owner.
 
     :param local_id: number of the request in the owner's controller.
@@ -35,18 +34,18 @@
     deadline_s: float
     arrived_s: float = 0.0
     waiting_ms: float = 0.0
-    body: bytearray = dataclasses.field(default_factory=bytearray)
+    body: bytearray = msgspec.field(default_factory=bytearray)
     submitted: bool = False
     dispatched: bool = False
     abandoned: bool = False
     scope: anyio.CancelScope | None = None
     head: _frames.AnswerHead | None = None
-    unacknowledged: collections.deque[_frames.AnswerChunk] = dataclasses.field(
+    unacknowledged: collections.deque[_frames.AnswerChunk] = msgspec.field(
         default_factory=collections.deque
     )
     sent_bytes: int = 0
     acknowledged_bytes: int = 0
-    credit: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    credit: anyio.Event = msgspec.field(default_factory=anyio.Event)
     refusal: _frames.Refuse | None = None
     ended_s: float | None = None
 
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from papayastall import _admission
 from papayastall import _decision_types as types
 from papayastall import _gray_filter
@@ -35,8 +36,7 @@
     RETURNING = "returning"
 
 
-@dataclasses.dataclass(slots=True)
-class RunningRequest:
+class RunningRequest(msgspec.Struct):
     """A request that was handed to an upstream."""
 
     request: types.OwnerRequest
@@ -48,8 +48,7 @@
     trial_failed: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class Upstream:
+class Upstream(msgspec.Struct):
     """One upstream: what it announced and how its work went.
 
     :param is_doubted: gets only a lookup now and then.
@@ -66,10 +65,8 @@
     expires_s: float
     warm_s: float
     evidence: AnyEvidence
-    running: dict[int, RunningRequest] = dataclasses.field(
-        default_factory=dict
-    )
-    held_until_s: list[float] = dataclasses.field(default_factory=list)
+    running: dict[int, RunningRequest] = msgspec.field(default_factory=dict)
+    held_until_s: list[float] = msgspec.field(default_factory=list)
     is_doubted: bool = False
     decayed_s: float = 0.0
     standing: Standing = Standing.HEALTHY
@@ -105,8 +102,7 @@
         return now_s < self.last_answer_s + self.lease_s
 
 
-@dataclasses.dataclass(slots=True)
-class ServiceState:
+class ServiceState(msgspec.Struct):
     """One service at one owner.
 
     :param busy_s: mean time for which a request holds its slot.
@@ -115,10 +111,10 @@
     """
 
     policy: _service_policy.ServicePolicy
-    queue: _admission.RankedQueue = dataclasses.field(
+    queue: _admission.RankedQueue = msgspec.field(
         default_factory=_admission.RankedQueue
     )
-    medians: dict[str, _health.MedianEstimate] = dataclasses.field(
+    medians: dict[str, _health.MedianEstimate] = msgspec.field(
         default_factory=dict
     )
     busy_s: float = 0.1
@@ -126,8 +122,7 @@
     repeats: _retry.RetryBudget | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class UpstreamView:
+class UpstreamView(msgspec.Struct, frozen=True):
     """An upstream as operators see it."""
 
     upstream: str
--- a/src/papayastall/_permit_state.py
+++ b/src/papayastall/_permit_state.py
@@ -10,7 +10,9 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
+
+import msgspec
+import msgspec.structs
 
 from papayastall import _control_commands as commands
 
@@ -22,8 +24,7 @@
 _State = commands.PermitState
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StoredUpstream:
+class StoredUpstream(msgspec.Struct, frozen=True):
     """An upstream as its owner last reported it.
 
     :param granted_index: log index of its permit; zero without one.
@@ -40,8 +41,7 @@
         return self.report.slots if serving and not self.granted_index else 0
 
 
-@dataclasses.dataclass(slots=True)
-class StoredOwner:
+class StoredOwner(msgspec.Struct):
     """The last command of an owner.
 
     :param renewed_ms: when it was applied, on the replicated clock.
@@ -160,7 +160,7 @@
         )
         if state is _State.GRANTED:
             entry = self._upstreams[command.upstream]
-            self._put(dataclasses.replace(entry, granted_index=index))
+            self._put(msgspec.structs.replace(entry, granted_index=index))
         healthy = self.count_healthy_slots(command.service_name, observed)
         result = commands.Result(
             permit=commands.PermitResult(
--- a/src/papayastall/_permits.py
+++ b/src/papayastall/_permits.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import collections.abc as cabc
-import dataclasses
 import math
 
 import anyio
 import anyio.abc
+import msgspec.structs
 
 from papayastall import _control_calls
 from papayastall import _control_commands as commands
@@ -72,7 +72,7 @@
             if self._told.get(upstream) != report
         ]
         changed += [
-            dataclasses.replace(report, state=_Report.GONE)
+            msgspec.structs.replace(report, state=_Report.GONE)
             for upstream, report in self._told.items()
             if upstream not in wanted and report.state is not _Report.GONE
         ]
@@ -89,7 +89,7 @@
     ) -> commands.UpstreamReport:
         if report.upstream not in self.held:
             return report
-        return dataclasses.replace(report, state=_Report.NOT_SERVING)
+        return msgspec.structs.replace(report, state=_Report.NOT_SERVING)
 
     def _make(
         self, full: bool, reports: list[commands.UpstreamReport]
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 
+import msgspec
+
 from papayastall import _admission
 from papayastall import _decision_types as types
 from papayastall import _ejection
@@ -37,23 +38,20 @@
 """Work below this share of the mean time of a slot counts as short."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Place:
+class Place(msgspec.Struct, frozen=True):
     """Run the request on this upstream now."""
 
     upstream: state.Upstream
     is_trial: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True):
     """All upstreams that may run it are busy; they have so many slots."""
 
     slots: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class NoUpstream:
+class NoUpstream(msgspec.Struct, frozen=True):
     """No upstream here may run it."""
 
     code: exceptions.ErrorCode
--- a/src/papayastall/_prober.py
+++ b/src/papayastall/_prober.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
+
 from papayastall import _member_table
 from papayastall import _membership_types as types
 
@@ -24,8 +25,7 @@
 SEQUENCE_MASK = 0x7FFFFFFF
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ProbeMessage:
+class ProbeMessage(msgspec.Struct, frozen=True):
     """A message to send to this datagram address.
 
     :param address: link address of the receiver, if known.
@@ -36,8 +36,7 @@
     body: types.Body
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ProbeFailed:
+class ProbeFailed(msgspec.Struct, frozen=True):
     """A member did not answer.
 
     :param confirmed: a helper had no answer from it either.
@@ -47,8 +46,7 @@
     confirmed: bool
 
 
-@dataclasses.dataclass(slots=True)
-class _Probe:
+class _Probe(msgspec.Struct):
     target: str
     sequence: int
     started_s: float
@@ -56,8 +54,7 @@
     nacks: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class _Errand:
+class _Errand(msgspec.Struct):
     """A ping that this node sends for another node's probe."""
 
     requester: str
--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
 import orjson
 
 from papayastall import exceptions
@@ -35,8 +35,7 @@
 _OPEN_STATUSES = frozenset({502, 504})
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True):
     """One error as it is told to a caller or an operator.
 
     :param ran: whether the request ran; ``None`` where nothing could run.
--- a/src/papayastall/_proposals.py
+++ b/src/papayastall/_proposals.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing as t
 
 import anyio
+import msgspec
 
 from papayastall import _replica_set
 from papayastall import exceptions
@@ -30,8 +30,7 @@
     )
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Proposal:
+class Proposal(msgspec.Struct, eq=False):
     """A command whose proposer waits.
 
     :param is_appended: it is in the log of this replica.
--- a/src/papayastall/_raft_codec.py
+++ b/src/papayastall/_raft_codec.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import typing as t
 
+import msgspec
+
 from papayastall import _raft_types as types
 from papayastall import _thrift
 from papayastall import exceptions
@@ -21,7 +22,7 @@
 
 _IDL = _thrift.load_module("raft")
 
-_BODY_FIELDS: dict[type, str] = {
+_BODY_FIELDS: dict[type[msgspec.Struct], str] = {
     types.VoteRequest: "vote_request",
     types.VoteReply: "vote_reply",
     types.Append: "append",
@@ -32,20 +33,20 @@
     types.StaleNotice: "stale_notice",
     types.TimeoutNow: "timeout_now",
 }
-_FIELD_NAMES = {
-    cls: tuple(field.name for field in dataclasses.fields(cls))
-    for cls in (
-        *_BODY_FIELDS,
-        types.Entry,
-        types.Member,
-        types.Members,
-        types.SnapshotMeta,
-    )
+_STRUCTS: tuple[type[msgspec.Struct], ...] = (
+    *_BODY_FIELDS,
+    types.Entry,
+    types.Member,
+    types.Members,
+    types.SnapshotMeta,
+)
+_FIELD_NAMES: dict[type, tuple[str, ...]] = {
+    cls: cls.__struct_fields__ for cls in _STRUCTS
 }
 
 
 def _pack(value: t.Any) -> t.Any:
-    """Turn a data class into the thrift struct of the same name."""
+    """Turn a struct into the thrift struct of the same name."""
     if isinstance(value, types.Append) and not value.entries:
         return _pack_heartbeat(value)
     if isinstance(value, tuple):
--- a/src/papayastall/_raft_follower.py
+++ b/src/papayastall/_raft_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _raft_state
 from papayastall import _raft_types as types
@@ -10,8 +10,7 @@
 __all__ = ["Follower"]
 
 
-@dataclasses.dataclass(slots=True)
-class _Incoming:
+class _Incoming(msgspec.Struct):
     """A snapshot that is arriving."""
 
     term: int
--- a/src/papayastall/_raft_join.py
+++ b/src/papayastall/_raft_join.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _raft_codec as codec
 from papayastall import _raft_state
@@ -69,8 +69,7 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
-class _Heard:
+class _Heard(msgspec.Struct):
     sender: types.Sender
     fresh: bool
     answers_me: bool
--- a/src/papayastall/_raft_leader.py
+++ b/src/papayastall/_raft_leader.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec.structs
+
 from papayastall import _raft_codec as codec
 from papayastall import _raft_replication as replication
 from papayastall import _raft_state
@@ -289,7 +290,7 @@
                 and progress.match_index >= state.commit_index
                 and progress.replied_s >= earliest_s
             ):
-                voter = dataclasses.replace(progress.member, voter=True)
+                voter = msgspec.structs.replace(progress.member, voter=True)
                 self.set_members(now_s, self._with(voter))
                 return
 
@@ -324,7 +325,7 @@
         boots = {p.member.folder_id: p.boot for p in self._progress.values()}
         boots[own.folder_id] = (own.boot, own.boot_nonce)
         changed = tuple(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 member,
                 boot=boots[member.folder_id][0],
                 boot_nonce=boots[member.folder_id][1],
--- a/src/papayastall/_raft_replication.py
+++ b/src/papayastall/_raft_replication.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from papayastall import _raft_state
 from papayastall import _raft_types as types
 
@@ -26,8 +27,7 @@
     """It needs entries that the leader no longer keeps."""
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """What the leader knows of one other replica.
 
     :param lease_sent_s: latest time of sending that it answered.
--- a/src/papayastall/_raft_state.py
+++ b/src/papayastall/_raft_state.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import random
 
 import google_crc32c
+import msgspec
 
 from papayastall import _formation
 from papayastall import _raft_log
@@ -20,13 +20,12 @@
     return int(google_crc32c.value("\n".join(addresses).encode()))
 
 
-@dataclasses.dataclass(slots=True)
-class StoredState:
+class StoredState(msgspec.Struct):
     """What the data folder holds of one group."""
 
     hard_state: types.HardState = types.HardState()
     base: types.SnapshotMeta = _raft_log.EMPTY_META
-    entries: list[types.Entry] = dataclasses.field(default_factory=list)
+    entries: list[types.Entry] = msgspec.field(default_factory=list)
 
 
 class RaftState:
--- a/src/papayastall/_raft_types.py
+++ b/src/papayastall/_raft_types.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
 import google_crc32c
+import msgspec
 
 from papayastall import exceptions
 
@@ -71,8 +71,7 @@
     MEMBERS = 2
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Timings:
+class Timings(msgspec.Struct, frozen=True):
     """Times of the protocol, in seconds.
 
     :param election_min_s: followers refuse to vote for so long after they
@@ -94,8 +93,7 @@
     yield_max_s: float = 600.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """One replica of a group.
 
     :param folder_id: identity of its data folder; 0 when it was admitted
@@ -111,8 +109,7 @@
     boot_nonce: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Members:
+class Members(msgspec.Struct, frozen=True):
     """The replicas of a group.
 
     :param retired: identities of folders that may never come back.
@@ -133,8 +130,7 @@
         return frozenset(m.folder_id for m in self.members if m.voter)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """One entry of the log.
 
     :param chain: checksum over this and all earlier entries.
@@ -157,16 +153,14 @@
     return Entry(index, term, kind, chain, payload)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Position:
+class Position(msgspec.Struct, frozen=True):
     """A place in the log; the term tells entries at one index apart."""
 
     index: int
     term: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SnapshotMeta:
+class SnapshotMeta(msgspec.Struct, frozen=True):
     """What a snapshot covers: all entries up to and with ``index``."""
 
     index: int
@@ -175,8 +169,7 @@
     members: Members
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class HardState:
+class HardState(msgspec.Struct, frozen=True):
     """What must be durable before a replica answers.
 
     :param vote: folder id of whom it voted for in ``term``; 0 for none.
@@ -189,8 +182,7 @@
     commit_index: int = 0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Sender:
+class Sender(msgspec.Struct, frozen=True):
     """The process that sent a message."""
 
     address: str
@@ -199,8 +191,7 @@
     boot_nonce: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class VoteRequest:
+class VoteRequest(msgspec.Struct, frozen=True):
     """Asks for a vote, or whether it would be given.
 
     :param forced: the leader itself asked for this election.
@@ -212,16 +203,14 @@
     last_term: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class VoteReply:
+class VoteReply(msgspec.Struct, frozen=True):
     """Answers a :class:`VoteRequest`; a grant carries its term."""
 
     pre: bool
     granted: bool
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Append:
+class Append(msgspec.Struct, frozen=True):
     """Entries after a known place, or a heartbeat without any.
 
     :param sent_s: the leader's clock, given back in the answer.
@@ -235,8 +224,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class AppendReply:
+class AppendReply(msgspec.Struct, frozen=True):
     """Answers an :class:`Append`.
 
     :param match_index: last entry known to equal the leader's.
@@ -249,8 +237,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SnapshotChunk:
+class SnapshotChunk(msgspec.Struct, frozen=True):
     """A piece of a snapshot.
 
     :param size_bytes: size of the whole snapshot.
@@ -263,8 +250,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SnapshotReply:
+class SnapshotReply(msgspec.Struct, frozen=True):
     """Says how much of a snapshot has arrived."""
 
     index: int
@@ -273,8 +259,7 @@
     sent_s: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Join:
+class Join(msgspec.Struct, frozen=True):
     """Tells of a replica that is not part of the group yet.
 
     :param fresh: its folder has neither log nor vote.
@@ -285,8 +270,7 @@
     list_digest: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StaleNotice:
+class StaleNotice(msgspec.Struct, frozen=True):
     """Tells a process that its folder may not take part any more.
 
     :param boot: start of the process that is meant.
@@ -297,8 +281,7 @@
     reason: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class TimeoutNow:
+class TimeoutNow(msgspec.Struct, frozen=True):
     """The leader gives up its place and asks for an election at once."""
 
 
@@ -315,8 +298,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Message:
+class Message(msgspec.Struct, frozen=True):
     """A message between two replicas of a group.
 
     :param to_id: folder id of the receiver; 0 when it is not known.
@@ -331,8 +313,7 @@
     body: Body
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ChunkRequest:
+class ChunkRequest(msgspec.Struct, frozen=True):
     """Asks the host to read a piece of a snapshot and send it.
 
     :param message: what to send, with the data missing.
@@ -342,8 +323,7 @@
     chunk: SnapshotChunk
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ChunkWrite:
+class ChunkWrite(msgspec.Struct, frozen=True):
     """A piece of a snapshot that must be stored.
 
     :param last: the snapshot is whole and replaces the log.
@@ -358,8 +338,7 @@
 Write = HardState | Entry | ChunkWrite
 
 
-@dataclasses.dataclass(slots=True)
-class Output:
+class Output(msgspec.Struct):
     """What the host must do after a call, in the order of the fields.
 
     :param early: may be sent at once.
@@ -371,12 +350,12 @@
     :param stale: why the folder may not take part any more.
     """
 
-    early: list[Message] = dataclasses.field(default_factory=list)
-    writes: list[Write] = dataclasses.field(default_factory=list)
-    messages: list[Message] = dataclasses.field(default_factory=list)
-    chunks: list[ChunkRequest] = dataclasses.field(default_factory=list)
+    early: list[Message] = msgspec.field(default_factory=list)
+    writes: list[Write] = msgspec.field(default_factory=list)
+    messages: list[Message] = msgspec.field(default_factory=list)
+    chunks: list[ChunkRequest] = msgspec.field(default_factory=list)
     restored: SnapshotMeta | None = None
-    committed: list[Entry] = dataclasses.field(default_factory=list)
+    committed: list[Entry] = msgspec.field(default_factory=list)
     stale: str | None = None
 
     def extend(self, later: Output) -> None:
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
+
 from papayastall import _member_table
 from papayastall import _membership_types as types
 
@@ -28,8 +29,7 @@
 LEAF_NUMBER_BYTES = 4
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RepairMessage:
+class RepairMessage(msgspec.Struct, frozen=True):
     """A message of the repair, to the peer in hand or a seed.
 
     :param datagram_address: the receiver.
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 import typing as t
 
 import anyio
 import anyio.abc
 import anyio.to_thread
+import msgspec
 
 from papayastall import _files
 from papayastall import _formation
@@ -40,8 +40,7 @@
 MAX_INBOX_BYTES = 8 * 1024 * 1024
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplicaSettings:
+class ReplicaSettings(msgspec.Struct, frozen=True):
     """What a control replica is told at its start.
 
     :param addresses: link addresses of all replicas, in the same order in
--- a/src/papayastall/_replica_set.py
+++ b/src/papayastall/_replica_set.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import random
 import typing as t
 
+import msgspec
+import msgspec.structs
+
 from papayastall import _data_folder
 from papayastall import _formation
 from papayastall import _raft
@@ -52,8 +54,7 @@
         """Replace the whole state by that of a snapshot."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SetOptions:
+class SetOptions(msgspec.Struct, frozen=True):
     """How much log is kept.
 
     A snapshot is taken after so many entries or bytes, but not before as
@@ -72,28 +73,24 @@
     chunk_bytes: int = 256 * 1024
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Applied:
+class Applied(msgspec.Struct, frozen=True):
     """The command was committed and applied."""
 
     result: bytes
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Superseded:
+class Superseded(msgspec.Struct, frozen=True):
     """Another entry was committed in its place; it never will be."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Unresolved:
+class Unresolved(msgspec.Struct, frozen=True):
     """A snapshot covers its place; nobody can tell here."""
 
 
 Resolution = Applied | Superseded | Unresolved
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Resolved:
+class Resolved(msgspec.Struct, frozen=True):
     """What became of a proposal.
 
     :param token: what the proposer gave with it.
@@ -103,16 +100,14 @@
     resolution: Resolution
 
 
-@dataclasses.dataclass(slots=True)
-class _Snapshot:
+class _Snapshot(msgspec.Struct):
     group: int
     meta: types.SnapshotMeta
     machine: StateMachine
     size_bytes: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class Turn:
+class Turn(msgspec.Struct):
     """What one turn must do on the disk and then send."""
 
     early: list[GroupMessage]
@@ -123,7 +118,7 @@
     snapshots: list[_Snapshot]
     checkpoint: list[_data_folder.GroupCheckpoint] | None
     chunk_bytes: int
-    restored_data: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    restored_data: dict[int, bytes] = msgspec.field(default_factory=dict)
 
     @property
     def blocks(self) -> bool:
@@ -164,8 +159,10 @@
         )
         if found is None:
             return
-        body = dataclasses.replace(chunk, data=found[0], size_bytes=found[1])
-        message = dataclasses.replace(request.message, body=body)
+        body = msgspec.structs.replace(
+            chunk, data=found[0], size_bytes=found[1]
+        )
+        message = msgspec.structs.replace(request.message, body=body)
         self.messages.append((group, message))
 
 
--- a/src/papayastall/_request_target.py
+++ b/src/papayastall/_request_target.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _decision_types
 from papayastall import _route_lookup
@@ -22,8 +22,7 @@
 _Code = exceptions.ErrorCode
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RequestTarget:
+class RequestTarget(msgspec.Struct, frozen=True):
     """Where a request goes and what holds for it.
 
     :param team_header: names the caller's team, in lower case; "" for none.
--- a/src/papayastall/_route_lookup.py
+++ b/src/papayastall/_route_lookup.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import route_table
 
 __all__ = ["RouteLookup"]
 
 
-@dataclasses.dataclass(slots=True)
-class _Split:
+class _Split(msgspec.Struct):
     """Spreads the requests of one route over its services.
 
     Smooth weighted round robin: each service gets its share in any short
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import math
 import random
 
+import msgspec
+
 from papayastall import _decision_types as types
 from papayastall import _service_policy
 
@@ -20,16 +21,14 @@
 """After this time without news an owner counts with all its slots again."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Outstanding:
+class Outstanding(msgspec.Struct, frozen=True):
     """An attempt without an answer, and for how long that is normal."""
 
     sent_s: float
     patience_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class OwnerView:
+class OwnerView(msgspec.Struct):
     """What an ingress knows of one owner of one service.
 
     :param steered_word_s: see ``RoutingTuning``.
@@ -44,7 +43,7 @@
     others_in_flight: float = 0.0
     load_s: float = -math.inf
     in_flight: int = 0
-    outstanding: dict[tuple[int, int], Outstanding] = dataclasses.field(
+    outstanding: dict[tuple[int, int], Outstanding] = msgspec.field(
         default_factory=dict
     )
     heard_s: float = -math.inf
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
+
 from papayastall import _gray_filter
 from papayastall import _health
 from papayastall import _retry
@@ -23,8 +24,7 @@
 EvidenceModel = _health.SequentialTest | _gray_filter.GrayModel
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class HealthTuning:
+class HealthTuning(msgspec.Struct, frozen=True):
     """Thresholds of steering away, ejection and return.
 
     Scores are log-likelihood ratios (nats) of "failing" over "healthy".
@@ -103,8 +103,7 @@
             return _GRAY
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RoutingTuning:
+class RoutingTuning(msgspec.Struct, frozen=True):
     """Limits of routing, retries and hedges at an ingress.
 
     :param choices: owners drawn at random, of which the best is taken.
@@ -134,8 +133,7 @@
     far_penalty: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ServicePolicy:
+class ServicePolicy(msgspec.Struct, frozen=True):
     """What operators set for one service.
 
     :param floor_slots: healthy slots that must always remain.
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
+
 from papayastall import _decision_types as types
 from papayastall import _ingress_state as state
 from papayastall import _routing
@@ -41,8 +42,7 @@
 _UNKNOWN_PATIENCE_S = 2.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class OwnerChoice:
+class OwnerChoice(msgspec.Struct, frozen=True):
     """The owner for the next attempt."""
 
     view: _routing.OwnerView
--- a/src/papayastall/_storage.py
+++ b/src/papayastall/_storage.py
@@ -12,10 +12,11 @@
 
 import collections.abc as cabc
 import contextlib
-import dataclasses
 import os
 import secrets
 
+import msgspec
+
 from papayastall import _data_folder
 from papayastall import _files
 from papayastall import _raft_log
@@ -34,16 +35,14 @@
 _LOCK_NAME = "lock"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GroupWrite:
+class GroupWrite(msgspec.Struct, frozen=True):
     """Something that one group wants durable."""
 
     group: int
     write: types.Write
 
 
-@dataclasses.dataclass(slots=True)
-class FolderState:
+class FolderState(msgspec.Struct):
     """What a data folder held when it was opened.
 
     :param boot: how often it was opened, this time included.
--- a/src/papayastall/_suspects.py
+++ b/src/papayastall/_suspects.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _decision_types as types
 
@@ -18,8 +18,7 @@
 MAX_LOSSES = 2
 
 
-@dataclasses.dataclass(slots=True)
-class _Suspect:
+class _Suspect(msgspec.Struct):
     upstreams: set[str]
     expires_s: float
 
--- a/src/papayastall/_thrift_codec.py
+++ b/src/papayastall/_thrift_codec.py
@@ -1,18 +1,19 @@
-"""Turns slotted data classes into thrift bytes and back.
+"""Turns msgspec structs into thrift bytes and back.
 
-A data class and its thrift struct have the same name and the same field
+A struct and its thrift struct have the same name and the same field
 names. Unknown fields of a newer sender are skipped; fields that an older
-sender left out take the defaults of the data class.
+sender left out take the defaults of msgspec's struct.
 """
 
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import enum
 import types
 import typing as t
 
+import msgspec
+
 from papayastall import _thrift
 from papayastall import exceptions
 
@@ -23,26 +24,25 @@
 Convert = cabc.Callable[[t.Any], t.Any]
 
 
-@dataclasses.dataclass(slots=True)
-class _Field:
+class _Field(msgspec.Struct):
     name: str
     to_thrift: Convert | None
     from_thrift: Convert | None
 
 
 class ThriftCodec:
-    """Encodes the data classes whose structs one IDL module defines."""
+    """Encodes the structs that one IDL module defines."""
 
     def __init__(self, idl: t.Any) -> None:
         self._idl = idl
-        self._fields: dict[type, list[_Field]] = {}
+        self._fields: dict[type[msgspec.Struct], list[_Field]] = {}
 
     def encode(self, value: t.Any) -> bytes:
-        """Return the bytes of a data class."""
+        """Return the bytes of a struct."""
         return _thrift.encode(self._to_thrift(value))
 
     def decode(self, target: type[T], data: bytes) -> T:
-        """Return the data class that the bytes hold.
+        """Return the struct that the bytes hold.
 
         :raises papayastall.exceptions.ProtocolError: they hold none.
         """
@@ -57,7 +57,7 @@
             ) from error
 
     def list_fields(self, target: type) -> set[str]:
-        """Return the field names of a data class's struct."""
+        """Return the field names of a struct in the IDL."""
         specs = getattr(self._idl, target.__name__).thrift_spec
         return {spec[1] for spec in specs.values()}
 
@@ -82,13 +82,13 @@
             values[field.name] = part
         return target(**values)
 
-    def _find_fields(self, target: type) -> list[_Field]:
+    def _find_fields(self, target: type[msgspec.Struct]) -> list[_Field]:
         fields = self._fields.get(target)
         if fields is None:
             hints = t.get_type_hints(target)
             fields = [
-                _Field(field.name, *self._choose(hints[field.name]))
-                for field in dataclasses.fields(target)
+                _Field(name, *self._choose(hints[name]))
+                for name in target.__struct_fields__
             ]
             self._fields[target] = fields
         return fields
@@ -104,7 +104,7 @@
             return None, None
         if issubclass(hint, enum.IntEnum):
             return int, hint
-        if dataclasses.is_dataclass(hint):
+        if issubclass(hint, msgspec.Struct):
             return self._to_thrift, lambda s: self._from_thrift(hint, s)
         if hint is bytes:
             return None, _to_bytes
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import anyio
+import msgspec
 
 from papayastall import _decision_types
 from papayastall import _upstream_connection
@@ -57,8 +56,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class UpstreamRequest:
+class UpstreamRequest(msgspec.Struct):
     """A whole request as it goes to an upstream.
 
     :param upstream: its address, ``ip:port``.
--- a/src/papayastall/_wal_format.py
+++ b/src/papayastall/_wal_format.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import struct
 
 import google_crc32c
+import msgspec
 
 from papayastall import _raft_codec as codec
 from papayastall import _raft_types as types
@@ -46,39 +46,34 @@
 _KIND_CHECKPOINT_END = 5
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Base:
+class Base(msgspec.Struct, frozen=True):
     """The log of a group starts after this place."""
 
     meta: types.SnapshotMeta
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Boot:
+class Boot(msgspec.Struct, frozen=True):
     """The data folder was opened for the ``boot``-th time."""
 
     boot: int
     boot_nonce: int
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CheckpointEnd:
+class CheckpointEnd(msgspec.Struct, frozen=True):
     """All that older files held has been written to this one."""
 
 
 Record = types.HardState | types.Entry | Base | Boot | CheckpointEnd
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class GroupRecord:
+class GroupRecord(msgspec.Struct, frozen=True):
     """A record of one group; group 0 for records of the folder."""
 
     group: int
     record: Record
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Frame:
+class Frame(msgspec.Struct, frozen=True):
     """A frame found in a file.
 
     :param end: offset after it.
--- a/src/papayastall/blackboard.py
+++ b/src/papayastall/blackboard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from papayastall import _route_lookup
 from papayastall import documents
@@ -10,13 +10,11 @@
 __all__ = ["Blackboard", "DocumentRouting", "Routing", "TableRouting"]
 
 
-@dataclasses.dataclass(slots=True)
-class DocumentRouting:
+class DocumentRouting(msgspec.Struct):
     """The first segment of a path names the service."""
 
 
-@dataclasses.dataclass(slots=True)
-class TableRouting:
+class TableRouting(msgspec.Struct):
     """Host and path prefix choose the service.
 
     :param lookup: of the table in force; ``None`` while none is known.
@@ -28,8 +26,7 @@
 Routing = DocumentRouting | TableRouting
 
 
-@dataclasses.dataclass(slots=True)
-class Blackboard:
+class Blackboard(msgspec.Struct):
     """What is in force on this node.
 
     :param config_index: index of the config in force; never goes back.
@@ -41,8 +38,8 @@
     node: str
     failure_domain: str
     config_index: int = 0
-    services: dict[str, documents.Document] = dataclasses.field(
+    services: dict[str, documents.Document] = msgspec.field(
         default_factory=dict
     )
-    routing: Routing = dataclasses.field(default_factory=DocumentRouting)
+    routing: Routing = msgspec.field(default_factory=DocumentRouting)
     stopping: bool = False
--- a/src/papayastall/histograms.py
+++ b/src/papayastall/histograms.py
@@ -10,11 +10,11 @@
 
 import collections
 import collections.abc as cabc
-import dataclasses
 import enum
 import heapq
 
 from hdrh import histogram as hdr
+import msgspec
 
 from papayastall import _decision_types
 
@@ -66,8 +66,7 @@
     """Time from handing over to the whole answer."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Sample:
+class Sample(msgspec.Struct, frozen=True):
     """The times of one answered request."""
 
     service: str
@@ -78,8 +77,7 @@
     upstream_ms: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class SeriesKey:
+class SeriesKey(msgspec.Struct, frozen=True):
     """What the histograms of one series have in common."""
 
     service: str
@@ -87,8 +85,7 @@
     team: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Reading:
+class Reading(msgspec.Struct, frozen=True):
     """One histogram in its encoded form, to be sent and merged."""
 
     measure: Measure
--- a/src/papayastall/http_names.py
+++ b/src/papayastall/http_names.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 __all__ = ["HeaderNames"]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class HeaderNames:
+class HeaderNames(msgspec.Struct, frozen=True):
     """Header names towards callers and upstreams.
 
     :param timeout: milliseconds that a caller waits, and that an upstream
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import itertools
 import typing as t
 
 import anyio
+import msgspec
 import xxhash
 
 from papayastall import _attempts
@@ -45,8 +45,7 @@
 _Kind = _decision_types.RequestKind
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class KeptAnswer:
+class KeptAnswer(msgspec.Struct, frozen=True):
     """The first answer to an idempotency key."""
 
     status: int
--- a/src/papayastall/logs.py
+++ b/src/papayastall/logs.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 import os
 import pathlib
@@ -17,6 +16,7 @@
 import time
 import typing as t
 
+import msgspec
 import orjson
 
 from papayastall import clock
@@ -82,8 +82,7 @@
     """Its caller went away before there was an answer."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StateChange:
+class StateChange(msgspec.Struct, frozen=True):
     """One change of state.
 
     :param subject: whose state changed: an address or a name.
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
 import anyio
+import msgspec
 import statsd
 
 from papayastall import _checking
@@ -32,8 +32,7 @@
 NAME_PREFIX = "papayastall"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Description:
+class Description(msgspec.Struct, frozen=True):
     """A metric's name, unit and meaning.
 
     :param by_service: whether the service's name is appended.
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -9,7 +9,6 @@
 
 import collections.abc as cabc
 import contextlib
-import dataclasses
 import os
 import random
 import signal
@@ -18,6 +17,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _announcements
 from papayastall import _attempts
@@ -72,8 +72,7 @@
 MIN_RENEW_MS = 100
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Interfaces:
+class Interfaces(msgspec.Struct, frozen=True):
     """What a deployment speaks instead of the product's own interface.
 
     :param names: of the headers towards callers and upstreams.
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import dataclasses
 import typing as t
 
 import anyio
 import anyio.abc
+import msgspec
 
 from papayastall import _decision_types
 from papayastall import _frames
@@ -53,8 +53,7 @@
         """Make the answer durable; may give up after a time."""
 
 
-@dataclasses.dataclass(slots=True)
-class ClaimedAnswer:
+class ClaimedAnswer(msgspec.Struct):
     """The answer of a claimed request, as a resend would get it.
 
     :param complete: false where the body is too large to keep or the
--- a/src/papayastall/route_table.py
+++ b/src/papayastall/route_table.py
@@ -9,10 +9,9 @@
 
 import collections
 import collections.abc as cabc
-import dataclasses
 import typing as t
 
-import orjson
+import msgspec
 import xxhash
 
 from papayastall import _decision_types
@@ -35,11 +34,12 @@
     "encode_table",
 ]
 
+T = t.TypeVar("T", bound=msgspec.Struct)
+
 _Code = exceptions.ErrorCode
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One part of a split route.
 
     :param weight: proportion of the route's requests, 0 or more.
@@ -49,8 +49,7 @@
     weight: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Route:
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Requests of one host whose path begins with a prefix.
 
     :param kind: whether a request may run more than once.
@@ -74,8 +73,7 @@
     source: str = ""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ServiceEntry:
+class ServiceEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A service that routes may name.
 
     :param max_connections: that one of its upstreams accepts in all.
@@ -88,8 +86,7 @@
     source: str = ""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What callers may send, and how long they may take.
 
     :param source: see :class:`Route`.
@@ -102,8 +99,7 @@
     source: str = ""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RouteTable:
+class RouteTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All routes in force; ``version`` only grows."""
 
     version: int = 0
@@ -112,16 +108,14 @@
     limits: CallerLimits = CallerLimits()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ReplaceTable:
+class ReplaceTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Put a whole table in the place of the one at ``base_version``."""
 
     base_version: int
     table: RouteTable
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PatchTable:
+class PatchTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Change named items of the table at ``base_version``."""
 
     base_version: int
@@ -233,7 +227,7 @@
 
 def encode_table(table: RouteTable) -> str:
     """Return the JSON text that nodes keep and pass on."""
-    return orjson.dumps(table).decode()
+    return msgspec.json.encode(table).decode()
 
 
 def decode_table(text: str) -> RouteTable:
@@ -242,14 +236,14 @@
     :raises papayastall.exceptions.ProtocolError: it is no such text.
     """
     try:
-        return _read_table(orjson.loads(text))
-    except (ValueError, TypeError, KeyError) as error:
+        return _convert(_load(text), RouteTable)
+    except msgspec.MsgspecError as error:
         raise _malformed(error) from error
 
 
 def encode_change(change: TableChange) -> str:
     """Return the JSON text of a change, the same for equal changes."""
-    return orjson.dumps(change).decode()
+    return msgspec.json.encode(change).decode()
 
 
 def decode_change(text: str) -> TableChange:
@@ -258,20 +252,11 @@
     :raises papayastall.exceptions.ProtocolError: it is no such text.
     """
     try:
-        raw = orjson.loads(text)
+        raw = _load(text)
         if "table" in raw:
-            return ReplaceTable(raw["base_version"], _read_table(raw["table"]))
-        limits = raw.pop("limits")
-        return PatchTable(
-            base_version=raw["base_version"],
-            version=raw["version"],
-            routes=_read_routes(raw["routes"]),
-            services=_read_services(raw["services"]),
-            limits=None if limits is None else CallerLimits(**limits),
-            removed_routes=tuple(raw["removed_routes"]),
-            removed_services=tuple(raw["removed_services"]),
-        )
-    except (ValueError, TypeError, KeyError) as error:
+            return _convert(raw, ReplaceTable)
+        return _convert(raw, PatchTable)
+    except msgspec.MsgspecError as error:
         raise _malformed(error) from error
 
 
@@ -280,26 +265,19 @@
     return xxhash.xxh3_128_hexdigest(text.encode())
 
 
-def _read_table(raw: dict[str, t.Any]) -> RouteTable:
-    return RouteTable(
-        raw["version"],
-        _read_routes(raw["routes"]),
-        _read_services(raw["services"]),
-        CallerLimits(**raw["limits"]),
-    )
-
+def _load(text: str) -> dict[str, t.Any]:
+    return msgspec.json.decode(text, type=dict[str, t.Any])
 
-def _read_routes(raw: list[dict[str, t.Any]]) -> tuple[Route, ...]:
-    routes = []
-    for item in raw:
-        kind = _decision_types.RequestKind(item.pop("kind"))
-        shares = tuple(ServiceShare(**share) for share in item.pop("shares"))
-        routes.append(Route(kind=kind, shares=shares, **item))
-    return tuple(routes)
 
+def _convert(raw: dict[str, t.Any], kind: type[T]) -> T:
+    """Structure values that must name every field.
 
-def _read_services(raw: list[dict[str, t.Any]]) -> tuple[ServiceEntry, ...]:
-    return tuple(ServiceEntry(**item) for item in raw)
+    The defaults are for whoever makes a change, not for a text.
+    """
+    missing = [name for name in kind.__struct_fields__ if name not in raw]
+    if missing:
+        raise msgspec.ValidationError(f"{missing[0]} is missing")
+    return msgspec.convert(raw, kind)
 
 
 def _malformed(error: Exception) -> exceptions.ProtocolError:
--- a/tests/route_helpers.py
+++ b/tests/route_helpers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing as t
 
+import msgspec.structs
+
 from papayastall import _decision_types
 from papayastall import route_table
 
@@ -29,7 +30,7 @@
         shares=(route_table.ServiceShare("one", 1),),
         source="{}",
     )
-    return dataclasses.replace(route, **changes)
+    return msgspec.structs.replace(route, **changes)
 
 
 def make_table(
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import socket
 import typing as t
@@ -10,6 +9,7 @@
 import anyio
 import hypothesis
 from hypothesis import strategies
+import msgspec.structs
 import orjson
 import pytest
 
@@ -154,7 +154,7 @@
     assert 1 <= announcement.slots <= _announcements.MAX_SLOTS
     assert announcement.connections >= 1
     assert math.isfinite(announcement.load)
-    orjson.dumps(dataclasses.asdict(announcement))
+    orjson.dumps(msgspec.structs.asdict(announcement))
 
 
 def free_address() -> str:
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import hypothesis
 from hypothesis import strategies as st
+import msgspec.structs
 import pytest
 
 from papayastall import _claim_state
@@ -151,7 +150,7 @@
     table = _claim_state.ClaimTable(max_claims=1)
     first = commands.Claim(b"1" * 16, b"a", b"d", 10)
     assert table.claim(0, first).state is _State.GRANTED
-    second = dataclasses.replace(first, key=b"2" * 16)
+    second = msgspec.structs.replace(first, key=b"2" * 16)
     assert table.claim(0, second).state is _State.FULL
     assert table.claim(0, first).state is _State.GRANTED
 
@@ -170,7 +169,7 @@
 
 
 def test_stored_claims_have_the_fields_of_their_struct() -> None:
-    names = {f.name for f in dataclasses.fields(_claim_state.StoredClaim)}
+    names = set(_claim_state.StoredClaim.__struct_fields__)
     assert names == commands.codec.list_fields(_claim_state.StoredClaim)
 
 
@@ -284,7 +283,7 @@
         command: commands.ReleaseClaim,
     ) -> commands.ClaimResult:
         holder = table._claims[command.key].token or command.token
-        command = dataclasses.replace(command, token=holder)
+        command = msgspec.structs.replace(command, token=holder)
         return honest(table, now_ms, command)
 
     monkeypatch.setattr(_claim_state.ClaimTable, "release", release)
--- a/tests/test_control_fleet.py
+++ b/tests/test_control_fleet.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import pathlib
 import random
 import typing as t
 
 import anyio
+import msgspec.structs
 import pytest
 
 from papayastall import _claim_state
@@ -118,7 +118,7 @@
     async def body(fleet: control_fleet.Fleet) -> None:
         node = fleet.nodes[NODES[0]]
         later = state_helpers.make_document("visits", 1)
-        later = dataclasses.replace(later, text="version = 99")
+        later = msgspec.structs.replace(later, text="version = 99")
         stored = [_config.IndexedDocument(1, later)]
         node.config.note_applied(1, stored)
         assert not node.config.is_ready()
--- a/tests/test_document_state.py
+++ b/tests/test_document_state.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from papayastall import _config
@@ -133,7 +132,7 @@
     assert not apply(log, too_old).accepted
 
 
-def test_structs_and_data_classes_have_the_same_fields() -> None:
+def test_structs_have_the_fields_of_their_idl() -> None:
     targets: list[type] = [
         _config.FetchDocuments,
         _config.FetchedDocuments,
@@ -149,8 +148,8 @@
     exported = [getattr(commands, name) for name in commands.__all__]
     targets += [item for item in exported if isinstance(item, type)]
     for target in targets:
-        if dataclasses.is_dataclass(target):
-            names = {field.name for field in dataclasses.fields(target)}
+        if issubclass(target, msgspec.Struct):
+            names = set(target.__struct_fields__)
             assert names == commands.codec.list_fields(target), target
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec.structs
 
 from papayastall import _decision_types as types
 from papayastall import _owner_controller
@@ -204,10 +204,10 @@
 
 
 def test_policy_is_a_plain_change_of_thresholds() -> None:
-    tuning = dataclasses.replace(
+    tuning = msgspec.structs.replace(
         helpers.DETECTION.thresholds(), steer_score=1e9, doubt_score=1e9
     )
-    policy = dataclasses.replace(helpers.DETECTION, health=tuning)
+    policy = msgspec.structs.replace(helpers.DETECTION, health=tuning)
     load = Load(helpers.owner(policy))
     for _ in range(40):
         assert load.send(run_s=0.25)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec.structs
 import pytest
 
 from papayastall import _decision_types
@@ -37,10 +36,10 @@
     standing = _owner_state.Standing
     steps = [
         VIEW,
-        dataclasses.replace(VIEW, standing=standing.STEERED, score=4.0),
-        dataclasses.replace(VIEW, standing=standing.EJECTED),
-        dataclasses.replace(VIEW, standing=standing.RETURNING),
-        dataclasses.replace(VIEW, leaving=True),
+        msgspec.structs.replace(VIEW, standing=standing.STEERED, score=4.0),
+        msgspec.structs.replace(VIEW, standing=standing.EJECTED),
+        msgspec.structs.replace(VIEW, standing=standing.RETURNING),
+        msgspec.structs.replace(VIEW, leaving=True),
     ]
     for view in steps:
         views[:] = [view]
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec.structs
 import pytest
 
 from papayastall import _decision_types as types
@@ -56,7 +55,7 @@
 
 def _two_attempts(number: int) -> types.IngressRequest:
     """Return a lookup that two upstreams may run, due within 0.6 s."""
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         helpers.ingress_request(number), max_attempts=2, objective_s=0.6
     )
 
@@ -71,7 +70,7 @@
         reference_ms=reference_ms,
         route=str(reference_ms),
     )
-    return dataclasses.replace(request, objective_s=0.6)
+    return msgspec.structs.replace(request, objective_s=0.6)
 
 
 @pytest.mark.parametrize(
@@ -188,7 +187,7 @@
 ) -> None:
     """An upstream that ran all the while gets its whole share at once."""
     owner = helpers.owner(policy=GRAY, upstreams=0)
-    announcement = dataclasses.replace(
+    announcement = msgspec.structs.replace(
         helpers.announcement(slots=1),
         instance="i-1",
         started_ms=1,
@@ -251,7 +250,7 @@
 
 def test_hedges_of_many_lookups_that_hang_at_once() -> None:
     """Those that the budget can't pay at first are sent as it fills again."""
-    policy = dataclasses.replace(
+    policy = msgspec.structs.replace(
         GRAY, retry_budget=_retry.BudgetLimits(0.0, burst=1.0, idle_per_s=1.0)
     )
     ingress = helpers.ingress(owners=6, policy=policy)
@@ -266,7 +265,9 @@
 
 
 def _repeat(number: int) -> types.OwnerRequest:
-    return dataclasses.replace(helpers.owner_request(number), is_repeat=True)
+    return msgspec.structs.replace(
+        helpers.owner_request(number), is_repeat=True
+    )
 
 
 def test_calls_that_begin_on_few_nodes_and_hang() -> None:
@@ -345,7 +346,7 @@
     One whose owner has come to doubt its upstream does.
     """
     ingress = helpers.ingress(owners=3, policy=GRAY)
-    request = dataclasses.replace(
+    request = msgspec.structs.replace(
         helpers.ingress_request(1, deadline_s=2.0), max_attempts=2
     )
     [first] = _forwards(ingress.begin(0.0, request))
@@ -361,7 +362,7 @@
 def test_first_requests_on_a_route_that_was_just_added() -> None:
     """One that meets a hanging upstream has most of its time left."""
     ingress = helpers.ingress(owners=3, policy=GRAY)
-    request = dataclasses.replace(
+    request = msgspec.structs.replace(
         helpers.ingress_request(1, deadline_s=1.0),
         max_attempts=2,
         objective_s=1.0,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
 import hypothesis
 from hypothesis import strategies
+import msgspec.structs
 import pytest
 
 from papayastall import _decision_types
@@ -244,7 +244,7 @@
         ADDRESSES[0], table, random.Random(1), 0.0
     )
     for count in (1, 2):
-        suspicion = dataclasses.replace(
+        suspicion = msgspec.structs.replace(
             record_of(ADDRESSES[3]),
             state=types.MemberState.SUSPECT,
             suspecters=tuple(ADDRESSES[:count]),
--- a/tests/test_raft_codec.py
+++ b/tests/test_raft_codec.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec.structs
 import pytest
 
 from papayastall import _raft_codec as codec
@@ -33,7 +32,7 @@
     messages = [
         types.Message("b:1", 6, SENDER, 11, 2, body) for body in BODIES
     ]
-    messages[3] = dataclasses.replace(messages[3], to_id=0, cluster_id=0)
+    messages[3] = msgspec.structs.replace(messages[3], to_id=0, cluster_id=0)
     return list(enumerate(messages))
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import errno
 import pathlib
 
 import anyio
@@ -10,6 +11,7 @@
 import pytest
 
 from papayastall import _data_folder
+from papayastall import _files
 from papayastall import _raft_types as types
 from papayastall import _replica
 from papayastall import exceptions
@@ -29,6 +31,28 @@
 )
 
 
+class FileThatFails:
+    """A file on a disk that fails as it is given some data."""
+
+    def __init__(self, file: _files.AppendFile, data: bytes) -> None:
+        self._file = file
+        self._data = data
+
+    def write(self, data: bytes) -> None:
+        """Write, or fail."""
+        if self._data in data:
+            raise OSError(errno.EIO, "input/output error")
+        self._file.write(data)
+
+    def sync(self) -> None:
+        """Sync the file."""
+        self._file.sync()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
 class Hosts:
     """Three hosts in one process."""
 
@@ -162,7 +186,9 @@
     async def body(hosts: Hosts) -> None:
         leader = await hosts.leader(0)
         host = hosts.hosts.pop(leader)
-        await anyio.to_thread.run_sync(host._storage.close)
+        files = host._storage
+        assert files._file is not None
+        files._file = FileThatFails(files._file, b"maybe")
         with pytest.raises(exceptions.OutcomeUnknownError):
             await host.propose(0, b"maybe", 2.0)
         assert host.failure is not None
