Say in a failure's line how long its attempt took

Change: request-failed carries attempt_ms, and only what began on the upstream's VM during the attempt is listed.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -129,7 +129,11 @@
         action: _decision_types.ForwardAttempt,
     ) -> None:
         attempt = _exchange.Attempt(
-            next(self._wire_ids), exchange, action.attempt, action.owner
+            next(self._wire_ids),
+            exchange,
+            action.attempt,
+            action.owner,
+            begun_s=clock.now_s(),
         )
         self._count_attempt(exchange, action)
         if exchange.tried:
@@ -171,6 +175,7 @@
             exchange,
             status=attempt.head.status,
             owner=attempt.owner,
+            attempt_ms=round((clock.now_s() - attempt.begun_s) * 1000, 1),
             **self._explain(exchange),
         )
 
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -21,6 +21,7 @@
     :param wire_id: number of the attempt on the links.
     :param owner_boot_id: of the owner when the request was sent to it;
         0 while nothing has been sent.
+    :param begun_s: when it was sent, or began to wait for its link.
     :param started: whether more than the head of its answer came.
     :param received_bytes: length of the answer's body so far.
     """
@@ -30,6 +31,7 @@
     number: int
     owner: str
     owner_boot_id: int = 0
+    begun_s: float = 0.0
     head: _frames.AnswerHead | None = None
     started: bool = False
     chunks: collections.deque[bytes] = msgspec.field(
--- a/src/papayastall/_explain.py
+++ b/src/papayastall/_explain.py
@@ -112,14 +112,17 @@
 def _may_be_call(failure: LogLine, line: LogLine) -> bool:
     """Return whether a failed request may be why an upstream failed.
 
-    It began on the VM of that upstream and ended during its run.
+    It began and ended on the VM of that upstream during its run.
     """
-    run_s = float(failure.fields["age_ms"]) / 1000
+    run_s = float(failure.fields["attempt_ms"]) / 1000
+    age_s = float(line.fields.get("age_ms", 0.0)) / 1000
+    began_s = failure.timestamp - run_s
     return (
         line.event in _END_EVENTS
         and line.node == failure.fields["owner"]
         and line.request != failure.request
-        and failure.timestamp - run_s <= line.timestamp <= failure.timestamp
+        and began_s <= line.timestamp - age_s
+        and line.timestamp <= failure.timestamp
     )
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -67,10 +67,11 @@
 
 def test_a_failed_run_shows_what_failed_on_its_own_vm_meanwhile() -> None:
     """One of these may be the call that it waited for."""
-    failed = {"status": 500, "owner": OWNER, "age_ms": 900.0}
+    failed = {"status": 500, "owner": OWNER, "attempt_ms": 900.0}
     texts = [
         line(100.0, "request-failed", INGRESS, request="id-1", **failed),
-        line(99.9, "request-cancelled", OWNER, request="call-1"),
+        line(99.9, "request-cancelled", OWNER, request="call-1", age_ms=790.0),
+        line(99.9, "request-failed", OWNER, request="older", age_ms=810.0),
         line(99.5, "request-repeated", OWNER, request="call-1"),
         line(99.0, "request-refused", OWNER, request="before-it"),
         line(99.9, "request-refused", OTHER, request="elsewhere"),
--- a/tests/test_request_logs.py
+++ b/tests/test_request_logs.py
@@ -114,7 +114,8 @@
     assert failed["message_type"] == "papayastall:request-failed"
     assert failed["status"] == 503
     assert failed["owner"] == links.opens()[-1][0]
-    assert set(failed) >= COMMON | BELIEF
+    assert set(failed) >= COMMON | BELIEF | {"attempt_ms"}
+    assert 0.0 <= failed["attempt_ms"] <= failed["age_ms"]
 
 
 def test_a_caller_that_goes_away(read_lines: ReadLines) -> None:
