Name parts of a second in Retry-After where callers read them

Cause: a wait was rounded up to whole seconds, as plain HTTP asks. The platform's callers read fractions: work of 0.2 to 1.6 s was told to come back after 2 or 3 s instead of the 1.0 to 3.0 s that were meant, which brings it past its objective.

--- a/src/papayastall/_problem.py
+++ b/src/papayastall/_problem.py
@@ -64,12 +64,18 @@
                 return _STATUSES[_Code.UPSTREAM_FAILED]
         return status
 
-    def headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers of the answer."""
+    def headers(self, *, fractions: bool = False) -> list[tuple[bytes, bytes]]:
+        """Return the headers of the answer.
+
+        :param fractions: whether ``Retry-After`` may name a part of a
+            second, which plain HTTP does not allow.
+        """
         headers = [(b"content-type", b"application/problem+json")]
         if self.retry_after_s is not None:
-            seconds = max(1, math.ceil(self.retry_after_s))
-            headers.append((b"retry-after", str(seconds).encode()))
+            text = f"{self.retry_after_s:.2f}"
+            if not fractions:
+                text = str(max(1, math.ceil(self.retry_after_s)))
+            headers.append((b"retry-after", text.encode()))
         return headers
 
     def body(self) -> bytes:
--- a/src/papayastall/http_names.py
+++ b/src/papayastall/http_names.py
@@ -24,6 +24,8 @@
         request; another one answers 421.
     :param caller_service: the service beside which a request began.
     :param owner: names the owner in an answer to a caller.
+    :param retry_after_fractions: whether callers read parts of a second in
+        ``Retry-After``.
     """
 
     timeout: bytes = b"papayastall-timeout-ms"
@@ -33,3 +35,4 @@
     instance: bytes = b""
     caller_service: bytes = b""
     owner: bytes = b"papayastall-owner"
+    retry_after_fractions: bool = False
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -127,7 +127,9 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         started_s = clock.now_s()
-        reply = _Reply(send, self._blackboard)
+        reply = _Reply(
+            send, self._blackboard, self._names.retry_after_fractions
+        )
         try:
             exchange = await self._read(scope, receive, started_s)
             self._count(metrics.Counter.REQUESTS, exchange)
@@ -370,9 +372,15 @@
 class _Reply:
     """Sends one answer to the caller."""
 
-    def __init__(self, send: Send, blackboard: blackboards.Blackboard) -> None:
+    def __init__(
+        self,
+        send: Send,
+        blackboard: blackboards.Blackboard,
+        retry_after_fractions: bool,
+    ) -> None:
         self._send = send
         self._blackboard = blackboard
+        self._retry_after_fractions = retry_after_fractions
         self.status = 0
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -402,7 +410,7 @@
         if self.status:
             raise _Aborted(problem.detail)
         body = problem.body()
-        headers = problem.headers()
+        headers = problem.headers(fractions=self._retry_after_fractions)
         headers.append((b"content-length", str(len(body)).encode()))
         await self.start(problem.status, headers)
         await self.finish(body)
--- a/tests/test_problem.py
+++ b/tests/test_problem.py
@@ -29,3 +29,25 @@
 ) -> None:
     problem = _problem.Problem(code, "", "test", ran)
     assert problem.status == status
+
+
+@pytest.mark.parametrize(
+    ("retry_after_s", "fractions", "expected"),
+    [
+        (0.3, False, b"1"),
+        (1.2, False, b"2"),
+        (1.234, True, b"1.23"),
+        (0.3, True, b"0.30"),
+    ],
+)
+def test_retry_after_names_parts_of_a_second_where_callers_read_them(
+    retry_after_s: float, fractions: bool, expected: bytes
+) -> None:
+    problem = _problem.Problem(
+        exceptions.ErrorCode.OVERLOADED,
+        "full",
+        "admit",
+        retry_after_s=retry_after_s,
+    )
+    headers = dict(problem.headers(fractions=fractions))
+    assert headers[b"retry-after"] == expected
