Refuse instead of failing where a service has no queue

Cause: with max_queued 0, which documents allow, the first request beside a full upstream raised KeyError in the owner: with nobody waiting, the place to give up was looked up under the newcomer's own precedence.

Change: where nobody waits, nobody gives up a place.

Before: tests/test_owner_controller.py, max_queued 0: KeyError. After: passes. Not met where a queue may hold a request, as on the platform.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -191,7 +191,9 @@
     ) -> QueuedRequest | None:
         """Take the newest of the least urgent requests, if that is fairer."""
         waiting = [known for known, queue in self._queues.items() if queue]
-        last = max(waiting, default=precedence)
+        if not waiting:
+            return None
+        last = max(waiting)
         if last > precedence:
             return self._queues[last].take_newest()
         if last == precedence:
--- a/tests/test_owner_controller.py
+++ b/tests/test_owner_controller.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import msgspec.structs
+import pytest
+
 from papayastall import _decision_types as types
 from papayastall import _owner_state
 from papayastall import exceptions
@@ -96,3 +99,16 @@
         running = dispatch.request_id
         order.append(running)
     assert 50 in order[:2]
+
+
+@pytest.mark.parametrize("max_queued", [0, 1])
+def test_a_full_upstream_refuses_what_may_not_wait(max_queued: int) -> None:
+    policy = msgspec.structs.replace(helpers.DETECTION, max_queued=max_queued)
+    owner = helpers.owner(policy, slots=1)
+    owner.submit(0.0, helpers.owner_request(1))
+    for number in range(2, 2 + max_queued):
+        assert owner.submit(0.0, helpers.owner_request(number)) == []
+    [refusal] = owner.submit(0.0, helpers.owner_request(9))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.OVERLOADED
+    assert refusal.ran is exceptions.RanState.NO
