Add a tool that plays policies against each other on a model of a site

Change: bench/experiment plays policies of a settings file on the same arrivals: several services, kinds with rank, objective and calls, troubles of upstreams, callers that return; it prints credit by policy and kind with the best that could be served, and draws it. matplotlib is needed for development only.

--- /dev/null
+++ b/bench/experiment/_upstreams.py
@@ -0,0 +1,83 @@
+"""Stand-ins for upstreams: how long a request takes and how it ends."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import math
+import random
+
+import msgspec
+
+from bench.experiment import _settings as settings
+from papayastall import _decision_types as types
+
+__all__ = ["Plan", "Upstream"]
+
+SHED_S = 0.002
+ERROR_POINT = 0.5
+"""Part of a request's time after which it fails."""
+
+
+class Plan(msgspec.Struct):
+    """How one request goes; no end means that it hangs."""
+
+    duration_s: float
+    outcome: types.Outcome
+
+
+class Upstream:
+    """One upstream and the troubles that it has in this run."""
+
+    def __init__(self, slots: int, full_factor: float) -> None:
+        self._slots = slots
+        self._full_factor = full_factor
+        self.troubles: list[settings.Trouble] = []
+        self.busy = 0
+
+    def plan(
+        self, now_s: float, kind: settings.Kind, rng: random.Random
+    ) -> Plan:
+        """Return how a request that arrives now will go."""
+        assert self.busy < self._slots, "more requests than slots"
+        filled = self.busy / self._slots
+        plan = Plan(
+            kind.work_ms
+            / 1000
+            * rng.lognormvariate(0.0, kind.sigma)
+            * (1.0 + (self._full_factor - 1.0) * filled),
+            types.Outcome.ANSWERED,
+        )
+        for trouble in self._current(now_s):
+            self._spoil(plan, trouble, now_s, rng)
+        return plan
+
+    def _current(self, now_s: float) -> cabc.Iterator[settings.Trouble]:
+        for trouble in self.troubles:
+            if trouble.start_s <= now_s < trouble.end_s:
+                yield trouble
+
+    def _spoil(
+        self,
+        plan: Plan,
+        trouble: settings.Trouble,
+        now_s: float,
+        rng: random.Random,
+    ) -> None:
+        kind = settings.TroubleKind
+        hit = rng.random() < trouble.share
+        match trouble.kind:
+            case kind.HANG if hit:
+                plan.duration_s = math.inf
+                plan.outcome = types.Outcome.TIMED_OUT
+            case kind.ERRORS if hit:
+                plan.duration_s *= ERROR_POINT
+                plan.outcome = types.Outcome.FAILED
+            case kind.SHED if hit:
+                plan.duration_s = SHED_S
+                plan.outcome = types.Outcome.SHED
+            case kind.SLOW:
+                plan.duration_s *= trouble.factor
+            case kind.COLD:
+                length_s = trouble.end_s - trouble.start_s
+                left = (trouble.end_s - now_s) / length_s
+                plan.duration_s *= 1.0 + (trouble.factor - 1.0) * left
