Prove what callers are told under each fault of the platform's upstreams

A stand-in that speaks the platform's protocol with one of fourteen faults or odd forms of an answer at a time, beside a sound one, through real processes: whole answers of one's own request, 'not run' only where nothing ran, bookings at most once.

--- /dev/null
+++ b/tests/platform_upstream.py
@@ -0,0 +1,174 @@
+"""An upstream that speaks the platform's protocol, well or with a fault."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import socketserver
+import threading
+import typing as t
+
+__all__ = ["Fault", "Upstream", "make_body"]
+
+LIMIT_S = 30.0
+EXTRA = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+)
+
+
+class Fault(enum.Enum):
+    """What an upstream does with each request."""
+
+    NONE = "none"
+    CHUNKED = "answers in chunks"
+    NO_LENGTH = "ends its answer with the connection"
+    CLOSES = "says that it closes and does"
+    GONE = "closes after its answer without a word"
+    EARLY = "answers before it reads the body"
+    EXTRA = "sends a second answer at once"
+    LATE = "sends another request's answer first"
+    CUT = "closes half way through its answer"
+    GARBAGE = "sends what is no answer"
+    RESET = "runs it and closes without an answer"
+    HANG = "runs it and says nothing"
+    ERROR = "fails"
+    REFUSES = "is full and says so"
+    OTHER_START = "is another start than expected"
+
+
+NOT_RUN = (Fault.REFUSES, Fault.OTHER_START)
+
+
+def make_body(request_id: str) -> bytes:
+    """Return the whole answer to a request."""
+    return f"the whole answer to {request_id} ".encode() * 20
+
+
+class Upstream(socketserver.ThreadingTCPServer):
+    """Runs requests and counts them.
+
+    :ivar runs: how often each request id ran.
+    :ivar arrived: requests that came, run or not.
+    """
+
+    allow_reuse_address = True
+    daemon_threads = True
+    request_queue_size = 64
+
+    def __init__(self, address: str, instance: str) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__((host, int(port)), _Handler)
+        self.instance = instance
+        self.fault = Fault.NONE
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.arrived = 0
+        self.released = threading.Event()
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """End it, and whatever hangs in it."""
+        self.released.set()
+        self.shutdown()
+        self.server_close()
+
+
+class _Handler(socketserver.StreamRequestHandler):
+    server: Upstream
+
+    def handle(self) -> None:
+        """Serve one connection until either side closes it."""
+        try:
+            while self._serve_one():
+                pass
+        except (OSError, ValueError):
+            return
+
+    def _serve_one(self) -> bool:
+        """Serve a request; return whether the connection goes on."""
+        line = self.rfile.readline()
+        if not line:
+            return False
+        headers: dict[str, str] = {}
+        while (raw := self.rfile.readline().strip()) != b"":
+            name, _, value = raw.decode("latin-1").partition(":")
+            headers[name.lower()] = value.strip()
+        fault = self.server.fault
+        if line.split()[1] == b"/healthz":
+            fault = Fault.NONE
+        if fault is not Fault.EARLY:
+            self._read_body(headers)
+        request_id = headers.get("request-id", "")
+        self.server.arrived += 1
+        if fault not in NOT_RUN:
+            self.server.runs[request_id] += 1
+        goes_on = self._answer(fault, request_id)
+        if fault is Fault.EARLY:
+            self._read_body(headers)
+        return goes_on
+
+    def _read_body(self, headers: dict[str, str]) -> None:
+        if headers.get("transfer-encoding") != "chunked":
+            self.rfile.read(int(headers.get("content-length", "0")))
+            return
+        while size := int(self.rfile.readline(), 16):
+            self.rfile.read(size + 2)
+        self.rfile.readline()
+
+    def _answer(self, fault: Fault, request_id: str) -> bool:
+        body = make_body(request_id)
+        length = {"Content-Length": str(len(body))}
+        match fault:
+            case Fault.HANG:
+                self.server.released.wait(LIMIT_S)
+                return False
+            case Fault.RESET:
+                return False
+            case Fault.GARBAGE:
+                self.wfile.write(b"\x00\x01 no answer\r\n\r\n")
+                return False
+            case Fault.ERROR:
+                self._send(500, request_id, {"Content-Length": "0"}, b"")
+            case Fault.REFUSES | Fault.OTHER_START:
+                status = 503 if fault is Fault.REFUSES else 421
+                said = {"Not-Executed": "1", "Content-Length": "0"}
+                self._send(status, request_id, said, b"")
+            case Fault.CHUNKED:
+                half = len(body) // 2
+                parts = b"".join(
+                    b"%x\r\n%b\r\n" % (len(part), part)
+                    for part in (body[:half], body[half:])
+                )
+                said = {"Transfer-Encoding": "chunked"}
+                self._send(200, request_id, said, parts + b"0\r\n\r\n")
+            case Fault.NO_LENGTH:
+                self._send(200, request_id, {"Connection": "close"}, body)
+                return False
+            case Fault.CUT:
+                self._send(200, request_id, length, body[: len(body) // 2])
+                return False
+            case Fault.CLOSES:
+                said = {**length, "Connection": "close"}
+                self._send(200, request_id, said, body)
+                return False
+            case Fault.LATE:
+                self.wfile.write(EXTRA)
+                self._send(200, request_id, length, body)
+            case _:
+                self._send(200, request_id, length, body)
+        if fault is Fault.EXTRA:
+            self.wfile.write(EXTRA)
+        return fault is not Fault.GONE
+
+    def _send(
+        self,
+        status: int,
+        request_id: str,
+        headers: t.Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        lines = [f"HTTP/1.1 {status} x", f"Request-Id: {request_id}"]
+        if status == 200:
+            lines.append(f"Response-Stamp: {self.server.instance}")
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join([*lines, "", ""]).encode()
+        self.wfile.write(head + body)
