--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -15,6 +15,7 @@
 from papayastall import _control_commands as commands
 from papayastall import _control_state
 from papayastall import _document_state
+from papayastall import _inflating
 from papayastall import _peering
 from papayastall import _route_state
 from papayastall import clock
@@ -443,9 +444,8 @@
 def _unpack(data: bytes, peer: str) -> bytes:
     """Return a compressed answer; a table shrinks to a fifth."""
     try:
-        unpacked = zlib.decompressobj()
-        plain = unpacked.decompress(data, MAX_ANSWER_BYTES)
-    except zlib.error as error:
+        return _inflating.inflate_whole(data, MAX_ANSWER_BYTES)
+    except ValueError as error:
         raise exceptions.ProtocolError(
             _Code.BAD_FRAME,
             f"an answer can't be unpacked: {error}; both sides must run "
@@ -453,7 +453,6 @@
             step="fetch-config",
             peer=peer,
         ) from error
-    return plain
 
 
 def _check_sources(
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -73,9 +73,10 @@
         """Queue a frame; a connection that takes no bytes is closed."""
         if self.is_closed:
             return
-        data = _frames.encode(frame, config_index)
+        deflate = None
         if self._deflater is not None and not isinstance(frame, _BODY_PARTS):
-            data = self._deflater.deflate(data)
+            deflate = self._deflater.deflate
+        data = _frames.encode(frame, config_index, deflate)
         self._unsent.append(data)
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
--- a/src/papayastall/_frame_deflate.py
+++ b/src/papayastall/_frame_deflate.py
@@ -32,11 +32,11 @@
             LEVEL, zlib.DEFLATED, -WINDOW_BITS, MEMORY_LEVEL
         )
 
-    def deflate(self, data: bytes) -> bytes:
-        """Return an encoded frame with its struct deflated."""
-        body = self._stream.compress(data[_frames.HEADER.size :])
-        body += self._stream.flush(zlib.Z_SYNC_FLUSH)
-        return _frames.mark_deflated(data, body.removesuffix(FLUSH_END))
+    def deflate(self, body: bytes) -> bytes:
+        """Return the deflated struct of the next frame."""
+        deflated = self._stream.compress(body)
+        deflated += self._stream.flush(zlib.Z_SYNC_FLUSH)
+        return deflated.removesuffix(FLUSH_END)
 
 
 class Inflater:
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import struct
 import typing as t
 
@@ -40,7 +41,6 @@
     "decode_body",
     "decode_header",
     "encode",
-    "mark_deflated",
 ]
 
 VERSION = 1
@@ -304,8 +304,15 @@
     is_deflated: bool = False
 
 
-def encode(frame: Frame, config_index: int) -> bytes:
-    """Return a frame with its header."""
+def encode(
+    frame: Frame,
+    config_index: int,
+    deflate: cabc.Callable[[bytes], bytes] | None = None,
+) -> bytes:
+    """Return a frame with its header.
+
+    :param deflate: what the struct goes through, where it is deflated.
+    """
     kind = type(frame)
     values = {name: getattr(frame, name) for name in _FIELDS[kind]}
     for name, default in _DEFAULTS[kind].items():
@@ -319,15 +326,11 @@
     if "load" in values:
         values["load"] = _encode_load(values["load"])
     body = _thrift.encode(getattr(wire, kind.__name__)(**values))
-    header = HEADER.pack(len(body), VERSION, _NUMBERS[kind], config_index)
-    return header + body
-
-
-def mark_deflated(data: bytes, body: bytes) -> bytes:
-    """Return an encoded frame with its struct deflated to ``body``."""
-    _, version, kind, config_index = HEADER.unpack_from(data)
-    header = HEADER.pack(len(body), version, kind | _DEFLATED, config_index)
-    return header + body
+    number = _NUMBERS[kind]
+    if deflate is not None:
+        body = deflate(body)
+        number |= _DEFLATED
+    return HEADER.pack(len(body), VERSION, number, config_index) + body
 
 
 def decode_header(data: bytes) -> ReceivedFrame:
--- a/src/papayastall/_gossip_codec.py
+++ b/src/papayastall/_gossip_codec.py
@@ -15,6 +15,7 @@
 import typing as t
 import zlib
 
+from papayastall import _inflating
 from papayastall import _member_table
 from papayastall import _membership_types as types
 from papayastall import _thrift
@@ -112,7 +113,12 @@
             step="gossip",
         )
     if data[0] == DEFLATED_VERSION:
-        encoded = _inflate(encoded)
+        try:
+            encoded = _inflating.inflate_whole(
+                encoded, MAX_STRUCT_SIZE_BYTES, -WINDOW_BITS
+            )
+        except ValueError as error:
+            raise _bad(str(error)) from error
     content = _thrift.decode(_gossip.Datagram, encoded)
     try:
         return _decode_content(content)
@@ -120,17 +126,6 @@
         raise _bad(str(error)) from error
 
 
-def _inflate(data: bytes) -> bytes:
-    stream = zlib.decompressobj(-WINDOW_BITS)
-    try:
-        encoded = stream.decompress(data, MAX_STRUCT_SIZE_BYTES)
-    except zlib.error as error:
-        raise _bad(str(error)) from error
-    if not stream.eof:
-        raise _bad("it is cut short or over the limit")
-    return encoded
-
-
 def _decode_content(content: t.Any) -> types.Datagram:
     records: list[types.Record] = []
     states = set(types.MemberState)
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -368,17 +368,15 @@
         if not _placement.can_wait(now_s, service, request, slots):
             return [self._refuse_overloaded(service, request, slots)]
         actions: list[types.OwnerAction] = []
+        precedence = _placement.precedence(service, request)
         if len(service.queue) >= service.policy.max_queued:
-            displaced = service.queue.displace_for(
-                request.team, _placement.precedence(service, request)
-            )
+            displaced = service.queue.displace_for(request.team, precedence)
             if displaced is None:
                 return [self._refuse_overloaded(service, request, slots)]
             self._queued.remove(displaced.request.request_id)
             actions.append(
                 self._refuse_overloaded(service, displaced.request, slots)
             )
-        precedence = _placement.precedence(service, request)
         max_wait_s = _placement.max_wait_s(now_s, service, request)
         service.queue.push(
             _admission.QueuedRequest(
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc as cabc
 import enum
 import socketserver
 import threading
@@ -45,20 +46,36 @@
 
 
 class Upstream(socketserver.ThreadingTCPServer):
-    """Runs requests and counts them.
+    """Runs requests and keeps what came.
 
+    :param stamp: of its answers; its instance where none is given.
+    :param body: returns the whole answer to a request.
+    :ivar requests: the path and headers of each request that it ran.
     :ivar runs: how often each request id ran.
     :ivar arrived: requests that came, run or not.
+    :ivar gate: requests that run wait for it before they are answered.
     """
 
     allow_reuse_address = True
     daemon_threads = True
     request_queue_size = 64
 
-    def __init__(self, address: str, instance: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        instance: str,
+        stamp: str = "",
+        body: cabc.Callable[[str], bytes] = make_body,
+    ) -> None:
         host, _, port = address.rpartition(":")
         super().__init__((host, int(port)), _Handler)
         self.instance = instance
+        self.stamp = stamp
+        self.body = body
+        self.requests: list[tuple[str, dict[str, str]]] = []
+        self.started = threading.Event()
+        self.gate = threading.Event()
+        self.gate.set()
         self.fault = Fault.NONE
         self.runs: collections.Counter[str] = collections.Counter()
         self.arrived = 0
@@ -67,6 +84,7 @@
 
     def close(self) -> None:
         """End it, and whatever hangs in it."""
+        self.gate.set()
         self.released.set()
         self.shutdown()
         self.server_close()
@@ -92,15 +110,22 @@
         while (raw := self.rfile.readline().strip()) != b"":
             name, _, value = raw.decode("latin-1").partition(":")
             headers[name.lower()] = value.strip()
+        path = line.split()[1].decode("latin-1")
+        instance = self.server.instance
         fault = self.server.fault
-        if line.split()[1] == b"/healthz":
+        if path == "/healthz":
             fault = Fault.NONE
+        elif headers.get("expect-instance", instance) != instance:
+            fault = Fault.OTHER_START
         if fault is not Fault.EARLY:
             self._read_body(headers)
         request_id = headers.get("request-id", "")
         self.server.arrived += 1
         if fault not in NOT_RUN:
             self.server.runs[request_id] += 1
+            self.server.requests.append((path, headers))
+            self.server.started.set()
+            self.server.gate.wait(LIMIT_S)
         goes_on = self._answer(fault, request_id)
         if fault is Fault.EARLY:
             self._read_body(headers)
@@ -115,7 +140,7 @@
         self.rfile.readline()
 
     def _answer(self, fault: Fault, request_id: str) -> bool:
-        body = make_body(request_id)
+        body = self.server.body(request_id)
         length = {"Content-Length": str(len(body))}
         match fault:
             case Fault.HANG:
@@ -168,7 +193,8 @@
     ) -> None:
         lines = [f"HTTP/1.1 {status} x", f"Request-Id: {request_id}"]
         if status == 200:
-            lines.append(f"Response-Stamp: {self.server.instance}")
+            stamp = self.server.stamp or self.server.instance
+            lines.append(f"Response-Stamp: {stamp}")
         lines += [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([*lines, "", ""]).encode()
         self.wfile.write(head + body)
--- a/tests/test_frame_deflate.py
+++ b/tests/test_frame_deflate.py
@@ -55,9 +55,8 @@
     rng = random.Random(7)
     for number in range(1, 200):
         frame: _frames.Frame = make_open(number, body=rng.randbytes(number))
-        data = _frames.encode(frame, number)
-        if number % 5:
-            data = deflater.deflate(data)
+        deflate = deflater.deflate if number % 5 else None
+        data = _frames.encode(frame, number, deflate)
         assert receive(inflater, data) == frame
 
 
@@ -65,9 +64,9 @@
     deflater = _frame_deflate.Deflater()
     plain = deflated = 0
     for number in range(1, 200):
-        data = _frames.encode(make_open(number), 0)
-        plain += len(data)
-        deflated += len(deflater.deflate(data))
+        frame = make_open(number)
+        plain += len(_frames.encode(frame, 0))
+        deflated += len(_frames.encode(frame, 0, deflater.deflate))
     assert deflated < plain / 2
 
 
@@ -82,7 +81,7 @@
     deflater = _frame_deflate.Deflater()
     inflater = _frame_deflate.Inflater()
     first, second = (
-        deflater.deflate(_frames.encode(make_open(number), 0))
+        _frames.encode(make_open(number), 0, deflater.deflate)
         for number in (1, 2)
     )
     receive(inflater, first)
@@ -94,7 +93,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     huge = _frames.Cast(1, b"\0" * (2 * _frames.MAX_FRAME_SIZE_BYTES))
-    data = _frame_deflate.Deflater().deflate(_frames.encode(huge, 0))
+    data = _frames.encode(huge, 0, _frame_deflate.Deflater().deflate)
     assert len(data) < 64 << 10
     with pytest.raises(exceptions.ProtocolError, match="over the limit"):
         receive(_frame_deflate.Inflater(), data)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -58,18 +58,12 @@
         request_id=request_id,
         service_name="one",
         route="r",
-        team="",
         idempotent=True,
         remaining_ms=1000,
-        reference_ms=0.0,
         fingerprint=request_id,
         method=b"GET",
         target=b"/",
         headers=[],
-        body=b"",
-        body_follows=False,
-        claim_token="",
-        claim_key="",
     )
 
 
--- a/tests/test_owner_runs.py
+++ b/tests/test_owner_runs.py
@@ -47,18 +47,14 @@
         request_id=REQUEST_ID,
         service_name="visits",
         route="book",
-        team="",
         idempotent=False,
         remaining_ms=1000,
-        reference_ms=0.0,
         fingerprint=1,
         method=b"POST",
         target=b"/",
         headers=[],
         body=body,
         body_follows=body_follows,
-        claim_token="",
-        claim_key="",
     )
 
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,7 +4,6 @@
 
 import collections.abc as cabc
 import contextlib
-import http.server
 import itertools
 import json
 import pathlib
@@ -12,11 +11,11 @@
 import threading
 import time
 import tomllib
-import typing as t
 
 import pytest
 
 from tests import platform_fleet
+from tests import platform_upstream
 
 LIMIT_S = 30.0
 DEPLOY_FILE = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
@@ -30,57 +29,6 @@
 """Second part of the loopback addresses: one net for each fleet."""
 
 
-class StandIn(http.server.ThreadingHTTPServer):
-    """An upstream that speaks the platform's protocol.
-
-    :ivar requests: the path and headers of each request that it ran.
-    :ivar gate: requests wait for it before they are answered.
-    """
-
-    daemon_threads = True
-
-    def __init__(self, address: str, instance: str) -> None:
-        host, _, port = address.rpartition(":")
-        super().__init__((host, int(port)), _Handler)
-        self.instance = instance
-        self.requests: list[tuple[str, dict[str, str]]] = []
-        self.gate = threading.Event()
-        self.gate.set()
-        self.started = threading.Event()
-        threading.Thread(target=self.serve_forever, daemon=True).start()
-
-
-class _Handler(http.server.BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-    server: StandIn
-
-    def do_GET(self) -> None:
-        """Run a request, unless it is meant for another start."""
-        self.rfile.read(int(self.headers.get("content-length", 0)))
-        headers = {k.lower(): v for k, v in self.headers.items()}
-        expected = headers.get("expect-instance", self.server.instance)
-        if expected != self.server.instance:
-            self._answer(421, b"")
-            return
-        self.server.requests.append((self.path, headers))
-        self.server.started.set()
-        self.server.gate.wait(LIMIT_S)
-        self._answer(200, b"the whole answer")
-
-    do_POST = do_GET
-
-    def _answer(self, status: int, body: bytes) -> None:
-        self.send_response(status)
-        self.send_header("Request-Id", self.headers["request-id"])
-        self.send_header("Response-Stamp", "stamp")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, format: str, *args: t.Any) -> None:
-        """Write nothing."""
-
-
 def wait_until_ready(
     fleet: platform_fleet.PlatformFleet, machine: platform_fleet.Machine
 ) -> None:
@@ -118,10 +66,15 @@
 @pytest.fixture
 def upstreams(
     running: platform_fleet.PlatformFleet,
-) -> cabc.Iterator[list[StandIn]]:
+) -> cabc.Iterator[list[platform_upstream.Upstream]]:
     """Stand-ins of both machines, announced, and routes in force."""
     stand_ins = [
-        StandIn(running.address(machine, "app"), f"i-{number}")
+        platform_upstream.Upstream(
+            running.address(machine, "app"),
+            f"i-{number}",
+            stamp="stamp",
+            body=lambda _: b"the whole answer",
+        )
         for number, machine in enumerate(running.nodes)
     ]
     config = platform_fleet.make_config(3, 0, visits=4000, orders=4000)
@@ -140,9 +93,7 @@
             wait_for_answer(running, machine, f"/{service}/x")
     yield stand_ins
     for stand_in in stand_ins:
-        stand_in.gate.set()
-        stand_in.shutdown()
-        stand_in.server_close()
+        stand_in.close()
 
 
 def read_version(
@@ -168,7 +119,8 @@
 
 
 def test_a_request_is_answered_through_a_node_that_owns_nothing(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     answer = running.ask(
         running.nodes[0], "/orders/y?z=1", **{"Caller-Service": "forged"}
@@ -186,7 +138,8 @@
 
 
 def test_every_role_shows_its_metrics(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     """The deploy file names one port and path for all machines."""
     deploy = tomllib.loads(DEPLOY_FILE.read_text())
@@ -204,7 +157,8 @@
 
 
 def test_orders_of_operators(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     first = platform_fleet.make_config(3, 0, visits=4000, orders=4000)
     for machine in running.control:
@@ -217,7 +171,8 @@
 
 
 def test_an_acknowledged_change_survives_a_lost_disk(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     version = read_version(running, running.control[0])
     patch = {
@@ -242,7 +197,8 @@
 
 
 def test_a_draining_upstream_gets_no_request_after_its_acknowledgement(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     visits = running.nodes[0]
     leaving = running.beat(visits, "i-0", state="draining", sequence=2)
@@ -261,7 +217,7 @@
 def start_slow_order(
     running: platform_fleet.PlatformFleet,
     node: platform_fleet.Machine,
-    upstream: StandIn,
+    upstream: platform_upstream.Upstream,
     deadline_ms: int = 30_000,
 ) -> tuple[threading.Thread, list[platform_fleet.Answer]]:
     """Send an order and wait until the upstream holds it at its gate.
@@ -283,7 +239,8 @@
 
 
 def test_a_planned_stop_cuts_nothing(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     """SIGHUP changes nothing; SIGTERM lets the request in flight end."""
     node = running.nodes[0]
@@ -317,7 +274,8 @@
 
 
 def test_a_stop_has_a_last_word_on_what_hangs(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     """The caller is told that nobody knows; its connection is not cut."""
     node = running.nodes[0]
@@ -334,7 +292,8 @@
 
 
 def test_a_second_request_to_stop_starts_its_time_anew(
-    running: platform_fleet.PlatformFleet, upstreams: list[StandIn]
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
 ) -> None:
     """The answer comes after the first time has gone, within the second."""
     node = running.nodes[0]
