Announce the upstreams of the faults' test for as long as it runs

The test announced its sound upstream once; its lease ends after 6 s, four intervals of 1.5 s, and from then on only the faulty one was there. Shown by a wait of 7 s before the cases: lookup-reset failed, with the change it passes.

Ruled out: the nodes' choice; with the sound upstream announced they serve.

Change: a thread announces all upstreams each second; the cases assert that it is alive.

--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -12,6 +12,7 @@
 import contextlib
 import itertools
 import pathlib
+import threading
 
 import pytest
 
@@ -23,6 +24,8 @@
 NET = 70
 CALLERS = 8
 REQUESTS = 16
+BEAT_INTERVAL_S = 1.0
+"""Below the platform's interval, so that no lease ends."""
 PATHS = {"lookup": "/visits/x", "booking": "/orders/x"}
 PROMISES = (408, 421, 429, 503)
 """Statuses that say that a request did not run."""
@@ -50,23 +53,44 @@
     ) -> None:
         self.fleet = fleet
         self.upstreams = upstreams
+        self.closed = threading.Event()
+        self.beating = threading.Thread(target=self.beat_all)
         self.faulty = {"lookup": upstreams[0], "booking": upstreams[2]}
         self._numbers = itertools.count()
 
+    def beat_all(self) -> None:
+        """Announce all upstreams until the site is closed."""
+        while not self.closed.wait(BEAT_INTERVAL_S):
+            for machine, upstream in zip(
+                self.fleet.nodes, self.upstreams, strict=True
+            ):
+                self.beat(machine, upstream)
+
+    def beat(
+        self,
+        machine: platform_fleet.Machine,
+        upstream: platform_upstream.Upstream,
+    ) -> None:
+        """Announce an upstream, each start of it as born after the former."""
+        instance = upstream.instance
+        answer = self.fleet.beat(
+            machine,
+            instance,
+            maxConcurrency=7,
+            sequence=10 + next(self._numbers),
+            born=1_700_000_000_000 + int(instance.removeprefix("i-")),
+        )
+        # A beat of the former start may come after the next one's.
+        assert answer.status == 200 or instance != upstream.instance
+
     def renew(self, kind: str) -> platform_upstream.Upstream:
         """Start the faulty upstream anew, as a sound one; return it."""
+        assert self.beating.is_alive(), "an announcement failed"
         upstream = self.faulty[kind]
         upstream.fault = Fault.NONE
-        number = next(self._numbers)
-        upstream.instance = f"i-{number}"
-        answer = self.fleet.beat(
-            self.fleet.nodes[self.upstreams.index(upstream)],
-            upstream.instance,
-            maxConcurrency=7,
-            sequence=10,
-            born=1_700_000_000_000 + number,
-        )
-        assert answer.status == 200
+        upstream.instance = f"i-{100 + next(self._numbers)}"
+        machine = self.fleet.nodes[self.upstreams.index(upstream)]
+        self.beat(machine, upstream)
         self.fleet.wait(
             lambda: self._answers(kind, upstream),
             f"{upstream.instance} answers",
@@ -149,15 +173,18 @@
             "the configuration is accepted",
             LIMIT_S,
         )
+        made = Site(fleet, upstreams)
         for upstream, machine in zip(upstreams, fleet.nodes, strict=True):
             fleet.wait(
                 lambda m=machine: fleet.is_ready(m),  # type: ignore[misc]
                 f"{machine.name} is ready",
                 LIMIT_S,
             )
-            answer = fleet.beat(machine, upstream.instance, maxConcurrency=7)
-            assert answer.status == 200
-        yield Site(fleet, upstreams)
+            made.beat(machine, upstream)
+        made.beating.start()
+        stack.callback(made.beating.join)
+        stack.callback(made.closed.set)
+        yield made
 
 
 @pytest.mark.parametrize("fault", Fault, ids=lambda fault: fault.name.lower())
