Bound what a connection takes from an upstream

Callers saw nothing yet; the node would: an upstream that sends without end filled the memory of its node. Seen on: 400 MB sent, 400 MB held.

Cause: UpstreamConnection kept each chunk of a body until somebody read it and never paused reading, kept each header, also those of interim answers and trailers, and an answer that says "not run" was read to its end whatever its length. The limit that a constant named was used nowhere.

Ruled out: the path from the owner to the caller, which has a send window.

Change: reading pauses while 256 KiB of a body are unread. At most 64 KiB in a row may be no part of a body (heads, interim answers, trailers, chunk sizes), and an answer that says "not run" may have 64 KiB of body; beyond that the answer is broken, so that a request of unknown outcome is not said not to have run.

Evidence: test_bytes_without_end_are_not_taken_without_bound, nine forms.

--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -26,6 +26,8 @@
 MAX_BUFFERED_ANSWER_BYTES = 64 << 10
 """Answers up to this size are buffered until they are complete, so that an
 incomplete one can still be replaced by another attempt or an error."""
+MAX_NOT_RUN_BODY_BYTES = 64 << 10
+"""An answer that says "not run" with a larger body is not trusted."""
 IDLE_CLOSE_DETECTION_S = 0.02
 """If the upstream had closed an idle connection, the request on it fails
 within a round trip, as both are on the same VM. A connection that ends later
@@ -211,8 +213,13 @@
         ]
         buffered: list[bytes] | None = []
         buffered_bytes = 0
+        not_run_bytes = 0
         async for data in connection.read(answer):
             if not_run:
+                not_run_bytes += len(data)
+                if not_run_bytes > MAX_NOT_RUN_BODY_BYTES:
+                    answer.keeps_alive = False
+                    return Outcome.BROKEN
                 continue
             if buffered is None:
                 await sink.send_chunk(data)
--- a/src/papayastall/_upstream_connection.py
+++ b/src/papayastall/_upstream_connection.py
@@ -30,7 +30,10 @@
 timeout, because the upstream may be closing it."""
 DEFAULT_KEEP_ALIVE_S = 4.0
 """Keep-alive timeout of upstreams that do not announce one."""
-READ_LIMIT_BYTES = 256 << 10
+MAX_UNREAD_BYTES = 256 << 10
+"""Unread bytes of a body above which the connection is not read further."""
+MAX_FRAMING_BYTES = 64 << 10
+"""Bytes in a row that are no part of a body: heads, trailers, chunk sizes."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -96,6 +99,9 @@
         self._has_extra_bytes = False
         self._ends_with_connection = False
         self._is_head_request = False
+        self._framing_bytes = 0
+        self._unread_bytes = 0
+        self._is_reading_paused = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._expires_s = 0.0
@@ -129,18 +135,25 @@
             # Bytes after a complete answer belong to no request.
             self.close()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break()
+            return
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._break()
+        elif self._unread_bytes > MAX_UNREAD_BYTES:
+            self._pause_reading()
 
     def on_message_begin(self) -> None:
         if self._answer is None or self._answer.complete:
             self._has_extra_bytes = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._answer is not None and not self._answer.complete:
-            self._answer.headers.append((name.lower(), value))
+        answer = self._answer
+        if answer is not None and not answer.complete and not self._has_head:
+            answer.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         answer = self._answer
@@ -164,7 +177,9 @@
             self._complete(answer)
 
     def on_body(self, data: bytes) -> None:
+        self._framing_bytes = 0
         if self._answer is not None and not self._answer.complete:
+            self._unread_bytes += len(data)
             self._answer.chunks.append(data)
             self._answer.progress.set()
 
@@ -184,6 +199,17 @@
             self._answer.progress.set()
         self.close()
 
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._unread_bytes = 0
+        if self._transport is not None and self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on the connection."""
         return not self.is_closed and clock.now_s() < self._expires_s
@@ -207,6 +233,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer = answer = UpstreamAnswer()
         self._has_head = False
+        self._framing_bytes = 0
         self._is_head_request = is_head_request
         self._transport.write(data)
         while not answer.status:
@@ -222,6 +249,7 @@
             if answer.chunks:
                 data = b"".join(answer.chunks)
                 answer.chunks.clear()
+                self._resume_reading()
                 yield data
             elif answer.complete:
                 return
@@ -231,6 +259,7 @@
     def end(self, answer: UpstreamAnswer) -> None:
         """Finish an answer; close the connection unless it is reusable."""
         self._answer = None
+        self._resume_reading()
         is_clean = answer.complete and answer.keeps_alive
         if not is_clean or self._has_extra_bytes or self.is_closed:
             self.close()
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -290,3 +290,101 @@
 async def test_lookups_share_a_connection_that_stays_open() -> None:
     _, _, upstream = await run_named([OK % b"id-0", OK % b"id-1"], 2)
     assert upstream.connections == 1
+
+
+BLOCK = b"x" * (64 << 10)
+MAX_SENT_BLOCKS = 1024
+MAX_TAKEN_BYTES = 16 << 20
+"""More than the socket buffers of both sides hold."""
+
+
+class EndlessUpstream:
+    """Sends a block again and again until its caller closes.
+
+    :param start: what it sends before the first block.
+    :ivar sent_bytes: bytes of blocks that its socket has taken.
+    """
+
+    def __init__(self, start: bytes, block: bytes) -> None:
+        self._start = start
+        self._block = block
+        self.sent_bytes = 0
+
+    async def serve(self, *, task_status: anyio.abc.TaskStatus[str]) -> None:
+        """Serve one connection."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener:
+            task_status.started(f"127.0.0.1:{port}")
+            await listener.serve(self._handle)
+
+    async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.receive()
+                await stream.send(self._start)
+                for _ in range(MAX_SENT_BLOCKS):
+                    await stream.send(self._block)
+                    self.sent_bytes += len(self._block)
+
+
+class StalledSink(_upstream_client.AnswerSink):
+    """Takes the head of an answer, and never finishes taking a chunk."""
+
+    async def send_chunk(self, data: bytes) -> None:
+        await anyio.sleep_forever()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_NOT_RUN = (
+    b"HTTP/1.1 503 Busy\r\nPapayastall-Ran: no\r\n"
+    b"Content-Length: 99999999999\r\n\r\n"
+)
+
+
+# Guards against an upstream that fills the memory of its node: bytes without
+# end, in an answer that its caller takes slowly or that never gets complete.
+@pytest.mark.parametrize(
+    ("start", "block", "outcome"),
+    [
+        (HEAD + b"\r\n", BLOCK, Outcome.TIMED_OUT),
+        (
+            HEAD + b"Content-Length: 99999999999\r\n\r\n",
+            BLOCK,
+            Outcome.TIMED_OUT,
+        ),
+        (HEAD, b"a: b\r\n" * 10_000, Outcome.BROKEN),
+        (HEAD + b"a: ", BLOCK, Outcome.BROKEN),
+        (HEAD[:-2], BLOCK, Outcome.BROKEN),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000, Outcome.BROKEN),
+        (CHUNKED + b"0\r\n", b"a: b\r\n" * 10_000, Outcome.BROKEN),
+        (CHUNKED + b"1;", BLOCK, Outcome.BROKEN),
+        (ENDLESS_NOT_RUN, BLOCK, Outcome.BROKEN),
+    ],
+    ids=[
+        "body to the end of the connection",
+        "body with a length",
+        "headers",
+        "header value",
+        "reason",
+        "interim answers",
+        "trailers",
+        "chunk extension",
+        "body of an answer that says not run",
+    ],
+)
+async def test_bytes_without_end_are_not_taken_without_bound(
+    start: bytes, block: bytes, outcome: Outcome
+) -> None:
+    upstream = EndlessUpstream(start, block)
+    client = _upstream_client.UpstreamClient()
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(upstream.serve)
+        request = _upstream_client.UpstreamRequest(
+            address, b"GET", b"/", [], b"", False
+        )
+        found = await client.run(request, 1.0, StalledSink())
+        tasks.cancel_scope.cancel()
+    assert upstream.sent_bytes <= MAX_TAKEN_BYTES
+    assert found is outcome
