Log for how long a config update was known, and fetches that failed

The log lines of a node could not tell an index that arrives late from a fetch that takes long: a failed fetch left no line, and the line of an update named neither the time since its index was first known nor the failures.

Each line of an update now has both, each failed fetch has a line with the peer, and the counter config_fetch_failures counts them. No decision changes. The planted fault of test_config.py takes the new argument of _put_in_force.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -100,10 +100,17 @@
 
 
 class ConfigUpdate(msgspec.Struct, frozen=True):
-    """Changed documents to put in force together."""
+    """Changed documents to put in force together.
+
+    :param behind_s: time for which this node has known of a later index
+        than its own.
+    :param failed_fetches: fetches that failed in this time.
+    """
 
     index: int
     documents: tuple[commands.DocumentText, ...]
+    behind_s: float = 0.0
+    failed_fetches: int = 0
 
 
 class ConfigController:
@@ -128,6 +135,8 @@
         self._pending_documents: list[IndexedDocument] = []
         self._fetching: Fetch | None = None
         self._fetch_started_s = now_s
+        self._behind_since_s: float | None = None
+        self._failed_fetches = 0
         self._peer_indexes: dict[str, int] = {}
         self._members: set[str] = set()
         self._member_added_s = now_s
@@ -176,9 +185,7 @@
 
     def observe(self, now_s: float, peer: str, index: int) -> list[Fetch]:
         """Record an index received from a peer; start a fetch if needed."""
-        if index > self._peer_indexes.get(peer, 0):
-            self._peer_indexes[peer] = index
-        self.seen_index = max(self.seen_index, index)
+        self._note_peer_index(now_s, peer, index)
         if index <= self.index or self._fetching is not None:
             return []
         return [self._start_fetch(now_s, peer)]
@@ -190,7 +197,7 @@
 
         :returns: the update, once the last page arrived, and more fetches.
         """
-        self.note_peer_index(fetch.peer, answer)
+        self._note_peer_index(now_s, fetch.peer, answer.index)
         if fetch.confirmation:
             self._note_confirmation(fetch, answer)
             self._check_confirmed(now_s)
@@ -204,13 +211,14 @@
             return None, [self._fetching]
         pending, self._pending_documents = self._pending_documents, []
         self._fetching = None
-        update = self._put_in_force(answer.index, pending)
+        update = self._put_in_force(now_s, answer.index, pending)
         self._check_confirmed(now_s)
         return update, []
 
     def failed(self, fetch: Fetch) -> None:
         """Abandon a fetch that the peer did not answer."""
         if fetch == self._fetching:
+            self._failed_fetches += 1
             self._fetching = None
             self._pending_documents = []
             self._peer_indexes.pop(fetch.peer, None)
@@ -219,8 +227,8 @@
         self, now_s: float, index: int, stored: list[IndexedDocument]
     ) -> ConfigUpdate | None:
         """Put documents in force that the local control replica applied."""
-        self.seen_index = max(self.seen_index, index)
-        update = self._put_in_force(index, stored)
+        self._note_seen(now_s, index)
+        update = self._put_in_force(now_s, index, stored)
         self._check_confirmed(now_s)
         return update
 
@@ -250,14 +258,24 @@
             self._confirmed,
         )
 
-    def note_peer_index(self, peer: str, answer: FetchedDocuments) -> None:
+    def note_answer(
+        self, now_s: float, peer: str, answer: FetchedDocuments
+    ) -> None:
         """Record the index in a peer's answer without starting a fetch."""
+        self._note_peer_index(now_s, peer, answer.index)
+
+    def _note_peer_index(self, now_s: float, peer: str, index: int) -> None:
         known = self._peer_indexes.get(peer, 0)
-        self._peer_indexes[peer] = max(known, answer.index)
-        self.seen_index = max(self.seen_index, answer.index)
+        self._peer_indexes[peer] = max(known, index)
+        self._note_seen(now_s, index)
+
+    def _note_seen(self, now_s: float, index: int) -> None:
+        self.seen_index = max(self.seen_index, index)
+        if self.seen_index > self.index and self._behind_since_s is None:
+            self._behind_since_s = now_s
 
     def _put_in_force(
-        self, index: int, stored: list[IndexedDocument]
+        self, now_s: float, index: int, stored: list[IndexedDocument]
     ) -> ConfigUpdate | None:
         if index <= self.index:
             return None
@@ -278,7 +296,17 @@
             sorted(self._documents.items(), key=lambda pair: pair[1].index)
         )
         self.index = index
-        return ConfigUpdate(index, tuple(changed.values()))
+        since_s = self._behind_since_s
+        update = ConfigUpdate(
+            index,
+            tuple(changed.values()),
+            0.0 if since_s is None else now_s - since_s,
+            self._failed_fetches,
+        )
+        self._failed_fetches = 0
+        self._behind_since_s = None
+        self._note_seen(now_s, index)
+        return update
 
     def _start_fetch(self, now_s: float, peer: str) -> Fetch:
         self._pending_documents = []
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -22,6 +22,7 @@
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import logs
+from papayastall import metrics
 from papayastall import route_table
 
 __all__ = ["ApplyOutcome", "ConfigService", "DocumentSource"]
@@ -95,6 +96,7 @@
 
     :param list_members: link addresses of the other live members.
     :param put_in_force: called with a new index and the changed documents.
+    :param counters: metrics to update.
     """
 
     def __init__(
@@ -106,8 +108,10 @@
         list_members: cabc.Callable[[], list[str]],
         put_in_force: PutInForce,
         rng: random.Random,
+        counters: metrics.Metrics | None = None,
     ) -> None:
         self._node = node
+        self._counters = counters or metrics.Metrics(None, node)
         self._peering = peering
         self._group_client = group_client
         self._list_members = list_members
@@ -301,7 +305,7 @@
             answer = await self._call(peer, request)
         except exceptions.PapayastallError:
             return False
-        self._controller.note_peer_index(peer, answer)
+        self._controller.note_answer(clock.now_s(), peer, answer)
         return answer.index >= index
 
     async def _run(self) -> None:
@@ -363,8 +367,9 @@
         )
         try:
             answer = await self._call(fetch.peer, request)
-        except exceptions.PapayastallError:
+        except exceptions.PapayastallError as error:
             self._controller.failed(fetch)
+            self._log_failed_fetch(fetch, error)
             return
         update, fetches = self._controller.fetched(
             clock.now_s(), fetch, answer
@@ -372,6 +377,25 @@
         self._apply_update(update)
         self._start_fetches(fetches)
 
+    def _log_failed_fetch(
+        self, fetch: _config.Fetch, error: exceptions.PapayastallError
+    ) -> None:
+        if fetch.confirmation:
+            # Replicas that are down are asked several times a second.
+            return
+        self._counters.count(metrics.Counter.CONFIG_FETCH_FAILURES)
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.CONFIG,
+                self._node,
+                str(fetch.after_index),
+                "fetch failed",
+                f"highest known index {self._controller.seen_index}: "
+                f"{error.message}; another member is asked",
+                peer=fetch.peer,
+            )
+        )
+
     async def _call(
         self, peer: str, request: _config.FetchDocuments
     ) -> _config.FetchedDocuments:
@@ -405,7 +429,9 @@
                 self._node,
                 "",
                 str(update.index),
-                f"{len(update.documents)} changed documents in force",
+                f"{len(update.documents)} changed documents in force, "
+                f"{update.behind_s * 1000:.0f} ms after a later index was "
+                f"known, {update.failed_fetches} fetches failed",
             )
         )
         self._notify_members(update.index)
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -22,6 +22,7 @@
 from papayastall import _peering
 from papayastall import _permits
 from papayastall import exceptions
+from papayastall import metrics
 
 if t.TYPE_CHECKING:
     from papayastall._replica import ReplicaHost
@@ -84,6 +85,7 @@
         peering: _peering.Peering,
         hooks: ControlHooks,
         rng: random.Random,
+        counters: metrics.Metrics,
     ) -> None:
         self.host: ReplicaHost | None = None
         server = None
@@ -122,6 +124,7 @@
             hooks.list_members,
             hooks.put_in_force,
             rng,
+            counters,
         )
         if self.host is not None:
             state.listener = self.config.make_listener()
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -118,6 +118,11 @@
     CONFIG_CHANGES = Description(
         "config_changes", "documents", "that came into force here"
     )
+    CONFIG_FETCH_FAILURES = Description(
+        "config_fetch_failures",
+        "fetches",
+        "of documents that a member did not answer",
+    )
     ELECTIONS = Description("elections", "elections", "started by this node")
     FSYNCS = Description("fsyncs", "calls", "of fsync on the data folder")
     METRICS_DROPPED = Description(
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -254,7 +254,11 @@
             observe_slots=self.observe_slots,
         )
         self.control = _control_plane.ControlPlane(
-            control_settings, self.links, hooks, self._rng
+            control_settings,
+            self.links,
+            hooks,
+            self._rng,
+            self.counters,
         )
 
     def _build_request_path(self) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -276,9 +276,12 @@
         self._confirmed = True
 
     def drop_documents(
-        self: _config.ConfigController, index: int, stored: list[t.Any]
+        self: _config.ConfigController,
+        now_s: float,
+        index: int,
+        stored: list[t.Any],
     ) -> t.Any:
-        return original(self, index, stored[:1])
+        return original(self, now_s, index, stored[:1])
 
     faulty = (
         confirm_at_once if method == "_check_confirmed" else drop_documents
