--- /dev/null
+++ b/tests/config_spread.py
@@ -0,0 +1,270 @@
+"""Config services and membership of a fleet, on virtual time.
+
+The services are the real ones. Datagrams pass the network of
+:mod:`tests.gossip_fleet`; calls and casts pass links that open on demand.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import random
+import selectors
+import typing as t
+
+import anyio
+import anyio.abc
+import msgspec
+import pytest
+
+from papayastall import _config
+from papayastall import _config_service
+from papayastall import _control_calls
+from papayastall import _control_commands as commands
+from papayastall import _membership_types as types
+from papayastall import _peering
+from papayastall import _route_state
+from papayastall import clock
+from papayastall import exceptions
+from papayastall import route_table
+from tests import gossip_fleet
+from tests import route_helpers
+
+__all__ = ["Conditions", "SpreadFleet", "run_virtually"]
+
+STEP_S = 0.01
+"""Interval at which datagrams are delivered."""
+LINK_DELAY_S = 0.002
+START_S = 15.0
+"""Time after which the members know each other and have their config."""
+
+
+class _VirtualSelector(selectors.DefaultSelector):
+    """Advances the loop's time instead of waiting."""
+
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[t.Any]:
+        assert timeout is not None, "all tasks wait for nothing"
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._virtual_selector = _VirtualSelector()
+        super().__init__(self._virtual_selector)
+
+    def time(self) -> float:
+        return self._virtual_selector.now_s
+
+
+def run_virtually(
+    body: cabc.Coroutine[t.Any, t.Any, None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Run a coroutine on virtual time, which the product's clock shows."""
+    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+        monkeypatch.setattr(clock, "now_s", runner.get_loop().time)
+        runner.run(body)
+
+
+class Conditions(msgspec.Struct, frozen=True):
+    """Conditions of the network.
+
+    :param loss: share of the datagrams that are lost.
+    :param transfer_s: time in which a table passes a link.
+    :param silent: share of the nodes to which calls are lost, although
+        their own messages arrive.
+    """
+
+    loss: float = 0.0
+    transfer_s: float = 0.02
+    silent: float = 0.0
+
+
+class _Leader:
+    """Control leader that always has a lease."""
+
+    async def propose(
+        self, group: int, command: bytes, timeout_s: float
+    ) -> bytes:
+        raise NotImplementedError
+
+    async def read_barrier(self, group: int, timeout_s: float) -> None:
+        return
+
+    def leader(self, group: int) -> str | None:
+        return None
+
+
+class _Node(_peering.Peering):
+    """One node: its config service and its end of the links."""
+
+    def __init__(self, fleet: SpreadFleet, number: int) -> None:
+        self.address = gossip_fleet.address_of(number)
+        self.linked: set[str] = set()
+        self._fleet = fleet
+        self._number = number
+        self._cast_handlers: dict[int, _peering.CastHandler] = {}
+        self._call_handlers: dict[int, _peering.CallHandler] = {}
+        rng = random.Random(number)
+        group_client = _control_calls.GroupClient(
+            self.address, self, fleet.control, rng
+        )
+        self.config = _config_service.ConfigService(
+            self.address,
+            self,
+            group_client,
+            fleet.control,
+            self._list_others,
+            self._put_in_force,
+            rng,
+        )
+        if number == 0:
+            self.config.use_host(_Leader())
+
+    def _list_others(self) -> list[str]:
+        members = self._fleet.gossip.nodes[self.address].members()
+        return [m.address for m in members if m.address != self.address]
+
+    def _put_in_force(
+        self, index: int, changed: list[_config_service.ConfigItem]
+    ) -> None:
+        self._fleet.in_force_s[self.address] = clock.now_s()
+        membership = self._fleet.gossip.nodes[self.address]
+        membership.set_config_index(index)
+
+    def handle_casts(
+        self, channel: _peering.Channel, handler: _peering.CastHandler
+    ) -> None:
+        self._cast_handlers[channel] = handler
+
+    def handle_calls(
+        self, channel: _peering.Channel, handler: _peering.CallHandler
+    ) -> None:
+        self._call_handlers[channel] = handler
+
+    def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
+        node = self._fleet.nodes[peer]
+        if peer not in self.linked:
+            self._fleet.tasks.start_soon(self._connect, node)
+        elif peer not in self._fleet.silent:
+            handler = node._cast_handlers[channel]
+            self._fleet.tasks.start_soon(handler, self.address, body)
+
+    async def _connect(self, node: _Node) -> None:
+        await anyio.sleep(2 * LINK_DELAY_S)
+        if node.address not in self._fleet.silent:
+            self.linked.add(node.address)
+            node.linked.add(self.address)
+
+    async def call(
+        self,
+        peer: str,
+        channel: _peering.Channel,
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes:
+        node = self._fleet.nodes[peer]
+        if peer in self._fleet.silent:
+            await anyio.sleep(timeout_s)
+            raise exceptions.UnreachableError(
+                exceptions.ErrorCode.LINK_FAILED, "no answer", step="call"
+            )
+        if peer not in self.linked:
+            await self._connect(node)
+        await anyio.sleep(LINK_DELAY_S)
+        node.config.observe(self.address, self.config.index)
+        answer = await node._call_handlers[channel](self.address, body)
+        await anyio.sleep(LINK_DELAY_S + self._fleet.conditions.transfer_s)
+        self.config.observe(peer, node.config.index)
+        return answer
+
+
+class SpreadFleet:
+    """Nodes that start together; the first ones are control replicas.
+
+    :ivar in_force_s: when each node last put a change in force.
+    :ivar silent: addresses to which calls are lost.
+    """
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        nodes: int,
+        control: int,
+        seed: int,
+        conditions: Conditions,
+    ) -> None:
+        self.tasks = tasks
+        self.conditions = conditions
+        self.rng = random.Random(seed)
+        self.gossip = gossip_fleet.GossipFleet(seed, with_codec=False)
+        self.control = tuple(
+            gossip_fleet.address_of(number) for number in range(control)
+        )
+        self.in_force_s: dict[str, float] = {}
+        self.silent: set[str] = set()
+        for number in range(nodes):
+            self.gossip.start(number)
+        self.nodes: dict[str, _Node] = {}
+        for number in range(nodes):
+            node = _Node(self, number)
+            self.nodes[node.address] = node
+        self._handled = dict.fromkeys(self.nodes, 0)
+        self._version = 0
+
+    async def start(self) -> None:
+        """Start all nodes and wait until they know each other."""
+        self.tasks.start_soon(self._run_gossip)
+        for node in self.nodes.values():
+            await node.config.start(self.tasks)
+        await anyio.sleep(START_S)
+        await self.change_routes()
+        await anyio.sleep(START_S)
+        assert all(node.config.is_ready() for node in self.nodes.values())
+        self.gossip.faults.loss = self.conditions.loss
+        others = sorted(set(self.nodes) - {self.control[0]})
+        count = int(self.conditions.silent * len(self.nodes))
+        self.silent.update(self.rng.sample(others, count))
+        for node in self.nodes.values():
+            node.linked.clear()
+
+    async def change_routes(self) -> None:
+        """Put a change in force on the control replicas, as the log does."""
+        self._version += 1
+        table = route_helpers.make_table(
+            self._version, route_helpers.make_route()
+        )
+        document = commands.DocumentText(
+            name=_route_state.ROUTES_NAME,
+            revision=self._version,
+            digest=str(self._version),
+            floor_slots=0,
+            text=route_table.encode_table(table),
+        )
+        stored = [_config.IndexedDocument(self._version, document)]
+        self.in_force_s.clear()
+        for address in self.control:
+            self.nodes[address].config.note_applied(self._version, stored)
+            await anyio.sleep(LINK_DELAY_S)
+
+    def find_missing(self) -> list[str]:
+        """Return the nodes on which the last change is not in force."""
+        return [
+            address
+            for address, node in self.nodes.items()
+            if node.config.index < self._version
+        ]
+
+    async def _run_gossip(self) -> None:
+        while True:
+            await anyio.sleep(STEP_S)
+            self.gossip.run(STEP_S)
+            for address, node in self.nodes.items():
+                events = self.gossip.events[address]
+                for event in events[self._handled[address] :]:
+                    if isinstance(event, types.PeerConfigIndex):
+                        node.config.observe(event.address, event.config_index)
+                self._handled[address] = len(events)
