Tell members of a new config index until they know it; hedge fetches

Callers saw 404 for an added route 3.83 s after its acknowledgement, where 2 s are allowed.

Cause: one attempt of best effort where a bound must hold, twice. A node told three random members, once, over links that may not be open: such a cast is dropped. The rest was left to probes, one a second. Then a node asked one member for the table, waited a second, and took up to half a second more to ask the next; a failed member was forgotten and, as its own messages went on arriving, chosen again. A member that had been restarted, and was behind since, stayed the best one.

Change: membership tells members that are not known to have the index, three at once and three at each tick, as often as other updates, and needs no link. A fetch without an answer for 0.3 s is hedged with another member, up to three; a failed one is followed at once by the next member, and the failed member is left out for a second. An answer corrects what is known of a peer. The notices over links are gone.

Why it works: every node is told about 15 times instead of three, and it needs one of three members to answer in 1.3 s. About 15 datagrams a node and change.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -19,13 +19,18 @@
     "Fetch",
     "FetchDocuments",
     "FetchedDocuments",
-    "IndexNotice",
     "IndexedDocument",
     "MESSAGE_VERSION",
 ]
 
 MESSAGE_VERSION = 1
 FETCH_TIMEOUT_S = 1.0
+FETCH_HEDGE_DELAY_S = 0.3
+"""Time without an answer after which another member is asked as well; most
+tables pass a slow link in less."""
+MAX_CONCURRENT_FETCHES = 3
+FAILED_PEER_PAUSE_S = 1.0
+"""Time without fetches from a member that did not answer one."""
 MAX_TICK_GAP_S = 5.0
 """A node that did not tick for this long, such as a suspended process, must
 confirm its config again."""
@@ -79,13 +84,6 @@
     confirmed: bool = False
 
 
-class IndexNotice(msgspec.Struct, frozen=True):
-    """Notice of the config index in force on the sender."""
-
-    version: int
-    index: int
-
-
 class Fetch(msgspec.Struct, frozen=True):
     """A request to send to a peer.
 
@@ -99,6 +97,19 @@
     confirmation: int = 0
 
 
+class _OpenFetch(msgspec.Struct):
+    """A fetch without a complete answer, and the documents so far.
+
+    :param started_s: when its latest page was requested.
+    :param is_late: whether the answer has taken so long that another member
+        may be asked as well.
+    """
+
+    started_s: float
+    is_late: bool = False
+    documents: list[IndexedDocument] = msgspec.field(default_factory=list)
+
+
 class ConfigUpdate(msgspec.Struct, frozen=True):
     """Changed documents to put in force together.
 
@@ -132,9 +143,8 @@
         self._node = node
         self._control = [peer for peer in control if peer != node]
         self._documents: dict[str, IndexedDocument] = {}
-        self._pending_documents: list[IndexedDocument] = []
-        self._fetching: Fetch | None = None
-        self._fetch_started_s = now_s
+        self._fetches: dict[Fetch, _OpenFetch] = {}
+        self._fetch_failed_s: dict[str, float] = {}
         self._behind_since_s: float | None = None
         self._failed_fetches = 0
         self._peer_indexes: dict[str, int] = {}
@@ -186,9 +196,7 @@
     def observe(self, now_s: float, peer: str, index: int) -> list[Fetch]:
         """Record an index received from a peer; start a fetch if needed."""
         self._note_peer_index(now_s, peer, index)
-        if index <= self.index or self._fetching is not None:
-            return []
-        return [self._start_fetch(now_s, peer)]
+        return self._fetch_if_behind(now_s)
 
     def fetched(
         self, now_s: float, fetch: Fetch, answer: FetchedDocuments
@@ -199,29 +207,45 @@
         """
         self._note_peer_index(now_s, fetch.peer, answer.index)
         if fetch.confirmation:
+            self._peer_indexes[fetch.peer] = answer.index
             self._note_confirmation(fetch, answer)
             self._check_confirmed(now_s)
-            return None, self.observe(now_s, fetch.peer, answer.index)
-        if fetch != self._fetching:
+            return None, self._fetch_if_behind(now_s)
+        self._fetch_failed_s.pop(fetch.peer, None)
+        open_fetch = self._fetches.pop(fetch, None)
+        if open_fetch is None:
             return None, []
-        self._pending_documents += answer.documents
+        open_fetch.documents += answer.documents
         if answer.more and answer.index > fetch.after_index:
-            self._fetch_started_s = now_s
-            self._fetching = Fetch(fetch.peer, answer.index)
-            return None, [self._fetching]
-        pending, self._pending_documents = self._pending_documents, []
-        self._fetching = None
-        update = self._put_in_force(now_s, answer.index, pending)
+            open_fetch.started_s = now_s
+            open_fetch.is_late = False
+            next_fetch = Fetch(fetch.peer, answer.index)
+            self._fetches[next_fetch] = open_fetch
+            return None, [next_fetch]
+        # A peer that was restarted has an older config than before.
+        self._peer_indexes[fetch.peer] = answer.index
+        update = self._put_in_force(now_s, answer.index, open_fetch.documents)
         self._check_confirmed(now_s)
-        return update, []
+        return update, self._fetch_if_behind(now_s)
+
+    def hedge(self, now_s: float, fetch: Fetch) -> list[Fetch]:
+        """Ask another member as well if a fetch is still open.
 
-    def failed(self, fetch: Fetch) -> None:
-        """Abandon a fetch that the peer did not answer."""
-        if fetch == self._fetching:
-            self._failed_fetches += 1
-            self._fetching = None
-            self._pending_documents = []
-            self._peer_indexes.pop(fetch.peer, None)
+        To be called ``FETCH_HEDGE_DELAY_S`` after the fetch was sent.
+        """
+        open_fetch = self._fetches.get(fetch)
+        if open_fetch is None:
+            return []
+        open_fetch.is_late = True
+        return self._fetch_if_behind(now_s)
+
+    def failed(self, now_s: float, fetch: Fetch) -> list[Fetch]:
+        """Abandon a fetch that the peer did not answer; ask another one."""
+        if self._fetches.pop(fetch, None) is None:
+            return []
+        self._failed_fetches += 1
+        self._fetch_failed_s[fetch.peer] = now_s
+        return self._fetch_if_behind(now_s)
 
     def note_applied(
         self, now_s: float, index: int, stored: list[IndexedDocument]
@@ -296,6 +320,7 @@
             sorted(self._documents.items(), key=lambda pair: pair[1].index)
         )
         self.index = index
+        self._fetches.clear()
         since_s = self._behind_since_s
         update = ConfigUpdate(
             index,
@@ -308,26 +333,33 @@
         self._note_seen(now_s, index)
         return update
 
-    def _start_fetch(self, now_s: float, peer: str) -> Fetch:
-        self._pending_documents = []
-        self._fetch_started_s = now_s
-        self._fetching = Fetch(peer, self.index)
-        return self._fetching
+    def _fetch_if_behind(self, now_s: float) -> list[Fetch]:
+        """Start a fetch, unless the open ones may still be answered soon.
 
-    def _retry_fetch(self, now_s: float) -> list[Fetch]:
-        if self._fetching is not None:
-            if now_s - self._fetch_started_s < FETCH_TIMEOUT_S:
-                return []
-            self.failed(self._fetching)
-        ahead_peers = [
-            peer
-            for peer, index in self._peer_indexes.items()
-            if index > self.index
-        ]
-        if not ahead_peers:
+        A member that did not answer is not asked again at once, although
+        its own messages may arrive.
+        """
+        if len(self._fetches) >= MAX_CONCURRENT_FETCHES:
+            return []
+        if any(not fetch.is_late for fetch in self._fetches.values()):
             return []
-        best = max(ahead_peers, key=lambda peer: self._peer_indexes[peer])
-        return [self._start_fetch(now_s, best)]
+        asked = {fetch.peer for fetch in self._fetches}
+        for peer, index in self._peer_indexes.items():
+            failed_s = self._fetch_failed_s.get(peer, float("-inf"))
+            if index <= self.index or peer in asked:
+                continue
+            if now_s - failed_s < FAILED_PEER_PAUSE_S:
+                continue
+            fetch = Fetch(peer, self.index)
+            self._fetches[fetch] = _OpenFetch(now_s)
+            return [fetch]
+        return []
+
+    def _retry_fetch(self, now_s: float) -> list[Fetch]:
+        for fetch, open_fetch in list(self._fetches.items()):
+            if now_s - open_fetch.started_s >= FETCH_TIMEOUT_S:
+                self.failed(now_s, fetch)
+        return self._fetch_if_behind(now_s)
 
     def _note_members(self, now_s: float, members: set[str]) -> None:
         if members - self._members:
@@ -336,6 +368,7 @@
         for peer in list(self._peer_indexes):
             if peer not in members and peer not in self._control:
                 del self._peer_indexes[peer]
+                self._fetch_failed_s.pop(peer, None)
 
     def _ask_confirmation(self, now_s: float) -> list[Fetch]:
         sent_s = self._confirm_sent_s
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -40,7 +40,6 @@
 READ_POLL_INTERVAL_S = 0.03
 WAIT_POLL_INTERVAL_S = 0.2
 MAX_CONCURRENT_WAIT_CALLS = 32
-NOTICE_FANOUT = 3
 MAX_INFLATED_ANSWER_BYTES = 8 << 20
 """Limit of a decompressed answer; a frame holds 1 MB of compressed data."""
 
@@ -125,7 +124,6 @@
             node, control, clock.now_s()
         )
         peering.handle_calls(_peering.Channel.CONFIG, self._receive_fetch)
-        peering.handle_casts(_peering.Channel.CONFIG, self._receive_notice)
 
     @property
     def index(self) -> int:
@@ -355,9 +353,15 @@
     def _start_fetches(self, fetches: list[_config.Fetch]) -> None:
         for fetch in fetches:
             if self._tasks is None:
-                self._controller.failed(fetch)
-            else:
-                self._tasks.start_soon(self._fetch, fetch)
+                self._controller.failed(clock.now_s(), fetch)
+                continue
+            self._tasks.start_soon(self._fetch, fetch)
+            if not fetch.confirmation:
+                self._tasks.start_soon(self._hedge, fetch)
+
+    async def _hedge(self, fetch: _config.Fetch) -> None:
+        await anyio.sleep(_config.FETCH_HEDGE_DELAY_S)
+        self._start_fetches(self._controller.hedge(clock.now_s(), fetch))
 
     async def _fetch(self, fetch: _config.Fetch) -> None:
         request = _config.FetchDocuments(
@@ -368,8 +372,8 @@
         try:
             answer = await self._call(fetch.peer, request)
         except exceptions.PapayastallError as error:
-            self._controller.failed(fetch)
             self._log_failed_fetch(fetch, error)
+            self._start_fetches(self._controller.failed(clock.now_s(), fetch))
             return
         update, fetches = self._controller.fetched(
             clock.now_s(), fetch, answer
@@ -413,10 +417,6 @@
         answer = self._controller.answer(request, leads)
         return zlib.compress(commands.codec.encode(answer))
 
-    async def _receive_notice(self, peer: str, body: bytes) -> None:
-        notice = commands.codec.decode(_config.IndexNotice, body)
-        self.observe(peer, notice.index)
-
     def _apply_update(self, update: _config.ConfigUpdate | None) -> None:
         if update is None:
             return
@@ -434,7 +434,6 @@
                 f"known, {update.failed_fetches} fetches failed",
             )
         )
-        self._notify_members(update.index)
 
     def _parse(self, text: commands.DocumentText) -> ConfigItem | None:
         """Parse a document, or make this node not ready.
@@ -461,19 +460,6 @@
             )
             return None
 
-    def _notify_members(self, index: int) -> None:
-        """Send the new index to a few members, which pass it on."""
-        notice = _config.IndexNotice(_config.MESSAGE_VERSION, index)
-        body = commands.codec.encode(notice)
-        members = [
-            peer
-            for peer in self._list_members()
-            if self._controller.find_peer_index(peer) < index
-        ]
-        count = min(NOTICE_FANOUT, len(members))
-        for peer in self._rng.sample(members, count):
-            self._peering.cast(peer, _peering.Channel.CONFIG, body)
-
 
 def _inflate_answer(data: bytes, peer: str) -> bytes:
     """Decompress an answer; a table is compressed to a fifth of its size."""
--- a/src/papayastall/_gossip_queue.py
+++ b/src/papayastall/_gossip_queue.py
@@ -10,13 +10,19 @@
 from papayastall import _member_table
 from papayastall import _membership_types as types
 
-__all__ = ["GossipQueue"]
+__all__ = ["GossipQueue", "count_transmissions"]
 
 TRANSMISSIONS_PER_DOUBLING = 2
 MIN_TRANSMISSIONS = 6
 MAX_QUEUED_UPDATES = 512
 
 
+def count_transmissions(members: int) -> int:
+    """Return how often a node sends an update, so that all receive it."""
+    doublings = math.ceil(math.log2(members + 1))
+    return max(MIN_TRANSMISSIONS, TRANSMISSIONS_PER_DOUBLING * doublings)
+
+
 class _Key(msgspec.Struct, frozen=True):
     address: str
     service: str | None
@@ -69,9 +75,8 @@
     def _add(self, key: _Key) -> None:
         if key not in self._transmissions_left:
             self._order.appendleft(key)
-        doublings = math.ceil(math.log2(len(self._table.live) + 1))
-        self._transmissions_left[key] = max(
-            MIN_TRANSMISSIONS, TRANSMISSIONS_PER_DOUBLING * doublings
+        self._transmissions_left[key] = count_transmissions(
+            len(self._table.live)
         )
         if len(self._order) > MAX_QUEUED_UPDATES:
             del self._transmissions_left[self._order.pop()]
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -36,6 +36,8 @@
 nodes that joined through the same one until one of them reaches another."""
 GONE_RETENTION_S = 7200.0
 LEFT_NOTICE_FANOUT = 5
+CONFIG_INDEX_FANOUT = 3
+"""Members told of a new config index at once, and at each tick after."""
 
 
 class MembershipSettings(msgspec.Struct, frozen=True):
@@ -82,6 +84,7 @@
         )
         self._state = types.MemberState.ALIVE
         self._config_index = 0
+        self._config_index_sends_left = 0
         self._last_run_s = now_s
         self._suspicion_timers = _suspicion_timers.SuspicionTimers(
             settings.address, self._table, rng, now_s
@@ -124,6 +127,7 @@
         actions.extend(self._declare_dead(now_s))
         actions.extend(self._repair_datagrams(self._reconciler.tick(now_s)))
         actions.extend(self._send_gossip(now_s))
+        actions.extend(self._send_config_index())
         actions.extend(self._reconnect(now_s))
         return actions
 
@@ -168,9 +172,21 @@
         )
         self._reconciler.set_seeds(self._seeds)
 
-    def set_config_index(self, config_index: int) -> None:
-        """Set the index of the config in force here; it never decreases."""
-        self._config_index = max(self._config_index, config_index)
+    def set_config_index(
+        self, config_index: int
+    ) -> list[types.MembershipAction]:
+        """Set the index of the config in force here, and tell some members.
+
+        Each member that puts it in force tells others. An index that is no
+        later than the present one changes nothing.
+        """
+        if config_index <= self._config_index:
+            return []
+        self._config_index = config_index
+        self._config_index_sends_left = _gossip_queue.count_transmissions(
+            len(self._table.live)
+        )
+        return self._send_config_index()
 
     def start_leaving(self, now_s: float) -> list[types.MembershipAction]:
         """Withdraw the adverts and change the own state to leaving."""
@@ -430,6 +446,31 @@
         )
         return [self._with_piggyback(message)]
 
+    def _send_config_index(self) -> list[types.MembershipAction]:
+        """Tell some members that are not known to have the config index."""
+        if not self._config_index_sends_left:
+            return []
+        others = [
+            member
+            for member in self.members()
+            if member.config_index < self._config_index
+            and member.address != self._address
+        ]
+        count = min(
+            CONFIG_INDEX_FANOUT, self._config_index_sends_left, len(others)
+        )
+        self._config_index_sends_left -= count
+        if not count:
+            self._config_index_sends_left = 0
+        return [
+            self._with_piggyback(
+                _prober.ProbeMessage(
+                    member.datagram_address, member.address, types.Gossip()
+                )
+            )
+            for member in self._rng.sample(others, count)
+        ]
+
     def _reconnect(self, now_s: float) -> list[types.MembershipAction]:
         """Ping a dead member, or a seed that is not a live member."""
         if now_s < self._next_reconnect_s:
--- a/src/papayastall/control.thrift
+++ b/src/papayastall/control.thrift
@@ -217,11 +217,6 @@
   6: bool confirmed,
 }
 
-struct IndexNotice {
-  1: i32 version,
-  2: i64 index,
-}
-
 struct GroupCall {
   1: i32 version,
   2: i32 group,
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -517,6 +517,7 @@
                     self._apply_table(item)
             self.counters.count(metrics.Counter.CONFIG_CHANGES)
         self.blackboard.config_index = index
+        self.gossiper.send(self.membership.set_config_index(index))
 
     def _apply_document(self, document: documents.Document) -> None:
         known = self.blackboard.services.get(document.name)
@@ -672,7 +673,6 @@
         known: list[_decision_types.OwnerAdvert] = []
         while True:
             now_s = clock.now_s()
-            self.membership.set_config_index(self.blackboard.config_index)
             adverts = self.owner_controller.adverts(now_s)
             if self.control.host is not None:
                 adverts.append(self._make_control_advert())
--- a/tests/config_spread.py
+++ b/tests/config_spread.py
@@ -133,7 +133,8 @@
     ) -> None:
         self._fleet.in_force_s[self.address] = clock.now_s()
         membership = self._fleet.gossip.nodes[self.address]
-        membership.set_config_index(index)
+        actions = membership.set_config_index(index)
+        self._fleet.gossip.act(self._number, actions)
 
     def handle_casts(
         self, channel: _peering.Channel, handler: _peering.CastHandler
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -83,7 +83,8 @@
                 continue
             controller = self.controllers[name]
             if fetch.peer in self.down or fetch.peer == name:
-                controller.failed(fetch)
+                fetches = controller.failed(self.now_s, fetch)
+                self.pending += [(name, more) for more in fetches]
                 continue
             request = _config.FetchDocuments(
                 1, fetch.after_index, fetch.confirmation > 0
@@ -226,6 +227,53 @@
     assert node.index == 30
 
 
+def make_config(index: int) -> list[_config.IndexedDocument]:
+    """Return the documents of a config with this index."""
+    document = state_helpers.make_document("visits", index)
+    return [_config.IndexedDocument(index, document)]
+
+
+# Guards against a node that waits for one member while others could answer.
+def test_a_late_answer_is_hedged_with_other_members() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    first = node.observe(0.0, "n1", 7)
+    assert [fetch.peer for fetch in first] == ["n1"]
+    assert node.observe(0.1, "n2", 7) == []
+    second = node.hedge(0.3, first[0])
+    assert [fetch.peer for fetch in second] == ["n2"]
+    answer = _config.FetchedDocuments(1, 7, tuple(make_config(7)))
+    update, more = node.fetched(0.4, second[0], answer)
+    assert update is not None and update.index == 7 and more == []
+    assert node.failed(1.0, first[0]) == []
+    assert node.hedge(1.0, first[0]) == []
+
+
+# Guards against a node that asks again and again a member whose own messages
+# arrive, but that does not answer.
+def test_a_member_that_does_not_answer_is_asked_after_the_others() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    (fetch,) = node.observe(0.0, "n1", 7)
+    assert node.failed(1.0, fetch) == []
+    assert node.observe(1.1, "n1", 8) == []
+    (fetch,) = node.observe(1.2, "n2", 7)
+    assert fetch.peer == "n2"
+    (fetch,) = node.failed(2.2, fetch)
+    assert fetch.peer == "n1"
+
+
+# Guards against a node that keeps asking a member that was restarted and is
+# behind since then.
+def test_a_member_that_fell_behind_is_not_asked_again() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    (fetch,) = node.observe(0.0, "n1", 7)
+    assert node.observe(0.0, "n2", 7) == []
+    behind = _config.FetchedDocuments(1, 0)
+    update, (fetch,) = node.fetched(0.1, fetch, behind)
+    assert update is None and fetch.peer == "n2"
+    assert node.fetched(0.2, fetch, behind) == (None, [])
+    assert node.tick(0.3, ["n1", "n2"])[0].confirmation
+
+
 steps = st.lists(
     st.tuples(
         st.sampled_from(
--- a/tests/test_document_state.py
+++ b/tests/test_document_state.py
@@ -137,7 +137,6 @@
         _config.FetchDocuments,
         _config.FetchedDocuments,
         _config.IndexedDocument,
-        _config.IndexNotice,
         _control_state.ControlSnapshot,
         _control_state.ClaimSnapshot,
         _document_state.StoredDocument,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -452,3 +452,27 @@
         copied.extend(page)
     assert len(copied) == len(set(copied))
     assert table_of(copied).digest == table.digest
+
+
+# Guards against a config index that few members are told of, and against
+# datagrams that go on once all have it.
+def test_a_new_config_index_is_told_to_every_member_and_then_no_more() -> None:
+    fleet = start_fleet(30)
+    fleet.act(0, fleet.nodes[gossip_fleet.address_of(0)].set_config_index(5))
+    told = {gossip_fleet.address_of(0)}
+
+    def spread() -> bool:
+        for address, events in fleet.events.items():
+            if address not in told and any(
+                isinstance(event, types.PeerConfigIndex) for event in events
+            ):
+                told.add(address)
+                fleet._act(address, fleet.nodes[address].set_config_index(5))
+        return len(told) == len(fleet.nodes)
+
+    fleet.run_until(spread, 1.0)
+    fleet.run(5.0)
+    for node in fleet.nodes.values():
+        assert node.set_config_index(5) == []
+        assert node.set_config_index(4) == []
+        assert node._config_index_sends_left == 0
