Let a replica whose folder was removed join anew in its process

Each such end costs a start, and a node is away from reads and orders meanwhile.

Cause: a group removes a voter that is silent for 6 s while it has more than its target. The replica was frozen, cut off or slow, and its process runs. It learns of the removal when it joins again, and all that the node did with the error was to delete the folder and end.

Ruled out: damaged folders, which have the same error code until now and go on to end the process, since nobody knows what else is wrong with that disk; and keeping the folder, since a removed identity must not vote again.

Change: the error has a code of its own, folder-excluded. The control plane closes the replicas, replaces the folder where the node manages it, and makes new replicas with empty state machines and a new identity, which may found no group. The config in force stays; it only moves ahead.

Evidence: test_a_removed_replica_joins_anew_in_the_same_process; with the old handling of the error in place it timed out, the replica never came back.

--- a/src/papayastall/_control_calls.py
+++ b/src/papayastall/_control_calls.py
@@ -159,7 +159,6 @@
     repeated one.
 
     :param control: addresses of the control replicas.
-    :param local: server of this node, if it is a control replica.
     """
 
     def __init__(
@@ -168,13 +167,12 @@
         peering: _peering.Peering,
         control: cabc.Sequence[str],
         rng: random.Random,
-        local: GroupServer | None = None,
     ) -> None:
         self._node = node
         self._peering = peering
         self._control = list(control)
         self._rng = rng
-        self._local = local
+        self._local: GroupServer | None = None
         self._leaders: dict[int, str] = {}
 
     async def call(
@@ -228,6 +226,10 @@
             await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
+    def use_local(self, server: GroupServer) -> None:
+        """Use the server of this node, which is a control replica."""
+        self._local = server
+
     def set_control(self, addresses: cabc.Sequence[str]) -> None:
         """Set the control replicas to call."""
         self._control = list(addresses)
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 import msgspec
+import msgspec.structs
 
 from papayastall import _claims
 from papayastall import _config_service
@@ -19,9 +20,11 @@
 from papayastall import _control_commands as commands
 from papayastall import _control_state
 from papayastall import _formation
+from papayastall import _group_folder
 from papayastall import _peering
 from papayastall import _permits
 from papayastall import exceptions
+from papayastall import logs
 from papayastall import metrics
 
 if t.TYPE_CHECKING:
@@ -39,6 +42,8 @@
     :param control: link addresses of the control replicas.
     :param claim_groups: number of groups that hold claims.
     :param data_folder: folder of a control replica; ``None`` on other nodes.
+    :param group_folder: creates and removes that folder; ``None`` if an
+        operator does so.
     :param epoch: identifies this process; greater at each start.
     :param formation: how the groups are bootstrapped and resized.
     :param with_permits: whether upstreams may be ejected.
@@ -50,6 +55,7 @@
     data_folder: str | None
     epoch: int
     formation: _formation.Formation = _formation.Formation()
+    group_folder: _group_folder.GroupFolder | None = None
     with_permits: bool = True
 
 
@@ -88,33 +94,12 @@
         counters: metrics.Metrics,
     ) -> None:
         self.host: ReplicaHost | None = None
-        server = None
-        state = _control_state.ControlState()
-        if settings.data_folder is not None:
-            # Most nodes host no replica; they skip loading these modules.
-            from papayastall import _replica
-
-            groups = range(settings.claim_groups)
-            states: list[_control_calls.GroupState] = [
-                state,
-                *(_control_state.ClaimGroupState() for _ in groups),
-            ]
-            self.host = _replica.ReplicaHost(
-                _replica.ReplicaSettings(
-                    settings.control,
-                    settings.node,
-                    settings.data_folder,
-                    formation=settings.formation,
-                ),
-                peering,
-                states,
-                on_failure=hooks.replica_failed,
-            )
-            server = _control_calls.GroupServer(
-                peering, self.host, states, hooks.observe_slots
-            )
+        self._settings = settings
+        self._peering = peering
+        self._hooks = hooks
+        self._tasks: anyio.abc.TaskGroup | None = None
         self.group_client = _control_calls.GroupClient(
-            settings.node, peering, settings.control, rng, server
+            settings.node, peering, settings.control, rng
         )
         self.config = _config_service.ConfigService(
             settings.node,
@@ -126,9 +111,8 @@
             rng,
             counters,
         )
-        if self.host is not None:
-            state.listener = self.config.make_listener()
-            self.config.use_host(self.host)
+        if settings.data_folder is not None:
+            self._make_host(settings.data_folder, settings.formation)
         self.claims = _claims.ClaimClient(
             self.group_client, settings.claim_groups
         )
@@ -145,8 +129,78 @@
             hooks.permit_answered,
         )
 
+    def _make_host(
+        self, data_folder: str, formation: _formation.Formation
+    ) -> None:
+        """Make the replicas of this node, with empty state machines."""
+        # Most nodes host no replica; they skip loading these modules.
+        from papayastall import _replica
+
+        settings = self._settings
+        groups = range(settings.claim_groups)
+        states: list[_control_calls.GroupState] = [
+            _control_state.ControlState(self.config.make_listener()),
+            *(_control_state.ClaimGroupState() for _ in groups),
+        ]
+        self.host = _replica.ReplicaHost(
+            _replica.ReplicaSettings(
+                settings.control,
+                settings.node,
+                data_folder,
+                formation=formation,
+            ),
+            self._peering,
+            states,
+            on_failure=self._handle_failure,
+        )
+        self.config.use_host(self.host)
+        self.group_client.use_local(
+            _control_calls.GroupServer(
+                self._peering, self.host, states, self._hooks.observe_slots
+            )
+        )
+
+    def _handle_failure(self, error: exceptions.PapayastallError) -> None:
+        excluded = error.code is exceptions.ErrorCode.FOLDER_EXCLUDED
+        folder = self._settings.group_folder
+        if excluded and folder is not None and self._tasks is not None:
+            self._tasks.start_soon(self._rejoin, folder, error)
+        else:
+            self._hooks.replica_failed(error)
+
+    async def _rejoin(
+        self,
+        folder: _group_folder.GroupFolder,
+        error: exceptions.PapayastallError,
+    ) -> None:
+        """Replace an excluded data folder, and join the groups anew.
+
+        The new folder has another identity, so nothing that the old one
+        voted for or acknowledged counts for it.
+        """
+        assert self.host is not None
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.STORAGE,
+                folder.path,
+                "excluded",
+                "joining anew",
+                error.message,
+            )
+        )
+        await self.host.close()
+        folder.give_up()
+        await folder.prepare()
+        formation = msgspec.structs.replace(
+            self._settings.formation, may_found=False
+        )
+        self._make_host(folder.path, formation)
+        assert self._tasks is not None
+        await self.host.start(self._tasks)
+
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the replicas of this node, if any, and the clients."""
+        self._tasks = tasks
         if self.host is not None:
             await self.host.start(tasks)
         await self.config.start(tasks)
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -359,7 +359,7 @@
         self._links.send(iteration.early)
         if exclusion_reason is not None:
             raise exceptions.StorageError(
-                exceptions.ErrorCode.STORAGE_DAMAGED,
+                exceptions.ErrorCode.FOLDER_EXCLUDED,
                 f"{exclusion_reason}; move the data folder away, run "
                 "`papayastall init` and start again: the replica recovers "
                 "its data from the other replicas",
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -54,6 +54,7 @@
     STORAGE_DAMAGED = "storage-damaged"
     STORAGE_FAILED = "storage-failed"
     FOLDER_IN_USE = "folder-in-use"
+    FOLDER_EXCLUDED = "folder-excluded"
     INTERNAL = "internal"
     OUTCOME_UNKNOWN = "outcome-unknown"
     STEERED_AWAY = "steered-away"
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -243,6 +243,7 @@
             data_folder=self._find_data_folder(),
             epoch=self.boot_ms,
             formation=_make_formation(node_settings.control_group),
+            group_folder=self._group_folder,
             with_permits=not self._routes_by_table,
         )
         hooks = _control_plane.ControlHooks(
@@ -715,8 +716,7 @@
     def _fail(self, error: exceptions.PapayastallError) -> None:
         """End the process; the next one reads the folder again or rejoins.
 
-        A data folder that the group no longer accepts is removed, as there
-        is no operator to do so.
+        A damaged data folder is removed, as there is no operator to do so.
         """
         damaged = error.code is exceptions.ErrorCode.STORAGE_DAMAGED
         if damaged and self._group_folder is not None:
--- /dev/null
+++ b/tests/test_control_rejoin.py
@@ -0,0 +1,131 @@
+"""Tests of a control replica that its group has removed."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+
+import anyio
+import anyio.abc
+import pytest
+
+from papayastall import _control_commands as commands
+from papayastall import _control_plane
+from papayastall import _formation
+from papayastall import _group_folder
+from papayastall import exceptions
+from papayastall import metrics
+from papayastall import route_table
+from tests import fake_peering
+from tests import route_helpers
+
+pytestmark = pytest.mark.anyio
+
+ADDRESSES = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+TIME_LIMIT_S = 60.0
+POLL_INTERVAL_S = 0.05
+
+
+class Planes:
+    """Control planes of three replicas whose nodes manage their folders.
+
+    :ivar failures: errors that would have ended a node.
+    :ivar indexes: config indexes that each node has put in force.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self.network = fake_peering.Network(tasks)
+        self.planes: dict[str, _control_plane.ControlPlane] = {}
+        self.folders: dict[str, _group_folder.GroupFolder] = {}
+        self.failures: list[exceptions.PapayastallError] = []
+        self.indexes: dict[str, list[int]] = {a: [] for a in ADDRESSES}
+        self._folder = folder
+        self._tasks = tasks
+
+    async def start(self, address: str) -> None:
+        """Start the control plane of one node."""
+        folder = _group_folder.GroupFolder(self._folder / address, 1)
+        self.folders[address] = folder
+        await folder.prepare()
+        plane = _control_plane.ControlPlane(
+            _control_plane.ControlSettings(
+                node=address,
+                control=ADDRESSES,
+                claim_groups=0,
+                data_folder=folder.path,
+                epoch=1,
+                formation=_formation.Formation(
+                    admits=True, target_voters=3, spreads_leaders=False
+                ),
+                group_folder=folder,
+                with_permits=False,
+            ),
+            self.network.add(address),
+            _control_plane.ControlHooks(
+                list_members=lambda: [a for a in ADDRESSES if a != address],
+                put_in_force=lambda index, changed: self.indexes[
+                    address
+                ].append(index),
+                list_reports=list,
+                permit_answered=lambda upstream, granted: None,
+                replica_failed=self.failures.append,
+            ),
+            random.Random(address),
+            metrics.Metrics(None, address),
+        )
+        self.planes[address] = plane
+        await plane.start(self._tasks)
+
+    async def find_leader(self) -> str:
+        """Wait until all replicas know the same leader."""
+        while True:
+            leaders = {plane.find_leader() for plane in self.planes.values()}
+            if len(leaders) == 1 and None not in leaders:
+                return str(leaders.pop())
+            await anyio.sleep(POLL_INTERVAL_S)
+
+    def voters(self, address: str) -> dict[str, int]:
+        """Return the folder ids of the voters that a replica knows."""
+        host = self.planes[address].host
+        assert host is not None
+        members = host.members(commands.CONTROL_GROUP)
+        return {m.address: m.folder_id for m in members.members if m.voter}
+
+
+def make_change(base_version: int, version: int) -> route_table.ReplaceTable:
+    table = route_helpers.make_table(version, route_helpers.make_route())
+    return route_table.ReplaceTable(base_version, table)
+
+
+# Guards against a replica that ends its process when its group has removed
+# its folder, and against one that comes back with the removed folder.
+async def test_a_removed_replica_joins_anew_in_the_same_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    with anyio.fail_after(TIME_LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            planes = Planes(tmp_path, tasks)
+            for address in ADDRESSES:
+                await planes.start(address)
+            leader = await planes.find_leader()
+            removed = next(a for a in ADDRESSES if a != leader)
+            config = planes.planes[leader].config
+            await config.change_routes(make_change(0, 1))
+            old_folder_id = planes.voters(leader)[removed]
+            host = planes.planes[leader].host
+            assert host is not None
+            host.remove_member(commands.CONTROL_GROUP, removed)
+            while planes.voters(leader).get(removed) in (None, old_folder_id):
+                await anyio.sleep(POLL_INTERVAL_S)
+            await config.change_routes(make_change(1, 2))
+            while len(planes.indexes[removed]) < 2:
+                await anyio.sleep(POLL_INTERVAL_S)
+            table = await planes.planes[removed].config.read_routes()
+            for plane in planes.planes.values():
+                await plane.close()
+            tasks.cancel_scope.cancel()
+    assert table.version == 2
+    assert planes.indexes[removed] == sorted(set(planes.indexes[removed]))
+    assert planes.failures == []
