Deliver notices of crashing requests until they are answered

No caller saw this; it is the cause of the late config looked for elsewhere: one attempt of best effort where a bound must hold.

Cause: an owner told each member of a request that crashes upstreams in one call of 2 s, and dropped the error. A member whose link was dead, which takes 0.7 s to be found and replaced, never learned of the request, and would go on sending it to upstreams.

Ruled out elsewhere: casts of the replicated log (sent again by its timers), adverts and member records (sent again, and repaired by digests), the wait after an apply (asks again until its timeout).

The registry of suspects is a set, so a notice that arrives twice changes nothing; one that arrives after the request was cleared makes it run alone once more.

Evidence: test_a_notice_arrives_after_a_short_cut fails with one attempt.

--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import contextlib
 import os
 import random
 import signal
@@ -34,6 +33,7 @@
 from papayastall import _membership
 from papayastall import _membership_types
 from papayastall import _node_monitor
+from papayastall import _notices
 from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import _peering
@@ -62,7 +62,6 @@
 CONTROL_SERVICE = "@control"
 """Service under whose name control replicas advertise themselves."""
 CONTROL_UPDATE_INTERVAL_S = 1.0
-SUSPECT_NOTICE_TIMEOUT_S = 2.0
 DRAIN_POLL_INTERVAL_S = 0.05
 FINAL_ANSWERS_TIMEOUT_S = 0.25
 """Reserved at the end of a planned stop for answering the callers whose
@@ -621,15 +620,12 @@
         body = _suspect_codec.encode_suspect(notice)
         assert self._tasks is not None
         for member in self.list_others():
-            self._tasks.start_soon(self._send_suspect_notice, member, body)
-
-    async def _send_suspect_notice(self, member: str, body: bytes) -> None:
-        with contextlib.suppress(exceptions.PapayastallError):
-            await self.links.call(
+            self._tasks.start_soon(
+                _notices.deliver_notice,
+                self.links,
                 member,
                 _peering.Channel.SUSPECT,
                 body,
-                SUSPECT_NOTICE_TIMEOUT_S,
             )
 
     async def _receive_suspect(self, _peer: str, body: bytes) -> bytes:
