Answer a call without a handler in the fake peering as a link does

Beside heavy disk writes, tests of replicas failed with KeyError (KNOWN-RED): a replica starts late, another one probes it, and the fake raised KeyError for the missing handler. The product's probe lets errors of calls pass, and a KeyError is none: a link answers PapayastallError with bad-frame.

The new test runs the same call on both peerings; on the fake it failed before.

--- a/tests/fake_peering.py
+++ b/tests/fake_peering.py
@@ -78,4 +78,12 @@
                 step="call",
                 peer=peer,
             )
-        return await node._calls[channel](self._address, body)
+        handler = node._calls.get(channel)
+        if handler is None:
+            raise exceptions.PapayastallError(
+                exceptions.ErrorCode.BAD_FRAME,
+                f"channel {channel} has no handler",
+                step="call",
+                peer=peer,
+            )
+        return await handler(self._address, body)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -13,6 +13,7 @@
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import metrics
+from tests import fake_peering
 from tests import fleet
 
 UNKNOWN_PEER = "127.0.0.1:1"
@@ -163,3 +164,27 @@
         await here.close()
         await there.close()
         tasks.cancel_scope.cancel()
+
+
+# Guards against a fake that raises another error than a link does while the
+# other node is starting.
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_fake", [False, True])
+async def test_a_call_without_a_handler_is_answered_with_an_error(
+    is_fake: bool,
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        caller: _peering.Peering
+        if is_fake:
+            network = fake_peering.Network(tasks)
+            caller, peer = network.add("a"), "b"
+            network.add(peer)
+        else:
+            links = [make_links(fleet.free_address()) for _ in range(2)]
+            for each in links:
+                await each.start(tasks)
+            caller, peer = links[0], links[1].settings.address
+        with pytest.raises(exceptions.PapayastallError) as caught:
+            await caller.call(peer, _peering.Channel.RAFT, b"", 5.0)
+        assert caught.value.code is exceptions.ErrorCode.BAD_FRAME
+        tasks.cancel_scope.cancel()
