Build the config fleet of tests on the fake peering

The fleet had its own copy of the registration of handlers. It extends FakePeering, has the name of the other fleets, and closes its links by a method.

--- a/tests/config_spread.py
+++ b/tests/config_fleet.py
@@ -1,7 +1,7 @@
 """Config services and membership of a fleet, on virtual time.
 
 The services are the real ones. Datagrams pass the network of
-:mod:`tests.gossip_fleet`; calls and casts pass links that open on demand.
+:mod:`tests.gossip_fleet`; calls pass links that open on demand.
 """
 
 from __future__ import annotations
@@ -27,10 +27,11 @@
 from papayastall import clock
 from papayastall import exceptions
 from papayastall import route_table
+from tests import fake_peering
 from tests import gossip_fleet
 from tests import route_helpers
 
-__all__ = ["Conditions", "SpreadFleet", "run_virtually"]
+__all__ = ["Conditions", "ConfigFleet", "run_virtually"]
 
 STEP_S = 0.01
 """Interval at which datagrams are delivered."""
@@ -98,16 +99,15 @@
         return None
 
 
-class _Node(_peering.Peering):
+class _Node(fake_peering.FakePeering):
     """One node: its config service and its end of the links."""
 
-    def __init__(self, fleet: SpreadFleet, number: int) -> None:
+    def __init__(self, fleet: ConfigFleet, number: int) -> None:
         self.address = gossip_fleet.address_of(number)
+        super().__init__(fleet.network, self.address)
         self.linked: set[str] = set()
         self._fleet = fleet
         self._number = number
-        self._cast_handlers: dict[int, _peering.CastHandler] = {}
-        self._call_handlers: dict[int, _peering.CallHandler] = {}
         rng = random.Random(number)
         group_client = _control_calls.GroupClient(
             self.address, self, fleet.control, rng
@@ -136,24 +136,6 @@
         actions = membership.set_config_index(index)
         self._fleet.gossip.act(self._number, actions)
 
-    def handle_casts(
-        self, channel: _peering.Channel, handler: _peering.CastHandler
-    ) -> None:
-        self._cast_handlers[channel] = handler
-
-    def handle_calls(
-        self, channel: _peering.Channel, handler: _peering.CallHandler
-    ) -> None:
-        self._call_handlers[channel] = handler
-
-    def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
-        node = self._fleet.nodes[peer]
-        if peer not in self.linked:
-            self._fleet.tasks.start_soon(self._connect, node)
-        elif peer not in self._fleet.silent:
-            handler = node._cast_handlers[channel]
-            self._fleet.tasks.start_soon(handler, self.address, body)
-
     async def _connect(self, node: _Node) -> None:
         await anyio.sleep(2 * LINK_DELAY_S)
         if node.address not in self._fleet.silent:
@@ -177,13 +159,13 @@
             await self._connect(node)
         await anyio.sleep(LINK_DELAY_S)
         node.config.observe(self.address, self.config.index)
-        answer = await node._call_handlers[channel](self.address, body)
+        answer = await node._calls[channel](self.address, body)
         await anyio.sleep(LINK_DELAY_S + self._fleet.conditions.transfer_s)
         self.config.observe(peer, node.config.index)
         return answer
 
 
-class SpreadFleet:
+class ConfigFleet:
     """Nodes that start together; the first ones are control replicas.
 
     :ivar in_force_s: when each node last put a change in force.
@@ -198,6 +180,7 @@
         seed: int,
         conditions: Conditions,
     ) -> None:
+        self.network = fake_peering.Network(tasks)
         self.tasks = tasks
         self.conditions = conditions
         self.rng = random.Random(seed)
@@ -229,6 +212,10 @@
         others = sorted(set(self.nodes) - {self.control[0]})
         count = int(self.conditions.silent * len(self.nodes))
         self.silent.update(self.rng.sample(others, count))
+        self.drop_links()
+
+    def drop_links(self) -> None:
+        """Close all links, as between nodes without common work."""
         for node in self.nodes.values():
             node.linked.clear()
 
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from tests import config_spread
+from tests import config_fleet
 
 NODES = 100
 CONTROL = 11
@@ -15,16 +15,15 @@
 
 
 async def check_changes(
-    seed: int, conditions: config_spread.Conditions
+    seed: int, conditions: config_fleet.Conditions
 ) -> None:
     async with anyio.create_task_group() as tasks:
-        fleet = config_spread.SpreadFleet(
+        fleet = config_fleet.ConfigFleet(
             tasks, NODES, CONTROL, seed, conditions
         )
         await fleet.start()
         for _ in range(CHANGES):
-            for node in fleet.nodes.values():
-                node.linked.clear()
+            fleet.drop_links()
             await fleet.change_routes()
             await anyio.sleep(IN_FORCE_LIMIT_S)
             assert fleet.find_missing() == []
@@ -37,17 +36,17 @@
 @pytest.mark.parametrize(
     "conditions",
     [
-        config_spread.Conditions(),
-        config_spread.Conditions(loss=0.2),
-        config_spread.Conditions(transfer_s=0.3),
-        config_spread.Conditions(silent=0.2),
-        config_spread.Conditions(loss=0.1, transfer_s=0.1, silent=0.1),
+        config_fleet.Conditions(),
+        config_fleet.Conditions(loss=0.2),
+        config_fleet.Conditions(transfer_s=0.3),
+        config_fleet.Conditions(silent=0.2),
+        config_fleet.Conditions(loss=0.1, transfer_s=0.1, silent=0.1),
     ],
     ids=["calm", "lost datagrams", "slow links", "silent members", "all"],
 )
 def test_a_change_is_in_force_on_every_node_in_time(
-    conditions: config_spread.Conditions,
+    conditions: config_fleet.Conditions,
     seed: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    config_spread.run_virtually(check_changes(seed, conditions), monkeypatch)
+    config_fleet.run_virtually(check_changes(seed, conditions), monkeypatch)
