Log that a stopping node is asked to stop again

The node restarts its time at a further signal, but left no line, so the logs could not tell whether one arrived. No decision changes.

--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -449,6 +449,7 @@
             self._stop_scope.deadline = (
                 anyio.current_time() + self._stop_timeout_s()
             )
+            self._log_state("leaving", "leaving", "asked to stop again")
 
     def _stop_timeout_s(self) -> float:
         """Return the seconds that requests may go on in a planned stop."""
