--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -395,7 +395,7 @@
                 str(fetch.after_index),
                 "fetch failed",
                 f"highest known index {self._controller.seen_index}: "
-                f"{error.message}; another member is asked",
+                f"{error.message}",
                 peer=fetch.peer,
             )
         )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -48,5 +48,6 @@
         assert await deliver(1.0) == (True, [b"n"])
 
 
+# Guards against attempts that go on for a member that is gone.
 async def test_a_notice_to_a_lost_peer_is_given_up() -> None:
     assert await deliver(None) == (False, [])
