--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -167,6 +167,16 @@
         """Return whether this node may serve requests with its config."""
         return self._confirmed and now_s - self._last_tick_s < MAX_TICK_GAP_S
 
+    def explain(self, now_s: float) -> dict[str, float]:
+        """Return the inputs of decisions about the config, for logs."""
+        since_s = self._behind_since_s
+        behind_s = 0.0 if since_s is None else now_s - since_s
+        return {
+            "config_index": self.index,
+            "highest_known_index": self.seen_index,
+            "behind_ms": round(behind_s * 1000),
+        }
+
     def set_control(self, control: cabc.Sequence[str]) -> None:
         """Set the control replicas to ask."""
         self._control = [peer for peer in control if peer != self._node]
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -136,6 +136,10 @@
             return False
         return self._controller.is_ready(clock.now_s())
 
+    def explain(self) -> dict[str, float]:
+        """Return the state of the config, for logs."""
+        return self._controller.explain(clock.now_s())
+
     def list_documents(self) -> list[commands.DocumentText]:
         """Return the documents in force on this node."""
         return self._controller.list_documents()
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -27,6 +27,7 @@
 from papayastall import exceptions
 from papayastall import histograms
 from papayastall import http_names
+from papayastall import logs
 from papayastall import metrics
 
 __all__ = ["Ingress", "KeyClaimer", "RecordedAnswer", "scope_key"]
@@ -93,6 +94,8 @@
     :param names: names of the headers that the ingress reads and sets.
     :param local_service: service that runs on this VM and sends its
         requests through this node.
+    :param explain_config: returns the state of the config, for the log lines
+        of requests that are refused before they are forwarded.
     :ivar open_requests: number of requests being handled.
     """
 
@@ -108,6 +111,7 @@
         ] = lambda sample: None,
         names: http_names.HeaderNames = http_names.HeaderNames(),
         local_service: str = "",
+        explain_config: cabc.Callable[[], dict[str, float]] = dict,
     ) -> None:
         self._names = names
         self._local_service = local_service
@@ -117,6 +121,7 @@
         self._counters = counters
         self._claims = claims
         self._record_sample = record_sample
+        self._explain_config = explain_config
         self._request_ids = itertools.count(1)
         self.open_requests = 0
 
@@ -141,6 +146,11 @@
         )
         try:
             exchange = await self._read(scope, receive, started_s)
+        except exceptions.PapayastallError as error:
+            self._log_unread(scope, error, started_s)
+            await reply.send_problem(_problem.problem_of(error))
+            return
+        try:
             self._count(metrics.Counter.REQUESTS, exchange)
             if await self._claim(scope, exchange, reply):
                 return
@@ -153,6 +163,22 @@
             total_ms = (clock.now_s() - started_s) * 1000
             self._record_sample(_make_sample(exchange, total_ms))
 
+    def _log_unread(
+        self,
+        scope: Scope,
+        error: exceptions.PapayastallError,
+        started_s: float,
+    ) -> None:
+        """Log a request that is refused before it is forwarded."""
+        logs.log_request(
+            logs.RequestEvent.REFUSED,
+            self._read_request_id(scope),
+            code=error.code.value,
+            cause=error.message,
+            age_ms=round((clock.now_s() - started_s) * 1000, 1),
+            **self._explain_config(),
+        )
+
     def _count(
         self, counter: metrics.Counter, exchange: _exchange.Exchange
     ) -> None:
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -292,6 +292,7 @@
             ),
             names=self.interfaces.names,
             local_service=self.settings.local_service,
+            explain_config=self.control.config.explain,
         )
 
     def _build_servers(self) -> None:
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,91 @@
+"""Tests of what an ingress answers without forwarding a request."""
+
+from __future__ import annotations
+
+import pathlib
+import typing as t
+
+import anyio
+import orjson
+
+from papayastall import _route_lookup
+from papayastall import blackboard as blackboards
+from papayastall import http_names
+from papayastall import ingress
+from papayastall import logs
+from papayastall import metrics
+from tests import route_helpers
+
+Message = dict[str, t.Any]
+EXPLANATION = {"config_index": 7.0, "highest_known_index": 8.0}
+
+
+class FakeSender:
+    """Accepts no requests: none of these tests forwards one."""
+
+
+def make_blackboard(*names: str) -> blackboards.Blackboard:
+    """Return a node's state with a table of routes of these names."""
+    table = route_helpers.make_table(
+        1, *(route_helpers.make_route(name) for name in names)
+    )
+    blackboard = blackboards.Blackboard("10.0.0.1:1", "a")
+    blackboard.routing = blackboards.TableRouting(
+        _route_lookup.RouteLookup(table)
+    )
+    return blackboard
+
+
+def make_ingress(
+    blackboard: blackboards.Blackboard, *, is_ready: bool = True
+) -> ingress.Ingress:
+    return ingress.Ingress(
+        blackboard,
+        lambda: is_ready,
+        t.cast(t.Any, FakeSender()),
+        metrics.Metrics(None, "10.0.0.1:1"),
+        names=http_names.HeaderNames(request_id=b"request-id"),
+        explain_config=lambda: EXPLANATION,
+    )
+
+
+def call(application: ingress.Ingress, path: str) -> Message:
+    """Send a request and return the start of its answer."""
+    sent: list[Message] = []
+
+    async def receive() -> Message:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(message: Message) -> None:
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [(b"host", b"a.example"), (b"request-id", b"id-1")],
+    }
+    anyio.run(application, scope, receive, send)
+    return sent[0]
+
+
+# Guards against a 404 or 503 that nothing in the log explains.
+def test_a_request_that_is_not_forwarded_is_logged_with_the_config_state(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "node.log"
+    log_file = logs.LogFile(path, "10.0.0.1:1")
+    log_file.start()
+    blackboard = make_blackboard("known")
+    assert call(make_ingress(blackboard), "/unknown/")["status"] == 404
+    unready = make_ingress(blackboard, is_ready=False)
+    assert call(unready, "/known/")["status"] == 503
+    log_file.close()
+    lines = [orjson.loads(line) for line in path.read_bytes().splitlines()]
+    assert [line["code"] for line in lines] == ["unknown-route", "not-ready"]
+    for line in lines:
+        assert line["message_type"] == "papayastall:request-refused"
+        assert line["request"] == "id-1"
+        assert line.items() >= EXPLANATION.items()
