Reproduce a node without an acknowledged change (known red)

What callers saw: 404 for a route, 2.02 s after its change was acknowledged.

The new test plays an operator who sends changes to control replicas until they are acknowledged, on the real config services and membership of 100 nodes, on virtual time, and looks 2 s after each acknowledgement which nodes lack the change. Three of four conditions fail: a link that needs 1.1 s or 2 s for a table, and 0.5 s with a tenth of the datagrams lost and a third of the members silent.

Calls of the fake links end after their timeout, as those of real links do, and only answers that carry a table need the time for one.

python -m pytest tests/test_config_spread.py -k acknowledged: 3 failed, 1 passed.

--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc as cabc
+import itertools
 import random
 import selectors
 import typing as t
@@ -36,6 +37,7 @@
 STEP_S = 0.01
 """Interval at which datagrams are delivered."""
 LINK_DELAY_S = 0.002
+OPERATOR_PAUSE_S = 0.2
 START_S = 15.0
 """Time after which the members know each other and have their config."""
 
@@ -99,6 +101,29 @@
         return None
 
 
+class _GroupClient(_control_calls.GroupClient):
+    """Commits a change of routes at once on all replicas of the fleet."""
+
+    fleet: ConfigFleet
+
+    async def call(
+        self,
+        channel: _peering.Channel,
+        group: int,
+        command: commands.Command,
+        timeout_s: float,
+    ) -> commands.Result:
+        change = command.change_routes
+        assert change is not None
+        index = self.fleet.accepted.get(change.digest)
+        state = commands.RoutesState.ALREADY_APPLIED
+        if index is None:
+            index = await self.fleet.change_routes()
+            self.fleet.accepted[change.digest] = index
+            state = commands.RoutesState.APPLIED
+        return commands.Result(routes=commands.RoutesResult(state, index))
+
+
 class _Node(fake_peering.FakePeering):
     """One node: its config service and its end of the links."""
 
@@ -109,9 +134,8 @@
         self._fleet = fleet
         self._number = number
         rng = random.Random(number)
-        group_client = _control_calls.GroupClient(
-            self.address, self, fleet.control, rng
-        )
+        group_client = _GroupClient(self.address, self, fleet.control, rng)
+        group_client.fleet = fleet
         self.config = _config_service.ConfigService(
             self.address,
             self,
@@ -148,19 +172,27 @@
         channel: _peering.Channel,
         body: bytes,
         timeout_s: float,
+    ) -> bytes:
+        with anyio.move_on_after(timeout_s):
+            return await self._call(peer, channel, body)
+        raise exceptions.UnreachableError(
+            exceptions.ErrorCode.LINK_FAILED, "no answer", step="call"
+        )
+
+    async def _call(
+        self, peer: str, channel: _peering.Channel, body: bytes
     ) -> bytes:
         node = self._fleet.nodes[peer]
         if peer in self._fleet.silent:
-            await anyio.sleep(timeout_s)
-            raise exceptions.UnreachableError(
-                exceptions.ErrorCode.LINK_FAILED, "no answer", step="call"
-            )
+            await anyio.sleep_forever()
         if peer not in self.linked:
             await self._connect(node)
         await anyio.sleep(LINK_DELAY_S)
         node.config.observe(self.address, self.config.index)
         answer = await node._calls[channel](self.address, body)
-        await anyio.sleep(LINK_DELAY_S + self._fleet.conditions.transfer_s)
+        await anyio.sleep(LINK_DELAY_S)
+        if not commands.codec.decode(_config.FetchDocuments, body).confirm:
+            await anyio.sleep(self._fleet.transfer_s)
         self.config.observe(peer, node.config.index)
         return answer
 
@@ -170,6 +202,8 @@
 
     :ivar in_force_s: when each node last put a change in force.
     :ivar silent: addresses to which calls are lost.
+    :ivar transfer_s: time in which a table passes a link at present.
+    :ivar accepted: index of each accepted change, by its digest.
     """
 
     def __init__(
@@ -190,6 +224,8 @@
         )
         self.in_force_s: dict[str, float] = {}
         self.silent: set[str] = set()
+        self.transfer_s = 0.0
+        self.accepted: dict[str, int] = {}
         for number in range(nodes):
             self.gossip.start(number)
         self.nodes: dict[str, _Node] = {}
@@ -209,6 +245,7 @@
         await anyio.sleep(START_S)
         assert all(node.config.is_ready() for node in self.nodes.values())
         self.gossip.faults.loss = self.conditions.loss
+        self.transfer_s = self.conditions.transfer_s
         others = sorted(set(self.nodes) - {self.control[0]})
         count = int(self.conditions.silent * len(self.nodes))
         self.silent.update(self.rng.sample(others, count))
@@ -219,8 +256,11 @@
         for node in self.nodes.values():
             node.linked.clear()
 
-    async def change_routes(self) -> None:
-        """Put a change in force on the control replicas, as the log does."""
+    async def change_routes(self) -> int:
+        """Put a change in force on the control replicas, as the log does.
+
+        :returns: its index.
+        """
         self._version += 1
         table = route_helpers.make_table(
             self._version, route_helpers.make_route()
@@ -237,6 +277,24 @@
         for address in self.control:
             self.nodes[address].config.note_applied(self._version, stored)
             await anyio.sleep(LINK_DELAY_S)
+        return self._version
+
+    async def order_change(self, limit_s: float) -> None:
+        """Send a change as an operator does, until it is acknowledged.
+
+        The operator sends it again to another replica after an error.
+
+        :param limit_s: time within which it must be acknowledged.
+        """
+        change = route_table.PatchTable(self._version, self._version + 1)
+        with anyio.fail_after(limit_s):
+            for address in itertools.cycle(self.control):
+                try:
+                    await self.nodes[address].config.change_routes(change)
+                except exceptions.UnreachableError:
+                    await anyio.sleep(OPERATOR_PAUSE_S)
+                else:
+                    return
 
     def find_missing(self) -> list[str]:
         """Return the nodes on which the last change is not in force."""
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -12,6 +12,8 @@
 IN_FORCE_LIMIT_S = 2.0
 """The users' bound from the acknowledgement of a change."""
 CHANGES = 3
+ACKNOWLEDGED_LIMIT_S = 4.0
+"""The users' bound for the acknowledgement itself."""
 
 
 async def check_changes(
@@ -50,3 +52,41 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     config_fleet.run_virtually(check_changes(seed, conditions), monkeypatch)
+
+
+async def check_acknowledged(
+    seed: int, conditions: config_fleet.Conditions
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        fleet = config_fleet.ConfigFleet(
+            tasks, NODES, CONTROL, seed, conditions
+        )
+        await fleet.start()
+        for _ in range(CHANGES):
+            fleet.drop_links()
+            await fleet.order_change(ACKNOWLEDGED_LIMIT_S)
+            await anyio.sleep(IN_FORCE_LIMIT_S)
+            assert fleet.find_missing() == []
+        tasks.cancel_scope.cancel()
+
+
+# Guards against an acknowledgement that leaves slow nodes less time than the
+# bound: it has to wait for them.
+@pytest.mark.parametrize(
+    ("seed", "conditions"),
+    [
+        (1, config_fleet.Conditions()),
+        (1, config_fleet.Conditions(transfer_s=1.1)),
+        (1, config_fleet.Conditions(transfer_s=2.0)),
+        (2, config_fleet.Conditions(loss=0.1, transfer_s=0.5, silent=0.3)),
+    ],
+    ids=["calm", "slow-links", "very-slow-links", "slow-and-silent"],
+)
+def test_an_acknowledged_change_is_in_force_on_every_node_in_time(
+    seed: int,
+    conditions: config_fleet.Conditions,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    config_fleet.run_virtually(
+        check_acknowledged(seed, conditions), monkeypatch
+    )
