Use a config answer that arrives later than a second after its fetch

Cause: a fetch of the table was given up after 1 s and its answer dropped, so that over links that need longer a node asked one member after the other and never got a table, each time loading the links anew.

Change: after 0.3 s another member is asked as before; after 1 s the fetch no longer counts as open and its member is left out for a second, but the answer is used until 5 s. Fetches are numbered, since the same member may be asked again while an earlier answer is under way.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -24,11 +24,16 @@
 ]
 
 MESSAGE_VERSION = 1
-FETCH_TIMEOUT_S = 1.0
 FETCH_HEDGE_DELAY_S = 0.3
 """Time without an answer after which another member is asked as well; most
 tables pass a slow link in less."""
+FETCH_STALL_S = 1.0
+"""Time without an answer after which a fetch no longer counts as open. Its
+answer is still used."""
+FETCH_TIMEOUT_S = 5.0
+"""Time for an answer, which can be long on a slow or busy link."""
 MAX_CONCURRENT_FETCHES = 3
+"""Fetches that are not stalled."""
 FAILED_PEER_PAUSE_S = 1.0
 """Time without fetches from a member that did not answer one."""
 MAX_TICK_GAP_S = 5.0
@@ -90,11 +95,13 @@
     :param after_index: fetch the documents changed after this index.
     :param confirmation: number of the confirmation that this fetch belongs
         to; zero for an ordinary fetch.
+    :param number: tells fetches from the same peer apart.
     """
 
     peer: str
     after_index: int
     confirmation: int = 0
+    number: int = 0
 
 
 class _OpenFetch(msgspec.Struct):
@@ -103,10 +110,13 @@
     :param started_s: when its latest page was requested.
     :param is_late: whether the answer has taken so long that another member
         may be asked as well.
+    :param is_stalled: whether it has taken so long that the fetch no longer
+        keeps others from being started.
     """
 
     started_s: float
     is_late: bool = False
+    is_stalled: bool = False
     documents: list[IndexedDocument] = msgspec.field(default_factory=list)
 
 
@@ -144,6 +154,7 @@
         self._control = [peer for peer in control if peer != node]
         self._documents: dict[str, IndexedDocument] = {}
         self._fetches: dict[Fetch, _OpenFetch] = {}
+        self._fetch_count = 0
         self._fetch_failed_s: dict[str, float] = {}
         self._behind_since_s: float | None = None
         self._failed_fetches = 0
@@ -229,9 +240,10 @@
         if answer.more and answer.index > fetch.after_index:
             open_fetch.started_s = now_s
             open_fetch.is_late = False
-            next_fetch = Fetch(fetch.peer, answer.index)
-            self._fetches[next_fetch] = open_fetch
-            return None, [next_fetch]
+            open_fetch.is_stalled = False
+            return None, [
+                self._open_fetch(fetch.peer, answer.index, open_fetch)
+            ]
         # A peer that was restarted has an older config than before.
         self._peer_indexes[fetch.peer] = answer.index
         update = self._put_in_force(now_s, answer.index, open_fetch.documents)
@@ -249,13 +261,32 @@
         open_fetch.is_late = True
         return self._fetch_if_behind(now_s)
 
+    def stall(self, now_s: float, fetch: Fetch) -> list[Fetch]:
+        """Ask another member instead if a fetch is still open.
+
+        To be called ``FETCH_STALL_S`` after the fetch was sent. An answer
+        that arrives later is used all the same: if a table needs longer than
+        this on all links, no other answer would arrive sooner.
+        """
+        open_fetch = self._fetches.get(fetch)
+        if open_fetch is None or open_fetch.is_stalled:
+            return []
+        open_fetch.is_stalled = True
+        self._note_failed(now_s, fetch)
+        return self._fetch_if_behind(now_s)
+
     def failed(self, now_s: float, fetch: Fetch) -> list[Fetch]:
         """Abandon a fetch that the peer did not answer; ask another one."""
-        if self._fetches.pop(fetch, None) is None:
+        open_fetch = self._fetches.pop(fetch, None)
+        if open_fetch is None:
             return []
+        if not open_fetch.is_stalled:
+            self._note_failed(now_s, fetch)
+        return self._fetch_if_behind(now_s)
+
+    def _note_failed(self, now_s: float, fetch: Fetch) -> None:
         self._failed_fetches += 1
         self._fetch_failed_s[fetch.peer] = now_s
-        return self._fetch_if_behind(now_s)
 
     def note_applied(
         self, now_s: float, index: int, stored: list[IndexedDocument]
@@ -349,26 +380,40 @@
         A member that did not answer is not asked again at once, although
         its own messages may arrive.
         """
-        if len(self._fetches) >= MAX_CONCURRENT_FETCHES:
+        open_fetches = {
+            fetch: state
+            for fetch, state in self._fetches.items()
+            if not state.is_stalled
+        }
+        if len(open_fetches) >= MAX_CONCURRENT_FETCHES:
             return []
-        if any(not fetch.is_late for fetch in self._fetches.values()):
+        if any(not state.is_late for state in open_fetches.values()):
             return []
-        asked = {fetch.peer for fetch in self._fetches}
+        asked = {fetch.peer for fetch in open_fetches}
         for peer, index in self._peer_indexes.items():
             failed_s = self._fetch_failed_s.get(peer, float("-inf"))
             if index <= self.index or peer in asked:
                 continue
             if now_s - failed_s < FAILED_PEER_PAUSE_S:
                 continue
-            fetch = Fetch(peer, self.index)
-            self._fetches[fetch] = _OpenFetch(now_s)
-            return [fetch]
+            return [self._open_fetch(peer, self.index, _OpenFetch(now_s))]
         return []
 
+    def _open_fetch(
+        self, peer: str, after_index: int, open_fetch: _OpenFetch
+    ) -> Fetch:
+        self._fetch_count += 1
+        fetch = Fetch(peer, after_index, number=self._fetch_count)
+        self._fetches[fetch] = open_fetch
+        return fetch
+
     def _retry_fetch(self, now_s: float) -> list[Fetch]:
         for fetch, open_fetch in list(self._fetches.items()):
-            if now_s - open_fetch.started_s >= FETCH_TIMEOUT_S:
+            age_s = now_s - open_fetch.started_s
+            if age_s >= FETCH_TIMEOUT_S:
                 self.failed(now_s, fetch)
+            elif age_s >= FETCH_STALL_S:
+                self.stall(now_s, fetch)
         return self._fetch_if_behind(now_s)
 
     def _note_members(self, now_s: float, members: set[str]) -> None:
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -361,11 +361,14 @@
                 continue
             self._tasks.start_soon(self._fetch, fetch)
             if not fetch.confirmation:
-                self._tasks.start_soon(self._hedge, fetch)
+                self._tasks.start_soon(self._watch_fetch, fetch)
 
-    async def _hedge(self, fetch: _config.Fetch) -> None:
+    async def _watch_fetch(self, fetch: _config.Fetch) -> None:
+        """Ask other members while a fetch has no answer."""
         await anyio.sleep(_config.FETCH_HEDGE_DELAY_S)
         self._start_fetches(self._controller.hedge(clock.now_s(), fetch))
+        await anyio.sleep(_config.FETCH_STALL_S - _config.FETCH_HEDGE_DELAY_S)
+        self._start_fetches(self._controller.stall(clock.now_s(), fetch))
 
     async def _fetch(self, fetch: _config.Fetch) -> None:
         request = _config.FetchDocuments(
@@ -373,8 +376,11 @@
             fetch.after_index,
             fetch.confirmation > 0,
         )
+        timeout_s = _config.FETCH_TIMEOUT_S
+        if fetch.confirmation:
+            timeout_s = CALL_TIMEOUT_S
         try:
-            answer = await self._call(fetch.peer, request)
+            answer = await self._call(fetch.peer, request, timeout_s)
         except exceptions.PapayastallError as error:
             self._log_failed_fetch(fetch, error)
             self._start_fetches(self._controller.failed(clock.now_s(), fetch))
@@ -405,11 +411,14 @@
         )
 
     async def _call(
-        self, peer: str, request: _config.FetchDocuments
+        self,
+        peer: str,
+        request: _config.FetchDocuments,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> _config.FetchedDocuments:
         body = commands.codec.encode(request)
         data = await self._peering.call(
-            peer, _peering.Channel.CONFIG, body, CALL_TIMEOUT_S
+            peer, _peering.Channel.CONFIG, body, timeout_s
         )
         return commands.codec.decode(
             _config.FetchedDocuments, _inflate_answer(data, peer)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -248,6 +248,33 @@
     assert node.hedge(1.0, first[0]) == []
 
 
+# Guards against a table that never arrives because each of its answers needs
+# longer than a member may be silent.
+def test_an_answer_after_a_stall_is_used() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    (first,) = node.observe(0.0, "n1", 7)
+    (second,) = node.hedge(0.3, first) or node.observe(0.3, "n2", 7)
+    assert node.stall(1.0, first) == []
+    answer = _config.FetchedDocuments(1, 7, tuple(make_config(7)))
+    update, more = node.fetched(1.2, first, answer)
+    assert update is not None and update.index == 7 and more == []
+    assert node.fetched(1.3, second, answer) == (None, [])
+
+
+# Guards against stalled fetches that keep a node from asking others.
+def test_stalled_fetches_do_not_count_as_open() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    members = [f"n{number}" for number in range(1, 6)]
+    fetches: list[_config.Fetch] = []
+    for number, member in enumerate(members):
+        fetches += node.observe(0.3 * number, member, 7)
+        if number < _config.MAX_CONCURRENT_FETCHES - 1:
+            node.hedge(0.3 * (number + 1), fetches[-1])
+    assert len(fetches) == _config.MAX_CONCURRENT_FETCHES
+    (fourth,) = node.stall(1.0, fetches[0]) or node.hedge(1.0, fetches[-1])
+    assert fourth.peer not in {fetch.peer for fetch in fetches}
+
+
 # Guards against a node that asks again and again a member whose own messages
 # arrive, but that does not answer.
 def test_a_member_that_does_not_answer_is_asked_after_the_others() -> None:
