Answer that there is no route only with the latest config

What callers saw: 404 for a route that had been added and acknowledged.

Cause: a node answered 404 from the table that it had, also when it knew of a later one or had heard nothing for a while, as after a pause or a cut.

Change: before it says that there is no route or service, a node makes sure that its config is the latest: control's leader must have said so within the last second, or is asked (one check at a time for all callers, 0.3 s; a failed one is not repeated within 0.25 s). A later config is waited for (0.4 s) and the route looked up again. Otherwise the answer is 503 with Retry-After. Requests whose route is known are not affected, so that service goes on while control is away.

Weighed: 503 for every request once a later config is known: with control gone for hours and one change that only some nodes heard of, that would stop the service. Freshness on datagrams: its age grows with the fleet.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -43,6 +43,9 @@
 """Shorter than ``UNCONFIRMED_TICK_INTERVAL_S`` of the config service, so that
 a node that is not ready asks again at each tick: at the first one its links
 to control are still being opened."""
+LATEST_VALIDITY_S = 1.0
+"""Time for which a confirmation by control's leader shows that no later
+config has been accepted for longer than nodes may take to have it."""
 CONTROL_ONLY_S = 2.0
 """Time during which only control replicas are asked for a confirmation."""
 MEMBERS_SETTLE_S = 3.0
@@ -164,6 +167,7 @@
         self._last_tick_s = now_s
         self._confirmation_number = 0
         self._confirm_round = 0
+        self._latest_s = float("-inf")
         self._start_confirmation(now_s)
 
     def _start_confirmation(self, now_s: float) -> None:
@@ -178,6 +182,29 @@
         """Return whether this node may serve requests with its config."""
         return self._confirmed and now_s - self._last_tick_s < MAX_TICK_GAP_S
 
+    def is_latest(self, now_s: float) -> bool:
+        """Return whether the config in force is known to be the latest.
+
+        It is if control's leader has recently said so, and no later index is
+        known.
+        """
+        return self.index >= self.seen_index and self._knows_latest(now_s)
+
+    def is_behind(self, now_s: float) -> bool:
+        """Return whether a later config is known from control's leader."""
+        return self.index < self.seen_index and self._knows_latest(now_s)
+
+    def _knows_latest(self, now_s: float) -> bool:
+        return now_s - self._latest_s < LATEST_VALIDITY_S
+
+    def note_latest(self, now_s: float, asked_s: float, index: int) -> None:
+        """Record the latest index according to control's leader.
+
+        :param asked_s: when the leader was asked.
+        """
+        self._note_seen(now_s, index)
+        self._latest_s = max(self._latest_s, asked_s)
+
     def explain(self, now_s: float) -> dict[str, float]:
         """Return the inputs of decisions about the config, for logs."""
         since_s = self._behind_since_s
@@ -192,6 +219,10 @@
         """Set the control replicas to ask."""
         self._control = [peer for peer in control if peer != self._node]
 
+    def list_control(self) -> list[str]:
+        """Return the addresses of the other control replicas."""
+        return list(self._control)
+
     def find_peer_index(self, peer: str) -> int:
         """Return the highest known index of a peer, or zero."""
         return self._peer_indexes.get(peer, 0)
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -38,6 +38,12 @@
 READ_TIMEOUT_S = 0.9
 """Just below the second after which a client tries another node."""
 READ_POLL_INTERVAL_S = 0.03
+LATEST_CHECK_TIMEOUT_S = 0.3
+"""Several round trips to control's leader; a caller may wait for this long
+until it is told that there is no route for its request."""
+LATEST_CHECK_INTERVAL_S = 0.25
+LATEST_WAIT_S = 0.4
+"""Time in which most nodes have a new config in force."""
 WAIT_POLL_INTERVAL_S = 0.2
 MAX_CONCURRENT_WAIT_CALLS = 32
 MAX_INFLATED_ANSWER_BYTES = 8 << 20
@@ -119,6 +125,9 @@
         self._host: _control_calls.GroupHost | None = None
         self._unreadable: set[str] = set()
         self._was_ready = False
+        self._leader: str | None = None
+        self._latest_check: anyio.Event | None = None
+        self._latest_checked_s = float("-inf")
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
             node, control, clock.now_s()
@@ -274,6 +283,82 @@
                     return answer.index
             await anyio.sleep(READ_POLL_INTERVAL_S)
 
+    async def is_latest(self) -> bool:
+        """Return whether the config in force here is surely the latest.
+
+        Unless that is known already, control's leader is asked. If it knows
+        a later config, that one is waited for.
+        """
+        if self._controller.is_latest(clock.now_s()):
+            return True
+        await self._check_latest()
+        with anyio.move_on_after(LATEST_WAIT_S):
+            while self._controller.is_behind(clock.now_s()):
+                await anyio.sleep(READ_POLL_INTERVAL_S)
+        return self._controller.is_latest(clock.now_s())
+
+    async def _check_latest(self) -> None:
+        """Ask control's leader for the latest index.
+
+        Callers that need it at the same time share one check, and a check
+        that failed is not repeated at once.
+        """
+        check = self._latest_check
+        if check is not None:
+            await check.wait()
+            return
+        if clock.now_s() - self._latest_checked_s < LATEST_CHECK_INTERVAL_S:
+            return
+        check = self._latest_check = anyio.Event()
+        try:
+            with anyio.move_on_after(LATEST_CHECK_TIMEOUT_S):
+                await self._ask_leader()
+        finally:
+            self._latest_checked_s = clock.now_s()
+            self._latest_check = None
+            check.set()
+
+    async def _ask_leader(self) -> None:
+        asked_s = clock.now_s()
+        if await self._leads_control():
+            index = self._controller.index
+            self._controller.note_latest(clock.now_s(), asked_s, index)
+            return
+        async with anyio.create_task_group() as tasks:
+            for peer in self._list_leader_candidates():
+                tasks.start_soon(
+                    self._ask_whether_leader, peer, tasks.cancel_scope
+                )
+
+    def _list_leader_candidates(self) -> list[str]:
+        """Return the last known leader, or all control replicas."""
+        leader, self._leader = self._leader, None
+        if leader is not None:
+            return [leader]
+        return self._controller.list_control()
+
+    async def _ask_whether_leader(
+        self, peer: str, scope: anyio.CancelScope
+    ) -> None:
+        asked_s = clock.now_s()
+        request = _config.FetchDocuments(
+            _config.MESSAGE_VERSION, self.index, True
+        )
+        try:
+            answer = await self._call(peer, request)
+        except exceptions.PapayastallError:
+            # Another replica may lead; the caller is told to come back.
+            return
+        if answer.authoritative:
+            self._leader = peer
+            self._controller.note_latest(
+                clock.now_s(), asked_s, answer.index
+            )
+            self._start_fetches(
+                self._controller.observe(clock.now_s(), peer, answer.index)
+            )
+            scope.cancel()
+
     async def wait_for(self, index: int, timeout_s: float) -> list[str]:
         """Wait until every live member has an index in force.
 
--- a/src/papayastall/_route_resolution.py
+++ b/src/papayastall/_route_resolution.py
@@ -10,7 +10,13 @@
 from papayastall import documents
 from papayastall import exceptions
 
-__all__ = ["DEFAULT_MAX_ATTEMPTS", "ResolvedRoute", "resolve"]
+__all__ = [
+    "DEFAULT_MAX_ATTEMPTS",
+    "NO_ROUTE_CODES",
+    "NOT_READY_RETRY_AFTER_S",
+    "ResolvedRoute",
+    "resolve",
+]
 
 UNKNOWN_ROUTE = "unknown"
 DEFAULT_MAX_ATTEMPTS = 1_000
@@ -21,6 +27,9 @@
 _Kind = _decision_types.RequestKind
 _Code = exceptions.ErrorCode
 
+NO_ROUTE_CODES = frozenset((_Code.UNKNOWN_ROUTE, _Code.UNKNOWN_SERVICE))
+"""Codes of requests for which the configuration has no route or service."""
+
 
 class ResolvedRoute(msgspec.Struct, frozen=True):
     """The service and route of a request and the limits in force for it.
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -82,6 +82,10 @@
     return "\n".join((service, team, key))
 
 
+async def _is_latest() -> bool:
+    return True
+
+
 class Ingress:
     """ASGI application that answers callers; one instance per node.
 
@@ -96,6 +100,8 @@
         requests through this node.
     :param explain_config: returns the state of the config, for the log lines
         of requests that are refused before they are forwarded.
+    :param is_latest: returns whether no later configuration than the one in
+        force here has been accepted, as far as control can be asked.
     :ivar open_requests: number of requests being handled.
     """
 
@@ -112,6 +118,7 @@
         names: http_names.HeaderNames = http_names.HeaderNames(),
         local_service: str = "",
         explain_config: cabc.Callable[[], dict[str, float]] = dict,
+        is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _is_latest,
     ) -> None:
         self._names = names
         self._local_service = local_service
@@ -122,6 +129,7 @@
         self._claims = claims
         self._record_sample = record_sample
         self._explain_config = explain_config
+        self._is_latest = is_latest
         self._request_ids = itertools.count(1)
         self.open_requests = 0
 
@@ -188,17 +196,8 @@
         self, scope: Scope, receive: Receive, started_s: float
     ) -> _exchange.Exchange:
         if not self._is_ready():
-            raise exceptions.RefusedError(
-                _Code.NOT_READY,
-                "this node has not learned the configuration yet",
-                step="route",
-                retry_after_s=_route_resolution.NOT_READY_RETRY_AFTER_S,
-            )
-        path = scope["raw_path"].decode("latin-1")
-        host = (_find_header(scope, b"host") or b"").decode("latin-1")
-        target = _route_resolution.resolve(
-            self._blackboard, scope["method"], host, path
-        )
+            raise _not_ready("this node has not learned the configuration yet")
+        target = await self._resolve(scope)
         timeout_ms = self._read_timeout_ms(scope, target)
         body = await _read_body(scope, receive, target.max_body_bytes)
         method = scope["method"].encode()
@@ -230,6 +229,31 @@
             started_s=started_s,
         )
 
+    async def _resolve(self, scope: Scope) -> _route_resolution.ResolvedRoute:
+        """Return the route of a request.
+
+        That there is none is answered only by a node whose configuration is
+        the latest one: the route may just have been added.
+        """
+        try:
+            return self._find_route(scope)
+        except exceptions.RefusedError as error:
+            if error.code not in _route_resolution.NO_ROUTE_CODES:
+                raise
+        if not await self._is_latest():
+            raise _not_ready(
+                "there is no such route in the configuration of this node, "
+                "which may not be the latest"
+            )
+        return self._find_route(scope)
+
+    def _find_route(self, scope: Scope) -> _route_resolution.ResolvedRoute:
+        path = scope["raw_path"].decode("latin-1")
+        host = (_find_header(scope, b"host") or b"").decode("latin-1")
+        return _route_resolution.resolve(
+            self._blackboard, scope["method"], host, path
+        )
+
     def _read_request_id(self, scope: Scope) -> str:
         """Return the caller's request id; "" if it sent none."""
         if not self._names.request_id:
@@ -496,6 +520,15 @@
     )
 
 
+def _not_ready(message: str) -> exceptions.RefusedError:
+    return exceptions.RefusedError(
+        _Code.NOT_READY,
+        message,
+        step="route",
+        retry_after_s=_route_resolution.NOT_READY_RETRY_AFTER_S,
+    )
+
+
 def _ms_to_s(time_ms: int | None) -> float | None:
     return None if time_ms is None else time_ms / 1000
 
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -293,6 +293,7 @@
             names=self.interfaces.names,
             local_service=self.settings.local_service,
             explain_config=self.control.config.explain,
+            is_latest=self.control.config.is_latest,
         )
 
     def _build_servers(self) -> None:
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -251,6 +251,18 @@
         self.silent.update(self.rng.sample(others, count))
         self.drop_links()
 
+    @property
+    def version(self) -> int:
+        """Version of the last change."""
+        return self._version
+
+    def cut_datagrams(self, number: int) -> str:
+        """Lose all datagrams to a node from now on; return its address."""
+        address = gossip_fleet.address_of(number)
+        cuts = {(other, address) for other in self.nodes}
+        self.gossip.faults.cuts |= cuts
+        return address
+
     def drop_links(self) -> None:
         """Close all links, as between nodes without common work."""
         for node in self.nodes.values():
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -90,3 +90,30 @@
     config_fleet.run_virtually(
         check_acknowledged(seed, conditions), monkeypatch
     )
+
+
+async def check_without_news(seed: int) -> None:
+    async with anyio.create_task_group() as tasks:
+        fleet = config_fleet.ConfigFleet(
+            tasks, NODES, CONTROL, seed, config_fleet.Conditions()
+        )
+        await fleet.start()
+        node = fleet.nodes[fleet.cut_datagrams(NODES - 1)]
+        await fleet.change_routes()
+        assert not node.config.index == fleet.version
+        assert await node.config.is_latest()
+        assert node.config.index == fleet.version
+        await anyio.sleep(IN_FORCE_LIMIT_S)
+        fleet.silent.update(fleet.control)
+        await fleet.change_routes()
+        assert not await node.config.is_latest()
+        tasks.cancel_scope.cancel()
+
+
+# Guards against a node that takes its config for the latest one only because
+# nobody has told it of another, as after a pause or a cut.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_node_that_hears_nothing_asks_for_the_latest_config(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    config_fleet.run_virtually(check_without_news(seed), monkeypatch)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import pathlib
 import typing as t
 
 import anyio
 import orjson
+import pytest
 
 from papayastall import _route_lookup
 from papayastall import blackboard as blackboards
@@ -20,8 +22,15 @@
 EXPLANATION = {"config_index": 7.0, "highest_known_index": 8.0}
 
 
+class Forwarded(Exception):
+    """Raised instead of forwarding a request."""
+
+
 class FakeSender:
-    """Accepts no requests: none of these tests forwards one."""
+    """Raises instead of forwarding a request."""
+
+    def open(self, exchange: object) -> None:
+        raise Forwarded
 
 
 def make_blackboard(*names: str) -> blackboards.Blackboard:
@@ -37,8 +46,19 @@
 
 
 def make_ingress(
-    blackboard: blackboards.Blackboard, *, is_ready: bool = True
+    blackboard: blackboards.Blackboard,
+    *,
+    is_ready: bool = True,
+    check: cabc.Callable[[], bool] = lambda: True,
 ) -> ingress.Ingress:
+    """Return an ingress.
+
+    :param check: whether the config is the latest; called for each check.
+    """
+
+    async def is_latest() -> bool:
+        return check()
+
     return ingress.Ingress(
         blackboard,
         lambda: is_ready,
@@ -46,6 +66,7 @@
         metrics.Metrics(None, "10.0.0.1:1"),
         names=http_names.HeaderNames(request_id=b"request-id"),
         explain_config=lambda: EXPLANATION,
+        is_latest=is_latest,
     )
 
 
@@ -89,3 +110,30 @@
         assert line["message_type"] == "papayastall:request-refused"
         assert line["request"] == "id-1"
         assert line.items() >= EXPLANATION.items()
+
+
+# Guards against a 404 for a route that was added, from the previous table.
+def test_no_route_in_a_table_that_may_be_old_is_not_answered_with_404() -> (
+    None
+):
+    blackboard = make_blackboard("first")
+    application = make_ingress(blackboard, check=lambda: False)
+    start = call(application, "/added/")
+    assert start["status"] == 503
+    assert b"retry-after" in dict(start["headers"])
+
+
+# Guards against a 404 from the table before the check, after which a later
+# one is in force.
+def test_a_route_is_looked_up_again_after_the_check() -> None:
+    blackboard = make_blackboard("first")
+    table = make_blackboard("first", "added").routing
+
+    def put_in_force() -> bool:
+        blackboard.routing = table
+        return True
+
+    application = make_ingress(blackboard, check=put_in_force)
+    with pytest.raises(Forwarded):
+        call(application, "/added/")
+    assert call(application, "/unknown/")["status"] == 404
