Confirm the config again after a pause of two seconds

What callers saw: nothing yet; found while looking for ways to a 404 from an old table.

Cause: a process that was suspended for less than 5 s went on with the config that it had. A change acknowledged right after the start of the pause was then out of force on it for up to 5 s, although the users' bound is 2 s.

Change: the limit is the bound.

Evidence: test_a_pause_as_long_as_the_bound_ends_the_confirmation fails with the limit of 5 s.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -36,9 +36,10 @@
 """Fetches that are not stalled."""
 FAILED_PEER_PAUSE_S = 1.0
 """Time without fetches from a member that did not answer one."""
-MAX_TICK_GAP_S = 5.0
+MAX_TICK_GAP_S = 2.0
 """A node that did not tick for this long, such as a suspended process, must
-confirm its config again."""
+confirm its config again: it may lack an accepted change for longer than nodes
+may take to have it."""
 CONFIRM_INTERVAL_S = 0.2
 """Shorter than ``UNCONFIRMED_TICK_INTERVAL_S`` of the config service, so that
 a node that is not ready asks again at each tick: at the first one its links
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,6 +14,8 @@
 from tests import state_helpers
 
 CONTROL = ("c0", "c1", "c2")
+IN_FORCE_LIMIT_S = 2.0
+"""The users' bound from the acknowledgement of a change."""
 
 
 class Fleet:
@@ -155,6 +157,16 @@
     assert {fetch.peer for fetch in fetches} >= {"c0"}
 
 
+# Guards against a process that serves, after a pause, with a config that was
+# replaced during it for longer than the users' bound.
+def test_a_pause_as_long_as_the_bound_ends_the_confirmation() -> None:
+    fleet = Fleet(3)
+    fleet.apply("visits")
+    fleet.check_converges(20)
+    controller = fleet.controllers["n0"]
+    assert not controller.is_ready(fleet.now_s + IN_FORCE_LIMIT_S)
+
+
 def test_an_answer_to_a_fetch_before_a_pause_confirms_nothing() -> None:
     controller = _config.ConfigController("n0", ("c0",), 0.0)
     (fetch,) = controller.tick(0.0, ["c0"])
