Acknowledge a change of routes once it is in force on the members

What callers saw: 404 for a route, 2.02 s after its change was acknowledged.

Cause: an acknowledgement said that a majority of the control replicas had the change on disk, and waited for no node. From then on each node had the whole way (to hear of the index, to fetch the table) to go within the bound, and nothing happened where one took longer.

Change: the call returns once the change is in force here and on all members that are not suspected to have failed, or 2.5 s after it was accepted, with a log line. Members that are not known to have it are pinged 0.3 s after the change and every 0.2 s (at most 512 at once); the answers carry the index. A call that has waited for 0.8 s answers 503, as callers go to another node after a second; sent again, it goes on waiting for the same change. A member that restarts counts as one without an index.

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -4,6 +4,7 @@
 
 import collections.abc as cabc
 import random
+import typing as t
 import zlib
 
 import anyio
@@ -35,6 +36,16 @@
 CHANGE_TIMEOUT_S = 3.0
 """A client tries another node after about a second; control applies a change
 that is sent twice only once."""
+IN_FORCE_TIMEOUT_S = 2.5
+"""Time after a change is accepted for which its acknowledgement waits for
+nodes; together with the retries of a client it stays below 4 s."""
+IN_FORCE_ATTEMPT_TIMEOUT_S = 0.8
+"""The same in one call; a client tries another node after about a second."""
+IN_FORCE_FIRST_POLL_S = 0.3
+"""Most nodes have a change by then without being asked."""
+IN_FORCE_POLL_INTERVAL_S = 0.2
+IN_FORCE_CHECK_INTERVAL_S = 0.03
+MAX_ACCEPTED_INDEXES = 64
 READ_TIMEOUT_S = 0.9
 """Just below the second after which a client tries another node."""
 READ_POLL_INTERVAL_S = 0.03
@@ -55,6 +66,16 @@
 PutInForce = cabc.Callable[[int, list[ConfigItem]], None]
 
 
+class MemberPoll(t.Protocol):
+    """Interface for finding the members that lack a config index."""
+
+    def list_behind(self, index: int) -> list[str]:
+        """Return the live members not known to have an index in force."""
+
+    def poll_behind(self, index: int) -> None:
+        """Ask these members for their index; don't wait for answers."""
+
+
 class DocumentSource(msgspec.Struct, frozen=True):
     """A document as sent by an operator.
 
@@ -102,6 +123,8 @@
     :param list_members: link addresses of the other live members.
     :param put_in_force: called with a new index and the changed documents.
     :param counters: metrics to update.
+    :param member_poll: finds the members that an acknowledgement waits for;
+        with ``None`` it waits for this node only.
     """
 
     def __init__(
@@ -114,8 +137,11 @@
         put_in_force: PutInForce,
         rng: random.Random,
         counters: metrics.Metrics | None = None,
+        member_poll: MemberPoll | None = None,
     ) -> None:
         self._node = node
+        self._member_poll = member_poll
+        self._accepted_s: dict[int, float] = {}
         self._counters = counters or metrics.Metrics(None, node)
         self._peering = peering
         self._group_client = group_client
@@ -182,6 +208,7 @@
     ) -> None:
         """Process documents that the local control replica applied."""
         now_s = clock.now_s()
+        self._note_accepted(now_s, index)
         self._apply_update(self._controller.note_applied(now_s, index, stored))
 
     async def apply_documents(
@@ -213,12 +240,15 @@
     ) -> commands.RoutesResult:
         """Change the route table; sending a change again is safe.
 
+        It returns once the change is in force on all live members, or after
+        ``IN_FORCE_TIMEOUT_S`` since it was accepted.
+
         :raises papayastall.exceptions.BadInputError: the resulting table
             would be invalid; the message lists all problems.
         :raises papayastall.exceptions.ConflictError: the change is based on
             a version that is not in force.
         :raises papayastall.exceptions.UnreachableError: control did not
-            answer in time.
+            answer in time, or the change is not in force everywhere yet.
         """
         text = route_table.encode_change(change)
         command = commands.ChangeRoutes(route_table.digest_change(text), text)
@@ -241,8 +271,60 @@
                 raise exceptions.BadInputError(
                     _Code.BAD_DOCUMENT, routes.problem, step="change-routes"
                 )
+        await self._wait_in_force(routes.index)
         return routes
 
+    def _note_accepted(self, now_s: float, index: int) -> None:
+        self._accepted_s.setdefault(index, now_s)
+        while len(self._accepted_s) > MAX_ACCEPTED_INDEXES:
+            del self._accepted_s[min(self._accepted_s)]
+
+    async def _wait_in_force(self, index: int) -> None:
+        """Wait until a change is in force on this node and all live members.
+
+        :raises papayastall.exceptions.UnreachableError: it is not yet, and
+            ``IN_FORCE_TIMEOUT_S`` has not passed.
+        """
+        started_s = clock.now_s()
+        self._note_accepted(started_s, index)
+        accepted_s = self._accepted_s.get(index, float("-inf"))
+        poll_s = accepted_s + IN_FORCE_FIRST_POLL_S
+        while behind := self._list_behind(index):
+            now_s = clock.now_s()
+            if now_s - accepted_s >= IN_FORCE_TIMEOUT_S:
+                self._log_behind(index, behind)
+                return
+            if now_s - started_s >= IN_FORCE_ATTEMPT_TIMEOUT_S:
+                raise exceptions.UnreachableError(
+                    _Code.NOT_READY,
+                    f"accepted, but not in force on {len(behind)} nodes yet; "
+                    "send it again",
+                    step="change-routes",
+                )
+            if now_s >= poll_s and self._member_poll is not None:
+                self._member_poll.poll_behind(index)
+                poll_s = now_s + IN_FORCE_POLL_INTERVAL_S
+            await anyio.sleep(IN_FORCE_CHECK_INTERVAL_S)
+
+    def _list_behind(self, index: int) -> list[str]:
+        behind = [] if self.index >= index else [self._node]
+        if self._member_poll is not None:
+            behind += self._member_poll.list_behind(index)
+        return behind
+
+    def _log_behind(self, index: int, behind: list[str]) -> None:
+        logs.log_change(
+            logs.StateChange(
+                logs.ChangeKind.CONFIG,
+                self._node,
+                str(self.index),
+                str(index),
+                f"acknowledged after {IN_FORCE_TIMEOUT_S:g} s, although it is "
+                f"not known to be in force on {len(behind)} members, such as "
+                f"{behind[0]}",
+            )
+        )
+
     async def read_routes(self) -> route_table.RouteTable:
         """Return the latest accepted table; only for control replicas.
 
@@ -351,9 +433,7 @@
             return
         if answer.authoritative:
             self._leader = peer
-            self._controller.note_latest(
-                clock.now_s(), asked_s, answer.index
-            )
+            self._controller.note_latest(clock.now_s(), asked_s, answer.index)
             self._start_fetches(
                 self._controller.observe(clock.now_s(), peer, answer.index)
             )
--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -72,6 +72,7 @@
         of this node for good.
     :param observe_slots: returns the healthy slots of a service by live
         owner.
+    :param member_poll: finds members that lack a config index.
     """
 
     list_members: cabc.Callable[[], list[str]]
@@ -80,6 +81,7 @@
     permit_answered: cabc.Callable[[str, bool], None]
     replica_failed: cabc.Callable[[exceptions.PapayastallError], None]
     observe_slots: _control_calls.ObserveSlots | None = None
+    member_poll: _config_service.MemberPoll | None = None
 
 
 class ControlPlane:
@@ -110,6 +112,7 @@
             hooks.put_in_force,
             rng,
             counters,
+            hooks.member_poll,
         )
         if settings.data_folder is not None:
             self._make_host(settings.data_folder, settings.formation)
--- a/src/papayastall/_gossip.py
+++ b/src/papayastall/_gossip.py
@@ -87,6 +87,14 @@
         anyio.notify_closing(udp)
         udp.close()
 
+    def list_behind(self, index: int) -> list[str]:
+        """Return the live members not known to have a config index."""
+        return self._membership.list_behind(index)
+
+    def poll_behind(self, index: int) -> None:
+        """Ask these members for the index that they have in force."""
+        self.send(self._membership.poll_behind(index))
+
     def send(self, actions: cabc.Iterable[types.MembershipAction]) -> None:
         """Carry out actions that a call to the membership returned."""
         for action in actions:
--- a/src/papayastall/_member_table.py
+++ b/src/papayastall/_member_table.py
@@ -245,6 +245,7 @@
         if restarted:
             events.extend(self._drop_outdated_adverts(member))
             member.answers = True
+            member.config_index = 0
         if previous_state is types.MemberState.SUSPECT and not _is_gone(
             record.state
         ):
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -38,6 +38,8 @@
 LEFT_NOTICE_FANOUT = 5
 CONFIG_INDEX_FANOUT = 3
 """Members told of a new config index at once, and at each tick after."""
+MAX_MEMBERS_POLLED = 512
+"""Pings sent at once to members behind a config index, some 50 KB."""
 
 
 class MembershipSettings(msgspec.Struct, frozen=True):
@@ -188,6 +190,38 @@
         )
         return self._send_config_index()
 
+    def list_behind(self, config_index: int) -> list[str]:
+        """Return the other members not known to have a config index.
+
+        Those that are suspected to have failed are left out.
+        """
+        return [
+            member.address for member in self._members_behind(config_index)
+        ]
+
+    def poll_behind(self, config_index: int) -> list[types.MembershipAction]:
+        """Ping members that are not known to have a config index.
+
+        Their answers carry the index that they have in force.
+        """
+        behind = self._members_behind(config_index)
+        count = min(MAX_MEMBERS_POLLED, len(behind))
+        return [
+            self._with_piggyback(
+                self._prober.make_ping(member.datagram_address)
+            )
+            for member in self._rng.sample(behind, count)
+        ]
+
+    def _members_behind(self, config_index: int) -> list[types.Member]:
+        return [
+            member
+            for member in self.members()
+            if member.config_index < config_index
+            and member.state < types.MemberState.SUSPECT
+            and member.address != self._address
+        ]
+
     def start_leaving(self, now_s: float) -> list[types.MembershipAction]:
         """Withdraw the adverts and change the own state to leaving."""
         actions = self.set_adverts(now_s, [])
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -252,6 +252,7 @@
             permit_answered=self.permit_answered,
             replica_failed=self._handle_replica_failure,
             observe_slots=self.observe_slots,
+            member_poll=self.gossiper,
         )
         self.control = _control_plane.ControlPlane(
             control_settings,
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -144,10 +144,18 @@
             self._list_others,
             self._put_in_force,
             rng,
+            member_poll=self,
         )
         if number == 0:
             self.config.use_host(_Leader())
 
+    def list_behind(self, index: int) -> list[str]:
+        return self._fleet.gossip.nodes[self.address].list_behind(index)
+
+    def poll_behind(self, index: int) -> None:
+        membership = self._fleet.gossip.nodes[self.address]
+        self._fleet.gossip.act(self._number, membership.poll_behind(index))
+
     def _list_others(self) -> list[str]:
         members = self._fleet.gossip.nodes[self.address].members()
         return [m.address for m in members if m.address != self.address]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -456,6 +456,23 @@
 
 # Guards against a config index that few members are told of, and against
 # datagrams that go on once all have it.
+# Guards against an acknowledgement that waits for members without asking them
+# what they have.
+def test_a_poll_learns_the_config_index_of_members() -> None:
+    fleet = start_fleet(10)
+    addresses = [gossip_fleet.address_of(number) for number in range(10)]
+    node = fleet.nodes[addresses[0]]
+    assert set(node.list_behind(5)) == set(addresses[1:])
+    for address in addresses[1:9]:
+        fleet.nodes[address].set_config_index(5)
+    fleet.act(0, node.poll_behind(5))
+    fleet.run(0.05)
+    assert node.list_behind(5) == [addresses[9]]
+    fleet.start(8)
+    fleet.run(2.0)
+    assert set(node.list_behind(5)) == set(addresses[8:])
+
+
 def test_a_new_config_index_is_told_to_every_member_and_then_no_more() -> None:
     fleet = start_fleet(30)
     fleet.act(0, fleet.nodes[gossip_fleet.address_of(0)].set_config_index(5))
