--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -7,6 +7,7 @@
 import enum
 import socketserver
 import threading
+import time
 import typing as t
 
 __all__ = ["Fault", "Upstream", "make_body"]
@@ -57,6 +58,8 @@
         answered; it is set at first.
     :ivar runs: number of runs by request id.
     :ivar arrived: number of requests received, run or not.
+    :ivar arrived_s: when each of them was received.
+    :ivar headers: further headers of all answers with a head.
     :ivar released: event that ends the requests of ``Fault.HANG``.
     """
 
@@ -83,6 +86,8 @@
         self.fault = Fault.NONE
         self.runs: collections.Counter[str] = collections.Counter()
         self.arrived = 0
+        self.arrived_s: list[float] = []
+        self.headers: dict[str, str] = {}
         self.released = threading.Event()
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
@@ -125,6 +130,7 @@
             self._read_body(headers)
         request_id = headers.get("request-id", "")
         self.server.arrived += 1
+        self.server.arrived_s.append(time.monotonic())
         if fault not in NOT_RUN_FAULTS:
             self.server.runs[request_id] += 1
             self.server.requests.append((path, headers))
@@ -201,6 +207,7 @@
         if status == 200:
             stamp = self.server.stamp or self.server.instance
             lines.append(f"Response-Stamp: {stamp}")
+        headers = {**self.server.headers, **headers}
         lines += [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([*lines, "", ""]).encode()
         self.wfile.write(head + body)
