Keep to the limit that an upstream names, and stop when it says it leaves

Cause: the headers of an answer that state a limit, or that the upstream is leaving, were passed on to callers and read by nobody.

Change: the upstream client reads them from each answer. The owner, whose dispatch is the one way to an upstream, charges each request (retries, hedges, trials, suspects, last resorts) to a token bucket, refuses at once what the limit can't serve in time, decides its queue anew when a limit is named, and reports the slots that the limit keeps busy. A request to a limited upstream gets a new connection, since the client would otherwise send it again by itself after an idle connection was closed. Leaving is final for a start of the upstream, whatever its heartbeats say.

So that this holds for all nodes together while owners are replaced, owners send notices with their loads, and ingresses send them back with requests; a new process adopts them until its upstream has answered.

--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -69,6 +69,14 @@
             for item in itertools.islice(waiting, own + (name != team))
         )
 
+    def count_ahead(self, team: str) -> int:
+        """Return the number of requests that precede a new one."""
+        own = len(self._by_team.get(team, ()))
+        return sum(
+            min(len(waiting), own + (name != team))
+            for name, waiting in self._by_team.items()
+        )
+
     def work_s(self) -> float:
         """Return the run time of all queued requests, in seconds."""
         return sum(
@@ -190,6 +198,14 @@
             if known <= precedence
         )
 
+    def count_ahead(self, team: str, precedence: Precedence) -> int:
+        """Return the number of requests that precede a new one."""
+        return sum(
+            queue.count_ahead(team) if known == precedence else len(queue)
+            for known, queue in self._queues.items()
+            if known <= precedence
+        )
+
     def push(self, item: QueuedRequest) -> None:
         """Add a request after those of the same precedence and team."""
         self._queue(item.precedence).push(item)
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -33,6 +33,7 @@
     "RequestKind",
     "SuspectNotice",
     "UpstreamAnnouncement",
+    "UpstreamNotice",
     "UpstreamState",
     "split_name",
 ]
@@ -123,6 +124,22 @@
     return address, instance
 
 
+class UpstreamNotice(msgspec.Struct, frozen=True):
+    """What an upstream says of itself in its answers.
+
+    :param upstream: its name, see ``UpstreamAnnouncement.name``.
+    :param started_ms: Unix time of its start in milliseconds; 0 if unknown.
+    :param limit_per_s: requests a second that it takes from all nodes
+        together; ``None`` without a limit.
+    :param is_leaving: it takes no new requests.
+    """
+
+    upstream: str
+    started_ms: int = 0
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
 class RequestHints(msgspec.Struct, frozen=True):
     """State of the whole service as its ingress sees it.
 
@@ -156,6 +173,7 @@
     :param objective_s: time left on arrival until the latency objective,
         in seconds.
     :param is_repeat: another attempt may have reached an upstream.
+    :param notices: of upstreams of the service, as the ingress knows them.
     """
 
     request_id: int
@@ -170,6 +188,7 @@
     rank: int = 0
     objective_s: float | None = None
     is_repeat: bool = False
+    notices: tuple[UpstreamNotice, ...] = ()
 
 
 class OwnerLoad(msgspec.Struct, frozen=True):
@@ -178,6 +197,8 @@
     :param weight: sum over its upstreams of slots times steering weight.
     :param latency_ms: recent median upstream time on the answer's route,
         in milliseconds; ``None`` while unknown.
+    :param notices: of its upstreams that have named a limit or said that
+        they are leaving.
     """
 
     owner: str
@@ -187,6 +208,7 @@
     in_flight: int
     queued: int
     latency_ms: float | None
+    notices: tuple[UpstreamNotice, ...] = ()
 
 
 class OwnerAdvert(msgspec.Struct, frozen=True):
@@ -236,10 +258,14 @@
 
 
 class Dispatch(msgspec.Struct, frozen=True):
-    """Send the request to this upstream now."""
+    """Send the request to this upstream now.
+
+    :param sends_once: it must not be sent again on another connection.
+    """
 
     request_id: int
     upstream: str
+    sends_once: bool = False
 
 
 class RefuseRequest(msgspec.Struct, frozen=True):
@@ -276,6 +302,8 @@
     :param cause: why the previous attempt was not sufficient; ``None`` for
         a first attempt and for a hedge of one that is still unanswered.
     :param is_repeat: see :class:`OwnerRequest`.
+    :param notices: of upstreams of the service, for an owner whose process
+        is new to them.
     """
 
     request_id: int
@@ -285,6 +313,7 @@
     hints: RequestHints = RequestHints()
     cause: exceptions.ErrorCode | None = None
     is_repeat: bool = False
+    notices: tuple[UpstreamNotice, ...] = ()
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 import struct
 import typing as t
 
@@ -97,6 +98,7 @@
         upstream that recent work has shown to be healthy.
     :param is_repeat: whether an earlier attempt may have reached an
         upstream.
+    :param notices: of upstreams of the service, as the ingress knows them.
     """
 
     request_id: int
@@ -122,6 +124,7 @@
     objective_ms: int = 0
     wants_proof: bool = False
     is_repeat: bool = False
+    notices: tuple[_decision_types.UpstreamNotice, ...] = ()
 
 
 class BodyChunk(msgspec.Struct):
@@ -363,6 +366,8 @@
         ]
     if "load" in values:
         values["load"] = _encode_load(values["load"])
+    if "notices" in values:
+        values["notices"] = _encode_notices(values["notices"])
     body = _thrift.encode(getattr(wire, kind.__name__)(**values))
     number = _KIND_NUMBERS[kind]
     if deflate is not None:
@@ -409,6 +414,8 @@
         values["headers"] = _decode_headers(values["headers"])
     if "load" in values:
         values["load"] = _decode_load(values["load"])
+    if "notices" in values:
+        values["notices"] = _decode_notices(values["notices"])
     return t.cast(Frame, kind(**values))
 
 
@@ -431,9 +438,45 @@
         in_flight=load.in_flight,
         queued=load.queued,
         latency_ms=load.latency_ms,
+        notices=_encode_notices(load.notices) or None,
     )
 
 
+def _encode_notices(
+    notices: cabc.Iterable[_decision_types.UpstreamNotice],
+) -> list[t.Any]:
+    return [
+        wire.UpstreamNotice(
+            upstream=notice.upstream,
+            started_ms=notice.started_ms,
+            limit_per_s=notice.limit_per_s,
+            is_leaving=notice.is_leaving,
+        )
+        for notice in notices
+    ]
+
+
+def _decode_notices(
+    notices: t.Any,
+) -> tuple[_decision_types.UpstreamNotice, ...]:
+    decoded: list[_decision_types.UpstreamNotice] = []
+    for notice in notices or []:
+        limit_per_s = notice.limit_per_s
+        if not isinstance(notice.upstream, str):
+            raise _bad_frame("a notice names no upstream")
+        if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
+            raise _bad_frame(f"a limit of {limit_per_s} requests a second")
+        decoded.append(
+            _decision_types.UpstreamNotice(
+                notice.upstream,
+                notice.started_ms or 0,
+                limit_per_s,
+                bool(notice.is_leaving),
+            )
+        )
+    return tuple(decoded)
+
+
 def _decode_load(load: t.Any) -> _decision_types.OwnerLoad | None:
     if load is None:
         return None
@@ -447,6 +490,7 @@
         in_flight=load.in_flight or 0,
         queued=load.queued or 0,
         latency_ms=load.latency_ms,
+        notices=_decode_notices(load.notices),
     )
 
 
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -165,10 +165,7 @@
 
     def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
         """Record an owner's report that it starts or stops accepting work."""
-        view = self._service(load.service).owners.get(load.owner)
-        if view is not None:
-            view.note_heard(now_s)
-            view.note_load(now_s, load)
+        _service_view.note_load(now_s, self._service(load.service), load)
 
     def peer_heard(self, now_s: float, peer: str) -> None:
         """Record that a frame of a peer arrived, such as a pong."""
@@ -284,6 +281,7 @@
             _service_view.hints(now_s, service, request.route, choice),
             pending.last_code,
             is_repeat,
+            _service_view.list_notices(now_s, service, attempt.owner),
         )
 
     def _select(
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -11,7 +11,13 @@
 from papayastall import _service_policy
 from papayastall import exceptions
 
-__all__ = ["Attempt", "PendingRequest", "RouteReference", "ServiceView"]
+__all__ = [
+    "Attempt",
+    "HeardNotice",
+    "PendingRequest",
+    "RouteReference",
+    "ServiceView",
+]
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -63,10 +69,23 @@
     )
 
 
+class HeardNotice(msgspec.Struct, frozen=True):
+    """A notice of an upstream and the owner that passed it on."""
+
+    notice: types.UpstreamNotice
+    owner: str
+    heard_s: float
+
+
 class ServiceView(msgspec.Struct):
-    """One service as an ingress sees it."""
+    """One service as an ingress sees it.
+
+    :param notices: of upstreams that name a limit or are leaving, by the
+        upstream's name.
+    """
 
     policy: _service_policy.ServicePolicy
     budget: _retry.RetryBudget
     owners: dict[str, _routing.OwnerView] = msgspec.field(default_factory=dict)
     references: dict[str, RouteReference] = msgspec.field(default_factory=dict)
+    notices: dict[str, HeardNotice] = msgspec.field(default_factory=dict)
--- a/src/papayastall/_node_monitor.py
+++ b/src/papayastall/_node_monitor.py
@@ -60,6 +60,7 @@
         self._list_upstreams = list_upstreams
         self._read_gauges = read_gauges
         self._states: dict[str, str] = {}
+        self._limits_per_s: dict[str, float | None] = {}
 
     async def run(self) -> None:
         """Check upstreams and gauges at each interval until cancelled."""
@@ -75,6 +76,7 @@
     def observe(self) -> None:
         """Log each upstream whose state differs from the last call's."""
         views = {view.upstream: view for view in self._list_upstreams()}
+        self._observe_limits(views)
         for upstream, view in views.items():
             before = self._states.get(upstream, UNKNOWN)
             after = _describe_state(view)
@@ -90,6 +92,25 @@
             cause = "its lease expired without a new announcement"
             self._log(upstream, before, GONE, cause)
 
+    def _observe_limits(
+        self, views: dict[str, _owner_state.UpstreamView]
+    ) -> None:
+        """Log each limit that an upstream has named, changed or lifted."""
+        for upstream, view in views.items():
+            before = self._limits_per_s.get(upstream)
+            if view.limit_per_s == before:
+                continue
+            self._limits_per_s[upstream] = view.limit_per_s
+            self._log(
+                upstream,
+                _describe_limit(before),
+                _describe_limit(view.limit_per_s),
+                f"{view.service}: its answers name this limit, or an ingress "
+                "passed it on",
+            )
+        for upstream in set(self._limits_per_s) - set(views):
+            del self._limits_per_s[upstream]
+
     def _log(self, upstream: str, before: str, after: str, cause: str) -> None:
         logs.log_change(
             logs.StateChange(
@@ -103,6 +124,12 @@
         )
 
 
+def _describe_limit(limit_per_s: float | None) -> str:
+    if limit_per_s is None:
+        return "no limit"
+    return f"limit of {limit_per_s:g} requests a second"
+
+
 def _describe_state(view: _owner_state.UpstreamView) -> str:
     """Return the state that log lines show for an upstream."""
     if view.leaving or view.state is _decision_types.UpstreamState.LEAVING:
@@ -116,8 +143,8 @@
     """Return why an upstream is in its present state."""
     if _describe_state(view) == LEAVING:
         return (
-            f"{view.service}: it announced that it is leaving, or an operator "
-            "drains it"
+            f"{view.service}: it announced, or said in an answer, that it is "
+            "leaving, or an operator drains it"
         )
     if _describe_state(view) == DOUBTED:
         return (
--- a/src/papayastall/_open_attempts.py
+++ b/src/papayastall/_open_attempts.py
@@ -56,11 +56,8 @@
     load: types.OwnerLoad | None,
 ) -> None:
     """Record the load that an owner sent with its reply to an attempt."""
-    view = service.owners.get(pending.open[number].owner)
-    if view is None or load is None:
-        return
-    view.note_heard(now_s)
-    view.note_load(now_s, load)
+    if load is not None:
+        _service_view.note_load(now_s, service, load)
 
 
 def note_superseded(
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -18,6 +18,7 @@
 from papayastall import _service_policy
 from papayastall import _suspect_gate
 from papayastall import _suspects
+from papayastall import _upstream_notices
 from papayastall import _upstream_registry
 from papayastall import exceptions
 
@@ -50,6 +51,7 @@
         self._running: dict[int, state.RunningRequest] = {}
         self._queued: set[int] = set()
         self._gate = _suspect_gate.SuspectGate()
+        self._notices = _upstream_notices.NoticeMemory()
         self._took_requests: dict[str, bool] = {}
         self._stop_s = math.inf
 
@@ -78,6 +80,9 @@
         self._registry.announce(
             now_s, announcement, service.policy.thresholds()
         )
+        notice = self._notices.take(now_s, announcement.name)
+        if notice is not None:
+            self._learn(now_s, notice)
         return self._dispatch_queued(now_s, announcement.service)
 
     def withdraw(
@@ -112,6 +117,8 @@
         assert request_id not in self._gate, "request submitted twice"
         service = self._service(request.service)
         service.healthy_share = request.hints.healthy_share
+        for notice in request.notices:
+            self._learn(now_s, notice)
         if request.deadline_s <= now_s:
             return [self._refuse(request, _Code.DEADLINE_EXCEEDED)]
         if not _placement.has_time(now_s, service, request, self._stop_s):
@@ -180,6 +187,54 @@
         upstream = self._registry.get(run.upstream)
         _owner_evidence.note_first_byte(now_s, service, upstream, run)
 
+    def note_answer(
+        self,
+        now_s: float,
+        request_id: int,
+        limit_per_s: float | None,
+        is_leaving: bool,
+    ) -> list[types.OwnerAction]:
+        """Record what an answer says of its upstream.
+
+        Queued requests that can't be served in time within a new limit are
+        refused.
+
+        :param limit_per_s: see :class:`UpstreamNotice`.
+        """
+        run = self._running.get(request_id)
+        if run is None:
+            return []
+        upstream = self._registry.get(run.upstream)
+        is_new = _upstream_notices.note_answer(
+            now_s, upstream, limit_per_s, is_leaving
+        )
+        if not is_new:
+            return []
+        return self._requeue(now_s, upstream.service)
+
+    def _learn(self, now_s: float, notice: types.UpstreamNotice) -> None:
+        """Take over what an ingress knows of an upstream of this owner."""
+        upstream = self._registry.find(notice.upstream)
+        if upstream is not None:
+            _upstream_notices.adopt(now_s, upstream, notice)
+        else:
+            self._notices.keep(now_s, notice)
+
+    def _requeue(self, now_s: float, name: str) -> list[types.OwnerAction]:
+        """Decide again on all queued requests of a service."""
+        service = self._service(name)
+        waiting: list[types.OwnerRequest] = []
+        while (item := service.queue.pop()) is not None:
+            self._queued.remove(item.request.request_id)
+            waiting.append(item.request)
+        actions: list[types.OwnerAction] = []
+        for request in waiting:
+            if request.deadline_s <= now_s:
+                actions.append(self._refuse_after_wait(now_s, request))
+            else:
+                actions += self._place(now_s, request)
+        return actions
+
     def cancel(self, now_s: float, request_id: int) -> list[types.OwnerAction]:
         """Remove a waiting request; a running one ends by `finished`."""
         self._gate.forget(request_id)
@@ -199,6 +254,9 @@
         actions: list[types.OwnerAction] = []
         for upstream in self._registry.remove_gone(now_s):
             actions += _ejection.release_permit(upstream)
+            notice = _upstream_notices.make_notice(upstream)
+            if notice is not None:
+                self._notices.keep(now_s, notice)
         for upstream in self._registry.all():
             actions += self._evaluate(now_s, upstream)
         actions += self._retry_parked(now_s)
@@ -229,7 +287,8 @@
         """Undo `start_drain`, unless the upstream itself is leaving."""
         known = self._registry.get(upstream)
         known.drained_by_operator = False
-        if known.state is not types.UpstreamState.LEAVING:
+        is_leaving = known.state is types.UpstreamState.LEAVING
+        if not is_leaving and not known.says_leaving:
             _leaving.stop_leaving(known, now_s)
 
     def drained(self, upstream: str) -> bool:
@@ -337,8 +396,8 @@
                 return [self._refuse(request, code)]
             case _placement.Place(upstream, is_trial):
                 return [self._dispatch(now_s, request, upstream, is_trial)]
-            case _placement.Wait(slots):
-                return self._enqueue(now_s, service, request, slots)
+            case _placement.Wait() as wait:
+                return self._enqueue(now_s, service, request, wait)
 
     def _dispatch(
         self,
@@ -364,7 +423,12 @@
         upstream.running[request.request_id] = run
         service = self._service(request.service)
         _owner_evidence.note_start(now_s, service, upstream, run)
-        return types.Dispatch(request.request_id, upstream.name)
+        limit = upstream.rate_limit
+        if limit is not None:
+            limit.take(now_s)
+        return types.Dispatch(
+            request.request_id, upstream.name, sends_once=limit is not None
+        )
 
     def _charge_retry_budget(
         self, now_s: float, request: types.OwnerRequest
@@ -386,21 +450,21 @@
         now_s: float,
         service: state.ServiceState,
         request: types.OwnerRequest,
-        slots: int,
+        wait: _placement.Wait,
     ) -> list[types.OwnerAction]:
         if self._stop_s < math.inf:
             return [self._refuse(request, _Code.LEAVING)]
-        if not _placement.can_wait(now_s, service, request, slots):
-            return [self._refuse_overloaded(service, request, slots)]
+        if not _placement.can_wait(now_s, service, request, wait):
+            return [self._refuse_overloaded(service, request, wait)]
         actions: list[types.OwnerAction] = []
         precedence = _placement.precedence(service, request)
         if len(service.queue) >= service.policy.max_queued:
             displaced = service.queue.displace_for(request.team, precedence)
             if displaced is None:
-                return [self._refuse_overloaded(service, request, slots)]
+                return [self._refuse_overloaded(service, request, wait)]
             self._queued.remove(displaced.request.request_id)
             actions.append(
-                self._refuse_overloaded(service, displaced.request, slots)
+                self._refuse_overloaded(service, displaced.request, wait)
             )
         max_wait_s = _placement.max_wait_s(now_s, service, request)
         service.queue.push(
@@ -511,13 +575,13 @@
         self,
         service: state.ServiceState,
         request: types.OwnerRequest,
-        slots: int,
+        wait: _placement.Wait,
     ) -> types.RefuseRequest:
         return _refusals.refuse_not_run(
             request.request_id,
             _Code.OVERLOADED,
             self._rng,
-            backlog_s=_placement.backlog_s(service, slots),
+            backlog_s=_placement.backlog_s(service, wait),
         )
 
     def _refuse(
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -11,6 +11,7 @@
 from papayastall import _decision_types as types
 from papayastall import _gray_filter
 from papayastall import _health
+from papayastall import _rate_limit
 from papayastall import _retry
 from papayastall import _service_policy
 
@@ -24,6 +25,9 @@
 ]
 
 
+_MIN_EFFECTIVE_SLOTS = 0.1
+"""Above the weight at which ingresses take an owner for steered away."""
+
 AnyEvidence = _health.Evidence | _gray_filter.GrayFilter
 
 
@@ -69,6 +73,12 @@
         healthy time. Each time doubles the next ``stay_s``.
     :param trial_due_s: when the next trial lookup may be sent.
     :param shed_until_s: until when it gets nothing after it shed a request.
+    :param started_ms: Unix time of its start in milliseconds; 0 if unknown.
+    :param rate_limit: that its answers name, if any.
+    :param says_leaving: its answers say that it is leaving.
+    :param has_spoken: an answer of it has arrived at this process.
+    :param has_given_notice: it has named a limit or said that it is leaving
+        since its start.
     """
 
     name: str
@@ -99,6 +109,21 @@
     leaving_since_s: float | None = None
     drained_by_operator: bool = False
     cold_since_s: float | None = None
+    started_ms: int = 0
+    rate_limit: _rate_limit.RateLimit | None = None
+    says_leaving: bool = False
+    has_spoken: bool = False
+    has_given_notice: bool = False
+
+    def effective_slots(self, mean_busy_s: float) -> float:
+        """Return the slots that its limit lets requests use on average.
+
+        :param mean_busy_s: mean time for which a request holds its slot.
+        """
+        if self.rate_limit is None:
+            return self.slots
+        busy_slots = self.rate_limit.rate_per_s * mean_busy_s
+        return min(self.slots, max(_MIN_EFFECTIVE_SLOTS, busy_slots))
 
     def free_slots(self, now_s: float) -> int:
         """Return the number of slots that can take a request now."""
@@ -108,7 +133,10 @@
             self.held_until_s = [
                 until_s for until_s in self.held_until_s if until_s > now_s
             ]
-        return self.slots - len(self.running) - len(self.held_until_s)
+        free = self.slots - len(self.running) - len(self.held_until_s)
+        if self.rate_limit is not None:
+            return min(free, self.rate_limit.free_requests(now_s))
+        return free
 
     def is_present(self, now_s: float) -> bool:
         """Return whether its lease holds or it answered within one lease."""
@@ -145,6 +173,7 @@
 
     :param score: evidence of failure, in nats.
     :param excluded_until_s: ``None`` unless steered away or ejected.
+    :param limit_per_s: requests a second that it takes, if it names a limit.
     """
 
     upstream: str
@@ -158,3 +187,4 @@
     excluded_until_s: float | None
     leaving: bool
     is_doubted: bool = False
+    limit_per_s: float | None = None
--- a/src/papayastall/_owner_views.py
+++ b/src/papayastall/_owner_views.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 
 from papayastall import _decision_types as types
 from papayastall import _ejection
 from papayastall import _leaving
 from papayastall import _owner_evidence
 from papayastall import _owner_state as state
+from papayastall import _upstream_notices
 
 __all__ = ["make_adverts", "make_load", "make_view"]
 
@@ -23,27 +25,41 @@
 ) -> types.OwnerLoad:
     """Return the load of an owner for one service.
 
+    An upstream with a limit counts with the slots that the limit allows.
+
     :param name: name of the service.
     :param route: route of the answer that carries the load, if any.
     """
     tuning = service.policy.thresholds()
     present = [up for up in upstreams if not _leaving.is_leaving(up)]
+    effective = {
+        up.name: up.effective_slots(service.mean_busy_s) for up in present
+    }
     median = service.medians.get(route) if route is not None else None
     return types.OwnerLoad(
         owner=owner,
         service=name,
-        slots=sum(up.slots for up in present),
+        slots=sum(math.ceil(slots) for slots in effective.values()),
         weight=sum(
-            up.slots * _ejection.weight(up, now_s, tuning) for up in present
+            effective[up.name] * _ejection.weight(up, now_s, tuning)
+            for up in present
         ),
         in_flight=sum(
             min(up.slots, up.slots - up.free_slots(now_s)) for up in upstreams
         ),
         queued=len(service.queue),
         latency_ms=_owner_evidence.median_ms(median),
+        notices=_list_notices(upstreams),
     )
 
 
+def _list_notices(
+    upstreams: cabc.Iterable[state.Upstream],
+) -> tuple[types.UpstreamNotice, ...]:
+    notices = map(_upstream_notices.make_notice, upstreams)
+    return tuple(notice for notice in notices if notice is not None)
+
+
 def make_adverts(
     owner: str, failure_domain: str, upstreams: cabc.Iterable[state.Upstream]
 ) -> list[types.OwnerAdvert]:
@@ -65,6 +81,7 @@
     """Return the view of an upstream that operators get."""
     tuning = service.policy.thresholds()
     is_excluded = _ejection.is_excluded(upstream)
+    limit = upstream.rate_limit
     return state.UpstreamView(
         upstream=upstream.name,
         service=upstream.service,
@@ -77,4 +94,5 @@
         excluded_until_s=upstream.excluded_until_s if is_excluded else None,
         leaving=upstream.leaving_since_s is not None,
         is_doubted=upstream.is_doubted,
+        limit_per_s=None if limit is None else limit.limit_per_s,
     )
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 import random
 
 import msgspec
@@ -53,12 +54,16 @@
 
 
 class Wait(msgspec.Struct, frozen=True):
-    """All upstreams that may run the request are busy.
+    """All upstreams that may run the request are busy, or at their limit.
 
     :param slots: total slots of these upstreams.
+    :param rate_per_s: requests a second that they take, if all have a limit.
+    :param next_s: time until the first of these limits allows a request.
     """
 
     slots: int
+    rate_per_s: float = math.inf
+    next_s: float = 0.0
 
 
 class NoUpstream(msgspec.Struct, frozen=True):
@@ -140,18 +145,22 @@
 
 
 def expected_wait_s(
-    service: state.ServiceState, request: types.OwnerRequest, slots: int
+    service: state.ServiceState, request: types.OwnerRequest, wait: Wait
 ) -> float:
     """Return the expected wait of a new request, in seconds.
 
-    It waits for the next free slot and for the requests queued ahead of it.
+    It waits for the next free slot, or until a limit allows a request, and
+    for the requests queued ahead of it.
 
-    :param slots: slots of the upstreams that may run it.
+    :param wait: for the upstreams that may run it.
     """
-    ahead_s = service.queue.work_ahead_s(
-        request.team, precedence(service, request)
-    )
-    return (service.mean_busy_s + ahead_s) / max(1, slots)
+    rank = precedence(service, request)
+    ahead_s = service.queue.work_ahead_s(request.team, rank)
+    slot_s = (service.mean_busy_s + ahead_s) / max(1, wait.slots)
+    if math.isinf(wait.rate_per_s):
+        return slot_s
+    ahead = service.queue.count_ahead(request.team, rank)
+    return max(slot_s, wait.next_s + ahead / wait.rate_per_s)
 
 
 def expected_run_s(
@@ -189,7 +198,7 @@
     now_s: float,
     service: state.ServiceState,
     request: types.OwnerRequest,
-    slots: int,
+    wait: Wait,
 ) -> bool:
     """Return whether a request that is queued now will end in time.
 
@@ -198,9 +207,9 @@
     common limit, so that non-idempotent requests with later deadlines don't
     displace lookups.
 
-    :param slots: slots of the upstreams that may run it.
+    :param wait: for the upstreams that may run it.
     """
-    wait_s = expected_wait_s(service, request, slots)
+    wait_s = expected_wait_s(service, request, wait)
     if wait_s > max_wait_s(now_s, service, request):
         return False
     start_s = now_s + wait_s
@@ -221,12 +230,17 @@
     return now_s + _RUN_MARGIN_FACTOR * run_s < end_s
 
 
-def backlog_s(service: state.ServiceState, slots: int) -> float:
+def backlog_s(service: state.ServiceState, wait: Wait) -> float:
     """Return the time to work off all accepted requests, in seconds.
 
-    :param slots: slots that run them; all are assumed to be in use.
+    :param wait: for the upstreams that run them; all their slots are assumed
+        to be in use.
     """
-    return (len(service.queue) + slots) * service.mean_busy_s / max(1, slots)
+    queued = len(service.queue)
+    slot_s = (queued + wait.slots) * service.mean_busy_s / max(1, wait.slots)
+    if math.isinf(wait.rate_per_s):
+        return slot_s
+    return max(slot_s, wait.next_s + queued / wait.rate_per_s)
 
 
 def _find_due_trial(
@@ -259,10 +273,22 @@
         if share > best_share:
             best, best_share = up, share
     if best is None:
-        return Wait(sum(up.slots for up in upstreams))
+        return _make_wait(now_s, upstreams)
     return Place(best, is_trial=False)
 
 
+def _make_wait(now_s: float, upstreams: cabc.Sequence[state.Upstream]) -> Wait:
+    slots = sum(up.slots for up in upstreams)
+    limits = [up.rate_limit for up in upstreams if up.rate_limit is not None]
+    if len(limits) < len(upstreams):
+        return Wait(slots)
+    return Wait(
+        slots,
+        sum(limit.rate_per_s for limit in limits),
+        min(limit.wait_s(now_s) for limit in limits),
+    )
+
+
 def _no_upstream_code(
     upstreams: cabc.Sequence[state.Upstream],
     usable: cabc.Sequence[state.Upstream],
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -18,7 +18,9 @@
     "hedge_due_s",
     "hints",
     "is_owner_avoided",
+    "list_notices",
     "note_answer",
+    "note_load",
     "note_refusal",
     "silence_limit_s",
     "reference_ms",
@@ -42,6 +44,12 @@
 known median: a hedge that takes up to half of the objective still ends in
 time, even if it has to be moved to another owner."""
 _DEFAULT_SILENCE_LIMIT_S = 2.0
+_NOTICE_RETENTION_S = 600.0
+_MOVED_NOTICE_RETENTION_S = 15.0
+"""An upstream that loses its owner announces itself elsewhere within a few
+seconds."""
+_MAX_NOTICES = 1024
+"""More upstreams than a service has; bounds what a faulty owner can cause."""
 
 
 class OwnerChoice(msgspec.Struct, frozen=True):
@@ -218,6 +226,47 @@
         known.median.add(load.latency_ms)
 
 
+def note_load(
+    now_s: float, service: state.ServiceView, load: types.OwnerLoad
+) -> None:
+    """Record an owner's load and the notices of its upstreams."""
+    view = service.owners.get(load.owner)
+    if view is not None:
+        view.note_heard(now_s)
+        view.note_load(now_s, load)
+    # Loads may be processed out of order, so that one without a notice does
+    # not show that an earlier notice no longer holds.
+    for notice in load.notices:
+        service.notices.pop(notice.upstream, None)
+        if notice.limit_per_s is not None or notice.is_leaving:
+            service.notices[notice.upstream] = state.HeardNotice(
+                notice, load.owner, now_s
+            )
+    while len(service.notices) > _MAX_NOTICES:
+        del service.notices[next(iter(service.notices))]
+
+
+def list_notices(
+    now_s: float, service: state.ServiceView, owner: str
+) -> tuple[types.UpstreamNotice, ...]:
+    """Return the notices to send to an owner.
+
+    They are those that it passed on, as its process may have been replaced
+    since, and recent ones of owners that are gone, as their upstreams may
+    have moved to it.
+    """
+    notices: list[types.UpstreamNotice] = []
+    for heard in service.notices.values():
+        retention_s = _NOTICE_RETENTION_S
+        if heard.owner != owner:
+            if heard.owner in service.owners:
+                continue
+            retention_s = _MOVED_NOTICE_RETENTION_S
+        if now_s - heard.heard_s < retention_s:
+            notices.append(heard.notice)
+    return tuple(notices)
+
+
 def note_refusal(
     now_s: float,
     service: state.ServiceView,
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -11,9 +11,11 @@
 import msgspec
 
 from papayastall import _decision_types
+from papayastall import _rate_limit
 from papayastall import _upstream_connection
 from papayastall import clock
 from papayastall import http_names
+from papayastall import logs
 
 __all__ = [
     "NOT_RUN_OUTCOMES",
@@ -67,6 +69,8 @@
     :param idempotent: whether the request may run more than once.
     :param instance: the only process instance of the upstream that may run
         the request; "" for any.
+    :param sends_once: send it on a new connection, so that it need not be
+        sent again after an idle one was closed.
     """
 
     upstream: str
@@ -76,6 +80,7 @@
     body: bytes
     idempotent: bool
     instance: str = ""
+    sends_once: bool = False
 
 
 class _DeadlinePassed(Exception):
@@ -90,6 +95,14 @@
 
     started = False
 
+    def note_upstream(
+        self, limit_per_s: float | None, is_leaving: bool
+    ) -> None:
+        """Receive what the upstream says of itself in the answer's head.
+
+        :param limit_per_s: see ``UpstreamNotice``.
+        """
+
     async def send_head(self, status: int, headers: Headers) -> None:
         """Receive the status and the headers."""
 
@@ -156,7 +169,7 @@
         self, request: UpstreamRequest
     ) -> _upstream_connection.UpstreamConnection | None:
         idle = self._idle.get(request.upstream)
-        while idle and request.idempotent:
+        while idle and request.idempotent and not request.sends_once:
             connection = idle.pop()
             if connection.is_reusable():
                 return connection
@@ -205,6 +218,9 @@
         if not self._belongs_to(request, answer):
             answer.keeps_alive = False
             return Outcome.BROKEN
+        sink.note_upstream(
+            self._read_limit(answer), self._says_leaving(answer)
+        )
         not_run = self._is_not_run(answer)
         headers = [
             (name, value)
@@ -267,6 +283,34 @@
         sent = [value for key, value in request.headers if key == name]
         return echoed is None or not sent or echoed == sent[0]
 
+    def _read_limit(
+        self, answer: _upstream_connection.UpstreamAnswer
+    ) -> float | None:
+        if not self._names.limit:
+            return None
+        value = answer.find(self._names.limit)
+        if value is None:
+            return None
+        limit_per_s = _rate_limit.parse_limit(value)
+        if limit_per_s is None:
+            logs.log_change(
+                logs.StateChange(
+                    logs.ChangeKind.UPSTREAM,
+                    self._names.limit.decode(),
+                    "",
+                    "ignored",
+                    f"{value[:40]!r} is not a number of requests a second",
+                )
+            )
+        return limit_per_s
+
+    def _says_leaving(
+        self, answer: _upstream_connection.UpstreamAnswer
+    ) -> bool:
+        if not self._names.leaving:
+            return False
+        return answer.find(self._names.leaving) not in (None, b"0")
+
     def _is_not_run(self, answer: _upstream_connection.UpstreamAnswer) -> bool:
         if answer.status == WRONG_INSTANCE_STATUS:
             return True
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -11,6 +11,7 @@
 from papayastall import _leaving
 from papayastall import _owner_state as state
 from papayastall import _service_policy
+from papayastall import _upstream_notices
 from papayastall import exceptions
 
 __all__ = ["UpstreamRegistry"]
@@ -111,6 +112,9 @@
             known = self._add(now_s, announcement, tuning)
         elif self._has_restarted(now_s, known, announcement):
             self._restart(now_s, known)
+        if announcement.started_ms > known.started_ms:
+            _upstream_notices.forget(known)
+            known.started_ms = announcement.started_ms
         known.slots = announcement.slots
         known.connections = announcement.connections
         known.state = announcement.state
@@ -279,5 +283,5 @@
                 upstream.warm_s = min(warm_s, latest_s)
             case types.UpstreamState.READY:
                 upstream.cold_since_s = None
-        if not upstream.drained_by_operator:
+        if not upstream.drained_by_operator and not upstream.says_leaving:
             _leaving.stop_leaving(upstream, now_s)
--- a/src/papayastall/emulator.py
+++ b/src/papayastall/emulator.py
@@ -22,7 +22,8 @@
 "shed" | "break" | "die", "share": 0..1, "path": "..."} sets the mode for that
 share of the requests whose path starts with "path". With "period_ms" the mode
 is on and off in turn, for that time each. "load" is announced instead of the
-true load; "mute": true stops the announcements.
+true load; "mute": true stops the announcements. With "limit_per_s" all answers
+name this limit; with "says_leaving": true they say that it is leaving.
 GET /emulator/runs returns the requests run so far.
 """
 
@@ -94,6 +95,8 @@
         in turn; ``None`` for always.
     :param load: announced instead of the true load.
     :param mute: send no announcements.
+    :param limit_per_s: limit that answers name, requests a second.
+    :param says_leaving: whether answers say that it is leaving.
     """
 
     mode: Mode = Mode.ANSWER
@@ -102,6 +105,18 @@
     period_ms: _checking.Milliseconds | None = None
     load: float | None = None
     mute: bool = False
+    limit_per_s: float | None = None
+    says_leaving: bool = False
+
+    def make_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers by which answers state a limit or leaving."""
+        headers: list[tuple[bytes, bytes]] = []
+        if self.limit_per_s is not None:
+            value = f"{self.limit_per_s:f}".encode()
+            headers.append((HEADER_NAMES.limit, value))
+        if self.says_leaving:
+            headers.append((HEADER_NAMES.leaving, b"1"))
+        return headers
 
     def is_on(self, elapsed_s: float) -> bool:
         """Return whether it is in effect this long after it was set."""
@@ -208,7 +223,8 @@
         mode = self._choose_mode(scope["path"])
         if mode is Mode.SHED:
             not_run = (HEADER_NAMES.not_run, HEADER_NAMES.not_run_value)
-            await _reply(send, 503, b"busy", [not_run])
+            headers = [not_run, *self.behaviour.make_headers()]
+            await _reply(send, 503, b"busy", headers)
             return
         self._record(scope, body)
         self._in_flight += 1
@@ -227,7 +243,8 @@
             if mode is Mode.BREAK:
                 await _reply_truncated(send, answer)
             else:
-                await _reply(send, status, answer)
+                headers = self.behaviour.make_headers()
+                await _reply(send, status, answer, headers)
         finally:
             self._in_flight -= 1
 
--- a/src/papayastall/http_names.py
+++ b/src/papayastall/http_names.py
@@ -24,6 +24,10 @@
     :param instance: the only process instance of an upstream that may run
         the request; any other instance answers 421.
     :param caller_service: service on the VM from which a request was sent.
+    :param limit: set by an upstream in need: the requests a second that it
+        takes from all nodes together.
+    :param leaving: set by an upstream that takes no new requests, unless its
+        value is ``0``.
     :param owner: names the owner in an answer to a caller.
     :param retry_after_fractions: whether callers accept fractions of a
         second in ``Retry-After``.
@@ -35,5 +39,7 @@
     request_id: bytes = b""
     instance: bytes = b""
     caller_service: bytes = b""
+    limit: bytes = b"papayastall-limit-per-s"
+    leaving: bytes = b"papayastall-leaving"
     owner: bytes = b"papayastall-owner"
     retry_after_fractions: bool = False
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -236,6 +236,7 @@
             rank=frame.rank,
             objective_s=frame.objective_ms / 1000 or None,
             is_repeat=frame.is_repeat,
+            notices=frame.notices,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
@@ -319,7 +320,7 @@
         self._count(metrics.Counter.DISPATCHES, run)
         run.scope = anyio.CancelScope()
         assert self._tasks is not None
-        self._tasks.start_soon(self._execute, run, action.upstream)
+        self._tasks.start_soon(self._execute, run, action)
 
     def _refuse(self, action: _decision_types.RefuseRequest) -> None:
         run = self._runs.find_local(action.request_id)
@@ -359,9 +360,11 @@
         )
         self._links.send(run.ingress, run.refusal)
 
-    async def _execute(self, run: _owner_runs.Run, upstream: str) -> None:
+    async def _execute(
+        self, run: _owner_runs.Run, action: _decision_types.Dispatch
+    ) -> None:
         sink = _RunSink(self, run)
-        address, instance = _decision_types.split_name(upstream)
+        address, instance = _decision_types.split_name(action.upstream)
         request = _upstream_client.UpstreamRequest(
             upstream=address,
             instance=instance,
@@ -370,6 +373,7 @@
             headers=run.open.headers,
             body=bytes(run.body),
             idempotent=run.open.idempotent,
+            sends_once=action.sends_once,
         )
         outcome = Outcome.CANCELLED
         started_s = clock.now_s()
@@ -427,6 +431,19 @@
             clock.now_s(), run.open.service_name, run.open.route
         )
 
+    def note_upstream(
+        self,
+        run: _owner_runs.Run,
+        limit_per_s: float | None,
+        is_leaving: bool,
+    ) -> None:
+        """Pass on what an upstream says of itself in the answer to a run."""
+        self.perform(
+            self.controller.note_answer(
+                clock.now_s(), run.local_id, limit_per_s, is_leaving
+            )
+        )
+
     def send_head(
         self,
         run: _owner_runs.Run,
@@ -532,6 +549,12 @@
         self.overflow = False
         self._held = b""
 
+    def note_upstream(
+        self, limit_per_s: float | None, is_leaving: bool
+    ) -> None:
+        """Pass on what the upstream says of itself."""
+        self._owner.note_upstream(self._run, limit_per_s, is_leaving)
+
     async def send_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -7,6 +7,13 @@
   2: binary value,
 }
 
+struct UpstreamNotice {
+  1: string upstream,
+  2: i64 started_ms,
+  3: double limit_per_s,
+  4: bool is_leaving,
+}
+
 struct Load {
   1: string owner,
   2: string service_name,
@@ -15,6 +22,7 @@
   5: i32 in_flight,
   6: i32 queued,
   7: double latency_ms,
+  8: list<UpstreamNotice> notices,
 }
 
 struct Hello {
@@ -49,6 +57,7 @@
   21: i32 objective_ms,
   22: bool wants_proof,
   23: bool is_repeat,
+  24: list<UpstreamNotice> notices,
 }
 
 struct BodyChunk {
--- a/tests/test_node_monitor.py
+++ b/tests/test_node_monitor.py
@@ -61,3 +61,25 @@
     assert all(change.cause for change in changes)
     assert counters._sums[metrics.Counter.STEERINGS, "visits"] == 1
     assert counters._sums[metrics.Counter.RETURNS, "visits"] == 1
+
+
+def test_each_change_of_a_limit_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    changes: list[logs.StateChange] = []
+    monkeypatch.setattr(logs, "log_change", changes.append)
+    views = [VIEW]
+    counters = metrics.Metrics(None, "n")
+    monitor = _node_monitor.NodeMonitor(
+        "n", counters, lambda: views, lambda: {}
+    )
+    monitor.observe()
+    changes.clear()
+    for limit_per_s in (2.5, 2.5, 1.0, None):
+        views[:] = [msgspec.structs.replace(VIEW, limit_per_s=limit_per_s)]
+        monitor.observe()
+    assert [change.after for change in changes] == [
+        "limit of 2.5 requests a second",
+        "limit of 1 requests a second",
+        "no limit",
+    ]
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -141,6 +141,60 @@
     assert requests == 2
 
 
+class NoticeSink(_upstream_client.AnswerSink):
+    """Records what answers say of their upstream."""
+
+    def __init__(self) -> None:
+        self.notices: list[tuple[float | None, bool]] = []
+
+    def note_upstream(
+        self, limit_per_s: float | None, is_leaving: bool
+    ) -> None:
+        self.notices.append((limit_per_s, is_leaving))
+
+
+# Guards against a limit or leaving that is read only from answers that run
+# the request.
+@pytest.mark.parametrize(
+    ("header", "notice"),
+    [
+        (b"", (None, False)),
+        (b"Papayastall-Limit-Per-S: 2.5\r\n", (2.5, False)),
+        (b"Papayastall-Limit-Per-S: many\r\n", (None, False)),
+        (b"Papayastall-Leaving: 1\r\n", (None, True)),
+        (b"Papayastall-Leaving: 0\r\n", (None, False)),
+    ],
+)
+@pytest.mark.parametrize("answer", [ANSWER, SHED, SHORT])
+async def test_what_an_answer_says_of_its_upstream(
+    answer: bytes, header: bytes, notice: tuple[float | None, bool]
+) -> None:
+    sink = NoticeSink()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    # A short answer ends its connection here as well.
+    end = b"Connection: close\r\n" if answer is SHORT else b""
+    data = head + b"\r\n" + header + end + b"\r\n" + body
+    async with run_upstream([data]) as upstream:
+        client = _upstream_client.UpstreamClient()
+        await client.run(make_request(upstream, True), TIMEOUT_S, sink)
+        await client.close()
+    assert sink.notices == [notice]
+
+
+# Guards against a second arrival at an upstream with a limit, when an idle
+# connection turns out to be closed.
+async def test_a_request_that_is_sent_once_uses_a_new_connection() -> None:
+    async with run_upstream([ANSWER, ANSWER]) as upstream:
+        client = _upstream_client.UpstreamClient()
+        request = make_request(upstream, True)
+        sink = _upstream_client.AnswerSink()
+        await client.run(request, TIMEOUT_S, sink)
+        request.sends_once = True
+        await client.run(request, TIMEOUT_S, sink)
+        await client.close()
+    assert upstream.connections == 2
+
+
 async def test_a_refused_connection_is_a_connect_failure() -> None:
     async with run_upstream([]) as upstream:
         address = upstream.address
