Read a limit only from answers that name their request

What callers saw: nothing yet; found when reading the change.

Cause: an answer without the id of its request, such as one from a server that sends wrong bytes, is relayed, and would have lifted a limit.

Change: what an answer says of its upstream counts only if it echoes the id, where requests have one.

Evidence: test_an_answer_without_the_request_id_says_nothing, which fails without the check.

--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -218,9 +218,10 @@
         if not self._belongs_to(request, answer):
             answer.keeps_alive = False
             return Outcome.BROKEN
-        sink.note_upstream(
-            self._read_limit(answer), self._says_leaving(answer)
-        )
+        if self._is_echo(request, answer):
+            sink.note_upstream(
+                self._read_limit(answer), self._says_leaving(answer)
+            )
         not_run = self._is_not_run(answer)
         headers = [
             (name, value)
@@ -277,11 +278,22 @@
         if answer.find(b"content-encoding") is not None:
             return False
         name = self._names.request_id
-        if not name:
+        if not name or answer.find(name) is None:
             return True
-        echoed = answer.find(name)
+        return self._is_echo(request, answer)
+
+    def _is_echo(
+        self,
+        request: UpstreamRequest,
+        answer: _upstream_connection.UpstreamAnswer,
+    ) -> bool:
+        """Return whether an answer names the request that it belongs to.
+
+        It always does where requests have no id.
+        """
+        name = self._names.request_id
         sent = [value for key, value in request.headers if key == name]
-        return echoed is None or not sent or echoed == sent[0]
+        return not name or not sent or answer.find(name) == sent[0]
 
     def _read_limit(
         self, answer: _upstream_connection.UpstreamAnswer
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -181,6 +181,23 @@
     assert sink.notices == [notice]
 
 
+# Guards against an answer of unknown origin that lifts a limit.
+@pytest.mark.parametrize("echo", [b"", b"Request-Id: id-0\r\n"])
+async def test_an_answer_without_the_request_id_says_nothing(
+    echo: bytes,
+) -> None:
+    sink = NoticeSink()
+    data = ANSWER.replace(b"\r\n\r\n", b"\r\n" + echo + b"\r\n")
+    async with run_upstream([data]) as upstream:
+        names = http_names.HeaderNames(request_id=b"request-id")
+        client = _upstream_client.UpstreamClient(names)
+        request = make_request(upstream, True)
+        request.headers.append((b"request-id", b"id-0"))
+        await client.run(request, TIMEOUT_S, sink)
+        await client.close()
+    assert len(sink.notices) == bool(echo)
+
+
 # Guards against a second arrival at an upstream with a limit, when an idle
 # connection turns out to be closed.
 async def test_a_request_that_is_sent_once_uses_a_new_connection() -> None:
