Forget a statement of leaving where the upstream's start is unknown

What callers saw: nothing yet; found when reading the change.

Cause: leaving is final for a start of an upstream. Announcements of our own protocol name no start, so an upstream that was restarted after its lease would have stayed leaving.

Change: a restart that is seen by lease or state forgets both statements, and another process's word that an upstream is leaving counts only with its start.

Evidence: test_leaving_ends_with_the_lease_where_the_start_is_unknown.

--- a/src/papayastall/_upstream_notices.py
+++ b/src/papayastall/_upstream_notices.py
@@ -35,10 +35,15 @@
 def adopt(
     now_s: float, upstream: state.Upstream, notice: types.UpstreamNotice
 ) -> None:
-    """Record what another process was told, unless this one knows better."""
+    """Record what another process was told, unless this one knows better.
+
+    Where the start of an upstream is not known, a notice may be of an earlier
+    one: a limit ends with the first answer then, but leaving would not.
+    """
     if upstream.has_spoken or notice.started_ms != upstream.started_ms:
         return
-    _set(now_s, upstream, notice.limit_per_s, notice.is_leaving)
+    is_leaving = notice.is_leaving and notice.started_ms > 0
+    _set(now_s, upstream, notice.limit_per_s, is_leaving)
 
 
 def make_notice(upstream: state.Upstream) -> types.UpstreamNotice | None:
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -258,6 +258,7 @@
 
     def _restart(self, now_s: float, upstream: state.Upstream) -> None:
         upstream.cold_since_s = None
+        _upstream_notices.forget(upstream)
         upstream.evidence.reset()
         upstream.held_until_s.clear()
         if upstream.standing is state.Standing.HEALTHY:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -254,6 +254,19 @@
     assert isinstance(action, types.Dispatch)
 
 
+# Guards against an upstream without a known start that is taken for leaving
+# for good, although it has been restarted.
+def test_leaving_ends_with_the_lease_where_the_start_is_unknown() -> None:
+    controller = decision_helpers.owner(upstreams=0)
+    announced = decision_helpers.announcement(lease_s=3.0)
+    controller.announce(0.0, announced)
+    speak(controller, 0.0, is_leaving=True)
+    controller.tick(10.0)
+    controller.announce(10.0, announced)
+    [action] = controller.submit(10.0, decision_helpers.owner_request(1))
+    assert isinstance(action, types.Dispatch)
+
+
 # Guards against a notice that is lost because an older load arrives after it.
 def test_an_ingress_keeps_notices_and_passes_them_on() -> None:
     notice = types.UpstreamNotice(NAME, 1, 1.0)
