--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -38,15 +38,15 @@
 """Time without fetches from a member that did not answer one."""
 MAX_TICK_GAP_S = 2.0
 """A node that did not tick for this long, such as a suspended process, must
-confirm its config again: it may lack an accepted change for longer than nodes
-may take to have it."""
+confirm its config again. It is the time that nodes may take to have a new
+config."""
 CONFIRM_INTERVAL_S = 0.2
 """Shorter than ``UNCONFIRMED_TICK_INTERVAL_S`` of the config service, so that
 a node that is not ready asks again at each tick: at the first one its links
 to control are still being opened."""
 LATEST_VALIDITY_S = 1.0
-"""Time for which a confirmation by control's leader shows that no later
-config has been accepted for longer than nodes may take to have it."""
+"""Time for which the word of control's leader is relied on; shorter than
+the time that nodes may take to have a new config."""
 CONTROL_ONLY_S = 2.0
 """Time during which only control replicas are asked for a confirmation."""
 MEMBERS_SETTLE_S = 3.0
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -82,7 +82,7 @@
     return "\n".join((service, team, key))
 
 
-async def _is_latest() -> bool:
+async def _assume_latest() -> bool:
     return True
 
 
@@ -118,7 +118,7 @@
         names: http_names.HeaderNames = http_names.HeaderNames(),
         local_service: str = "",
         explain_config: cabc.Callable[[], dict[str, float]] = dict,
-        is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _is_latest,
+        is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _assume_latest,
     ) -> None:
         self._names = names
         self._local_service = local_service
