Wait for a limit only, where slots of the upstream are free

What callers saw: nothing yet; found when reading the change.

Cause: the expected wait at an upstream with a limit included the mean time of a slot, although its slots are mostly free, so that requests were refused which the limit could have served in time.

Change: the wait for a slot counts only if no slot is free.

Evidence: test_a_request_waits_for_the_limit_only_where_slots_are_free; the wait was 9 s in both cases before.

--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -127,16 +127,20 @@
 
     def free_slots(self, now_s: float) -> int:
         """Return the number of slots that can take a request now."""
+        free = self.open_slots(now_s)
+        if self.rate_limit is not None:
+            return min(free, self.rate_limit.free_requests(now_s))
+        return free
+
+    def open_slots(self, now_s: float) -> int:
+        """Return the number of free slots without regard to a limit."""
         if now_s < self.shed_until_s:
             return 0
         if self.held_until_s:
             self.held_until_s = [
                 until_s for until_s in self.held_until_s if until_s > now_s
             ]
-        free = self.slots - len(self.running) - len(self.held_until_s)
-        if self.rate_limit is not None:
-            return min(free, self.rate_limit.free_requests(now_s))
-        return free
+        return self.slots - len(self.running) - len(self.held_until_s)
 
     def is_present(self, now_s: float) -> bool:
         """Return whether its lease holds or it answered within one lease."""
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -59,11 +59,14 @@
     :param slots: total slots of these upstreams.
     :param rate_per_s: requests a second that they take, if all have a limit.
     :param next_s: time until the first of these limits allows a request.
+    :param has_open_slot: one of them has a free slot and waits for its limit
+        only.
     """
 
     slots: int
     rate_per_s: float = math.inf
     next_s: float = 0.0
+    has_open_slot: bool = False
 
 
 class NoUpstream(msgspec.Struct, frozen=True):
@@ -155,12 +158,15 @@
     :param wait: for the upstreams that may run it.
     """
     rank = precedence(service, request)
+    limit_s = 0.0
+    if not math.isinf(wait.rate_per_s):
+        ahead = service.queue.count_ahead(request.team, rank)
+        limit_s = wait.next_s + ahead / wait.rate_per_s
+        if wait.has_open_slot:
+            return limit_s
     ahead_s = service.queue.work_ahead_s(request.team, rank)
     slot_s = (service.mean_busy_s + ahead_s) / max(1, wait.slots)
-    if math.isinf(wait.rate_per_s):
-        return slot_s
-    ahead = service.queue.count_ahead(request.team, rank)
-    return max(slot_s, wait.next_s + ahead / wait.rate_per_s)
+    return max(slot_s, limit_s)
 
 
 def expected_run_s(
@@ -286,6 +292,7 @@
         slots,
         sum(limit.rate_per_s for limit in limits),
         min(limit.wait_s(now_s) for limit in limits),
+        any(up.open_slots(now_s) > 0 for up in upstreams),
     )
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -10,6 +10,8 @@
 from papayastall import _decision_types as types
 from papayastall import _frames
 from papayastall import _owner_controller
+from papayastall import _owner_state
+from papayastall import _placement
 from papayastall import _rate_limit
 from papayastall import exceptions
 from tests import decision_helpers
@@ -159,6 +161,21 @@
     assert codes == [None, None, *[_Code.OVERLOADED] * 4]
 
 
+# Guards against a wait for a slot that is assumed where slots are free.
+@pytest.mark.parametrize(
+    ("has_open_slot", "wait_s"), [(True, 0.4), (False, 9)]
+)
+def test_a_request_waits_for_the_limit_only_where_slots_are_free(
+    has_open_slot: bool, wait_s: float
+) -> None:
+    service = _owner_state.ServiceState(
+        decision_helpers.DETECTION, mean_busy_s=9.0
+    )
+    wait = _placement.Wait(1, 2.0, 0.4, has_open_slot)
+    request = decision_helpers.owner_request(1)
+    assert _placement.expected_wait_s(service, request, wait) == wait_s
+
+
 # Guards against requests that stay in the queue when a limit is named.
 def test_a_new_limit_refuses_queued_requests_that_it_can_not_serve() -> None:
     controller = make_owner(slots=1)
