--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -32,12 +32,23 @@
 from tests import gossip_fleet
 from tests import route_helpers
 
-__all__ = ["Conditions", "ConfigFleet", "run_virtually"]
+__all__ = ["Conditions", "ConfigFleet", "Order", "run_virtually"]
 
 STEP_S = 0.01
 """Interval at which datagrams are delivered."""
 LINK_DELAY_S = 0.002
 OPERATOR_PAUSE_S = 0.2
+"""Pause after a first failed call; each further one is longer."""
+OPERATOR_PAUSE_GROWTH = 2.0
+OPERATOR_CALL_S = 1.0
+"""Time after which an operator gives a call up."""
+MAX_ANSWERS_LOST = 2
+"""Answers to one change that are lost in a row; with three, more than 3 s
+pass without any answer."""
+RESTART_INTERVAL_S = 0.3
+"""Time between the ends of two processes that are restarted."""
+DOWN_S = 0.8
+"""Time from the end of a process to its next start."""
 START_S = 15.0
 """Time after which the members know each other and have their config."""
 
@@ -79,11 +90,30 @@
     :param transfer_s: time in which a table passes a link.
     :param silent: share of the nodes to which calls are lost, although
         their own messages arrive.
+    :param suspended: share of the nodes, none of them control replicas,
+        that are suspended when a change is ordered.
+    :param restarts: whether nodes other than control replicas end without
+        notice and start again all the time.
+    :param lost_answers: share of the answers to the operator that are lost.
     """
 
     loss: float = 0.0
     transfer_s: float = 0.02
     silent: float = 0.0
+    suspended: float = 0.0
+    restarts: bool = False
+    lost_answers: float = 0.0
+
+
+class Order(msgspec.Struct):
+    """What became of a change that an operator ordered.
+
+    :ivar acknowledged_s: time from the order to its acknowledgement.
+    :ivar answers: time of the end of each call, and what ended it.
+    """
+
+    acknowledged_s: float = 0.0
+    answers: list[tuple[float, str]] = msgspec.field(default_factory=list)
 
 
 class _Leader:
@@ -148,6 +178,28 @@
         )
         if number == 0:
             self.config.use_host(_Leader())
+        self.started_s = clock.now_s()
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs, neither ended nor suspended."""
+        return self._scope is not None
+
+    async def start(self) -> None:
+        """Run the process, from its start or from where it was suspended."""
+        scope = self._scope = anyio.CancelScope()
+        self.started_s = clock.now_s()
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                await self.config.start(tasks)
+                await anyio.sleep_forever()
+
+    def stop(self) -> None:
+        """Suspend the process, or end it."""
+        if self._scope is not None:
+            self._scope.cancel()
+        self._scope = None
 
     def list_behind(self, index: int) -> list[str]:
         return self._fleet.gossip.nodes[self.address].list_behind(index)
@@ -170,7 +222,7 @@
 
     async def _connect(self, node: _Node) -> None:
         await anyio.sleep(2 * LINK_DELAY_S)
-        if node.address not in self._fleet.silent:
+        if node.is_running and node.address not in self._fleet.silent:
             self.linked.add(node.address)
             node.linked.add(self.address)
 
@@ -191,13 +243,15 @@
         self, peer: str, channel: _peering.Channel, body: bytes
     ) -> bytes:
         node = self._fleet.nodes[peer]
-        if peer in self._fleet.silent:
+        if peer in self._fleet.silent or not node.is_running:
             await anyio.sleep_forever()
         if peer not in self.linked:
             await self._connect(node)
         await anyio.sleep(LINK_DELAY_S)
         node.config.observe(self.address, self.config.index)
         answer = await node._calls[channel](self.address, body)
+        if not node.is_running:
+            await anyio.sleep_forever()
         await anyio.sleep(LINK_DELAY_S)
         if not commands.codec.decode(_config.FetchDocuments, body).confirm:
             await anyio.sleep(self._fleet.transfer_s)
@@ -240,6 +294,10 @@
         for number in range(nodes):
             node = _Node(self, number)
             self.nodes[node.address] = node
+        self._numbers = {
+            gossip_fleet.address_of(number): number for number in range(nodes)
+        }
+        self._suspended: set[str] = set()
         self._handled = dict.fromkeys(self.nodes, 0)
         self._version = 0
 
@@ -247,7 +305,7 @@
         """Start all nodes and wait until they know each other."""
         self.tasks.start_soon(self._run_gossip)
         for node in self.nodes.values():
-            await node.config.start(self.tasks)
+            self.tasks.start_soon(node.start)
         await anyio.sleep(START_S)
         await self.change_routes()
         await anyio.sleep(START_S)
@@ -258,6 +316,8 @@
         count = int(self.conditions.silent * len(self.nodes))
         self.silent.update(self.rng.sample(others, count))
         self.drop_links()
+        if self.conditions.restarts:
+            self.tasks.start_soon(self._run_restarts)
 
     @property
     def version(self) -> int:
@@ -316,6 +376,86 @@
                 else:
                     return
 
+    async def order_as_operator(self) -> Order:
+        """Send a change until its acknowledgement arrives.
+
+        The operator gives a call up after a second, and goes on to another
+        control replica after a pause, which is longer each time.
+        """
+        order = Order()
+        started_s = clock.now_s()
+        change = route_table.PatchTable(self._version, self._version + 1)
+        pause_s = OPERATOR_PAUSE_S
+        lost = 0
+        replicas = self.rng.sample(self.control, len(self.control))
+        for address in itertools.cycle(replicas):
+            call_s = clock.now_s()
+            kind = "no answer"
+            with anyio.move_on_after(OPERATOR_CALL_S):
+                try:
+                    await self.nodes[address].config.change_routes(change)
+                    kind = "acknowledged"
+                except exceptions.UnreachableError:
+                    kind = "error"
+            is_lost = (
+                lost < MAX_ANSWERS_LOST
+                and self.rng.random() < self.conditions.lost_answers
+            )
+            if is_lost:
+                lost += 1
+                kind += ", lost"
+                await anyio.sleep(call_s + OPERATOR_CALL_S - clock.now_s())
+            order.answers.append((clock.now_s() - started_s, kind))
+            if kind == "acknowledged":
+                break
+            await anyio.sleep(pause_s)
+            pause_s *= OPERATOR_PAUSE_GROWTH
+        order.acknowledged_s = clock.now_s() - started_s
+        return order
+
+    def suspend_some(self) -> None:
+        """Resume the nodes that are suspended, and suspend others."""
+        for address in sorted(self._suspended):
+            self.gossip.resume(self._numbers[address])
+            self.tasks.start_soon(self.nodes[address].start)
+        others = sorted(set(self.nodes) - {*self.control, *self._suspended})
+        count = int(self.conditions.suspended * len(self.nodes))
+        self._suspended = set(self.rng.sample(others, count))
+        for address in self._suspended:
+            self.gossip.pause(self._numbers[address])
+            self.nodes[address].stop()
+
+    async def _run_restarts(self) -> None:
+        others = sorted(set(self.nodes) - set(self.control))
+        while True:
+            running = [a for a in others if self.nodes[a].is_running]
+            self.tasks.start_soon(self._restart, self.rng.choice(running))
+            await anyio.sleep(RESTART_INTERVAL_S)
+
+    async def _restart(self, address: str) -> None:
+        number = self._numbers[address]
+        self.nodes[address].stop()
+        self.gossip.kill(number)
+        for node in self.nodes.values():
+            node.linked.discard(address)
+        await anyio.sleep(DOWN_S)
+        self.gossip.start(number)
+        node = self.nodes[address] = _Node(self, number)
+        await node.start()
+
+    def find_stale(self, running_s: float) -> list[str]:
+        """Return the nodes that would serve without the last change.
+
+        :param running_s: only nodes that have run for so long.
+        """
+        start_s = clock.now_s() - running_s
+        return [
+            address
+            for address in self.find_missing()
+            if self.nodes[address].is_running
+            and self.nodes[address].started_s <= start_s
+        ]
+
     def find_missing(self) -> list[str]:
         """Return the nodes on which the last change is not in force."""
         return [
@@ -331,6 +471,8 @@
             for address, node in self.nodes.items():
                 events = self.gossip.events[address]
                 for event in events[self._handled[address] :]:
+                    if not node.is_running:
+                        break
                     if isinstance(event, types.PeerConfigIndex):
                         node.config.observe(event.address, event.config_index)
                 self._handled[address] = len(events)
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -92,6 +92,45 @@
     )
 
 
+async def check_in_trouble(
+    seed: int, conditions: config_fleet.Conditions
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        fleet = config_fleet.ConfigFleet(
+            tasks, NODES, CONTROL, seed, conditions
+        )
+        await fleet.start()
+        for _ in range(CHANGES):
+            fleet.drop_links()
+            fleet.suspend_some()
+            order = await fleet.order_as_operator()
+            assert order.acknowledged_s <= ACKNOWLEDGED_LIMIT_S, order
+            await anyio.sleep(IN_FORCE_LIMIT_S)
+            assert fleet.find_stale(IN_FORCE_LIMIT_S) == []
+        tasks.cancel_scope.cancel()
+
+
+# Guards against an acknowledgement that waits for nodes that can't answer,
+# longer than the operator's own retries and lost answers leave time for.
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "conditions",
+    [
+        config_fleet.Conditions(suspended=0.1),
+        config_fleet.Conditions(restarts=True),
+        config_fleet.Conditions(suspended=0.1, lost_answers=0.6),
+        config_fleet.Conditions(restarts=True, lost_answers=0.6),
+    ],
+    ids=["suspended", "restarts", "suspended-lost", "restarts-lost"],
+)
+def test_a_change_is_acknowledged_in_time_while_nodes_are_in_trouble(
+    conditions: config_fleet.Conditions,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    config_fleet.run_virtually(check_in_trouble(seed, conditions), monkeypatch)
+
+
 async def check_without_news(seed: int) -> None:
     async with anyio.create_task_group() as tasks:
         fleet = config_fleet.ConfigFleet(
