Log how a call that changes routes ends

The log said only when a wait for members had lasted its whole time. It could not tell apart a commit that is late, a wait for members that can't answer, and calls that end in between with an error. One line for each such call now holds the result of the commit, the time until it, the time of the wait, and the first members that are not known to have the change.

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -46,6 +46,8 @@
 IN_FORCE_POLL_INTERVAL_S = 0.2
 IN_FORCE_CHECK_INTERVAL_S = 0.03
 MAX_ACCEPTED_INDEXES = 64
+MAX_BEHIND_LOGGED = 5
+"""Members without a change that are named in a log line."""
 READ_TIMEOUT_S = 0.9
 """Just below the second after which a client tries another node."""
 READ_POLL_INTERVAL_S = 0.03
@@ -250,6 +252,7 @@
         :raises papayastall.exceptions.UnreachableError: control did not
             answer in time, or the change is not in force everywhere yet.
         """
+        started_s = clock.now_s()
         text = route_table.encode_change(change)
         command = commands.ChangeRoutes(route_table.digest_change(text), text)
         result = await self._group_client.call(
@@ -271,7 +274,7 @@
                 raise exceptions.BadInputError(
                     _Code.BAD_DOCUMENT, routes.problem, step="change-routes"
                 )
-        await self._wait_in_force(routes.index)
+        await self._wait_in_force(routes, started_s)
         return routes
 
     def _note_accepted(self, now_s: float, index: int) -> None:
@@ -279,12 +282,16 @@
         while len(self._accepted_s) > MAX_ACCEPTED_INDEXES:
             del self._accepted_s[min(self._accepted_s)]
 
-    async def _wait_in_force(self, index: int) -> None:
+    async def _wait_in_force(
+        self, routes: commands.RoutesResult, called_s: float
+    ) -> None:
         """Wait until a change is in force on this node and all live members.
 
+        :param called_s: start of the operator's call, for the log.
         :raises papayastall.exceptions.UnreachableError: it is not yet, and
             ``IN_FORCE_TIMEOUT_S`` has not passed.
         """
+        index = routes.index
         started_s = clock.now_s()
         self._note_accepted(started_s, index)
         accepted_s = self._accepted_s.get(index, float("-inf"))
@@ -292,9 +299,9 @@
         while behind := self._list_behind(index):
             now_s = clock.now_s()
             if now_s - accepted_s >= IN_FORCE_TIMEOUT_S:
-                self._log_behind(index, behind)
-                return
+                break
             if now_s - started_s >= IN_FORCE_ATTEMPT_TIMEOUT_S:
+                self._log_call("not acknowledged", routes, called_s, started_s)
                 raise exceptions.UnreachableError(
                     _Code.NOT_READY,
                     f"accepted, but not in force on {len(behind)} nodes yet; "
@@ -305,6 +312,7 @@
                 self._member_poll.poll_behind(index)
                 poll_s = now_s + IN_FORCE_POLL_INTERVAL_S
             await anyio.sleep(IN_FORCE_CHECK_INTERVAL_S)
+        self._log_call("acknowledged", routes, called_s, started_s)
 
     def _list_behind(self, index: int) -> list[str]:
         behind = [] if self.index >= index else [self._node]
@@ -312,16 +320,27 @@
             behind += self._member_poll.list_behind(index)
         return behind
 
-    def _log_behind(self, index: int, behind: list[str]) -> None:
+    def _log_call(
+        self,
+        outcome: str,
+        routes: commands.RoutesResult,
+        called_s: float,
+        committed_s: float,
+    ) -> None:
+        """Log how an operator's call that changed routes ends."""
+        commit_ms = (committed_s - called_s) * 1000
+        wait_ms = (clock.now_s() - committed_s) * 1000
+        behind = self._list_behind(routes.index)
         logs.log_change(
             logs.StateChange(
                 logs.ChangeKind.CONFIG,
                 self._node,
-                str(self.index),
-                str(index),
-                f"acknowledged after {IN_FORCE_TIMEOUT_S:g} s, although it is "
-                f"not known to be in force on {len(behind)} members, such as "
-                f"{behind[0]}",
+                routes.state.name.lower().replace("_", " "),
+                outcome,
+                f"index {routes.index}; {commit_ms:.0f} ms until control's "
+                f"answer, then {wait_ms:.0f} ms for members; not known to be "
+                f"in force on {len(behind)} nodes "
+                f"{' '.join(behind[:MAX_BEHIND_LOGGED])}".rstrip(),
             )
         )
 
