Fetch the next change from a member that was slow for the last one

Cause: a fetch without an answer for a second leaves its member out for a second. That member was the only one that the node knew to have the next change, so the node did nothing until its next tick after the pause. The member was slow, not silent: its answer was on the way, but another member's came first.

Change: when a config comes into force, the pauses of members whose fetches are stalled and still open end. Members that failed stay left out. A member that is silent may be asked again once for each change, which costs the 0.3 s until another one is asked as well.

Evidence: test_a_stall_does_not_delay_the_fetch_of_the_next_change failed before (no fetch).

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -393,6 +393,7 @@
             sorted(self._documents.items(), key=lambda pair: pair[1].index)
         )
         self.index = index
+        self._forget_stalls()
         self._fetches.clear()
         since_s = self._behind_since_s
         update = ConfigUpdate(
@@ -406,6 +407,15 @@
         self._note_seen(now_s, index)
         return update
 
+    def _forget_stalls(self) -> None:
+        """Allow fetches from members whose answers are still expected.
+
+        They may be slow only, and be the first ones with a later config.
+        """
+        for fetch, open_fetch in self._fetches.items():
+            if open_fetch.is_stalled:
+                self._fetch_failed_s.pop(fetch.peer, None)
+
     def _fetch_if_behind(self, now_s: float) -> list[Fetch]:
         """Start a fetch, unless the open ones may still be answered soon.
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -273,6 +273,19 @@
     assert node.fetched(1.3, second, answer) == (None, [])
 
 
+# Guards against a node that leaves out the only member with the next change,
+# since its answer to the last one was slow.
+def test_a_stall_does_not_delay_the_fetch_of_the_next_change() -> None:
+    node = _config.ConfigController("n0", CONTROL, 0.0)
+    (first,) = node.observe(0.0, "n1", 7)
+    assert node.stall(1.0, first) == []
+    (second,) = node.observe(1.1, "n2", 7)
+    answer = _config.FetchedDocuments(1, 7, tuple(make_config(7)))
+    node.fetched(1.2, second, answer)
+    (third,) = node.observe(1.3, "n1", 8)
+    assert third.peer == "n1"
+
+
 # Guards against stalled fetches that keep a node from asking others.
 def test_stalled_fetches_do_not_count_as_open() -> None:
     node = _config.ConfigController("n0", CONTROL, 0.0)
