Reopen the folder of a replica whose disk was full, without a restart

Cause: a failed write stops the replica for good, and on a node that manages its own data folder this ended the process. The next process records in the log that it was opened, so while the disk stayed full it ended as well.

The node now closes the replicas and opens the folder again each half second, until that can be written. The folder is read anew, with a new boot number and empty state machines, as by a new process, so nothing is taken over from the replica that failed. Other failures of the disk end the process as before. The formation with which a replica joined anew is kept.

--- a/src/papayastall/_control_plane.py
+++ b/src/papayastall/_control_plane.py
@@ -33,6 +33,8 @@
 __all__ = ["ControlHooks", "ControlPlane", "ControlSettings"]
 
 CLOSE_TIMEOUT_S = 5.0
+REOPEN_INTERVAL_S = 0.5
+"""Interval at which a replica on a full disk tries to write again."""
 
 
 class ControlSettings(msgspec.Struct, frozen=True):
@@ -100,6 +102,8 @@
         self._peering = peering
         self._hooks = hooks
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._formation = settings.formation
+        self._is_closing = False
         self.group_client = _control_calls.GroupClient(
             settings.node, peering, settings.control, rng
         )
@@ -115,7 +119,7 @@
             hooks.member_poll,
         )
         if settings.data_folder is not None:
-            self._make_host(settings.data_folder, settings.formation)
+            self._make_host(settings.data_folder)
         self.claims = _claims.ClaimClient(
             self.group_client, settings.claim_groups
         )
@@ -132,9 +136,7 @@
             hooks.permit_answered,
         )
 
-    def _make_host(
-        self, data_folder: str, formation: _formation.Formation
-    ) -> None:
+    def _make_host(self, data_folder: str) -> None:
         """Make the replicas of this node, with empty state machines."""
         # Most nodes host no replica; they skip loading these modules.
         from papayastall import _replica
@@ -150,7 +152,7 @@
                 settings.control,
                 settings.node,
                 data_folder,
-                formation=formation,
+                formation=self._formation,
             ),
             self._peering,
             states,
@@ -164,10 +166,17 @@
         )
 
     def _handle_failure(self, error: exceptions.PapayastallError) -> None:
+        # Imported here so that nodes without a replica don't load it.
+        from papayastall import _data_folder
+
         excluded = error.code is exceptions.ErrorCode.FOLDER_EXCLUDED
         folder = self._settings.group_folder
-        if excluded and folder is not None and self._tasks is not None:
+        if folder is None or self._tasks is None:
+            self._hooks.replica_failed(error)
+        elif excluded:
             self._tasks.start_soon(self._rejoin, folder, error)
+        elif _data_folder.is_out_of_space(error):
+            self._tasks.start_soon(self._reopen, folder, error)
         else:
             self._hooks.replica_failed(error)
 
@@ -182,22 +191,37 @@
         voted for or acknowledged counts for it.
         """
         assert self.host is not None
-        logs.log_change(
-            logs.StateChange(
-                logs.ChangeKind.STORAGE,
-                folder.path,
-                "excluded",
-                "joining anew",
-                error.message,
-            )
-        )
+        _log_folder_change(folder, "excluded", "joining anew", error)
         await self.host.close()
         folder.give_up()
         await folder.prepare()
-        formation = msgspec.structs.replace(
-            self._settings.formation, may_found=False
+        self._formation = msgspec.structs.replace(
+            self._formation, may_found=False
         )
-        self._make_host(folder.path, formation)
+        await self._start_anew(folder)
+
+    async def _reopen(
+        self,
+        folder: _group_folder.GroupFolder,
+        error: exceptions.PapayastallError,
+    ) -> None:
+        """Read a data folder again whose disk was full, and go on from it.
+
+        As long as the disk stays full, opening the folder fails and leads
+        here again.
+        """
+        assert self.host is not None
+        _log_folder_change(folder, "full", "opening again", error)
+        await self.host.close()
+        await anyio.sleep(REOPEN_INTERVAL_S)
+        await self._start_anew(folder)
+
+    async def _start_anew(self, folder: _group_folder.GroupFolder) -> None:
+        """Replace the replicas by others, with empty state machines."""
+        if self._is_closing:
+            return
+        self._make_host(folder.path)
+        assert self.host is not None
         assert self._tasks is not None
         await self.host.start(self._tasks)
 
@@ -239,7 +263,25 @@
 
     async def close(self) -> None:
         """Finish recording outcomes, then stop the replicas."""
+        self._is_closing = True
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             await self.claims.close()
         if self.host is not None:
             await self.host.close()
+
+
+def _log_folder_change(
+    folder: _group_folder.GroupFolder,
+    before: str,
+    after: str,
+    error: exceptions.PapayastallError,
+) -> None:
+    logs.log_change(
+        logs.StateChange(
+            logs.ChangeKind.STORAGE,
+            folder.path,
+            before,
+            after,
+            error.message,
+        )
+    )
--- a/src/papayastall/_data_folder.py
+++ b/src/papayastall/_data_folder.py
@@ -4,6 +4,7 @@
 
 import collections.abc as cabc
 import contextlib
+import errno
 import os
 import secrets
 import struct
@@ -24,6 +25,7 @@
     "create_data_folder",
     "failed",
     "has_identity",
+    "is_out_of_space",
     "read_identity",
     "translate_os_errors",
     "wal_name",
@@ -38,6 +40,7 @@
 TEMPORARY_SUFFIX = ".new"
 _IDENTITY = struct.Struct("<4sIQI")
 _IDENTITY_MAGIC = b"PpI1"
+_OUT_OF_SPACE = (errno.ENOSPC, errno.EDQUOT)
 _CHECKSUM = struct.Struct("<I")
 
 
@@ -63,6 +66,12 @@
     )
 
 
+def is_out_of_space(error: BaseException) -> bool:
+    """Return whether an operation failed because the disk was full."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno in _OUT_OF_SPACE
+
+
 @contextlib.contextmanager
 def translate_os_errors(step: str, path: str) -> cabc.Iterator[None]:
     """Raise ``StorageError`` in place of an ``OSError`` of the body."""
--- a/tests/test_control_rejoin.py
+++ b/tests/test_control_rejoin.py
@@ -1,7 +1,11 @@
-"""Tests of a control replica that its group has removed."""
+"""Tests of control replicas that leave their group and return to it.
+
+Their group has removed them, or their disk is full for a time.
+"""
 
 from __future__ import annotations
 
+import errno
 import pathlib
 import random
 
@@ -11,6 +15,7 @@
 
 from papayastall import _control_commands as commands
 from papayastall import _control_plane
+from papayastall import _files
 from papayastall import _formation
 from papayastall import _group_folder
 from papayastall import exceptions
@@ -129,3 +134,91 @@
     assert table.version == 2
     assert planes.indexes[removed] == sorted(set(planes.indexes[removed]))
     assert planes.failures == []
+
+
+class FullDisk:
+    """A disk that takes no writes while it is full.
+
+    :ivar is_full: whether writes fail.
+    :ivar failed_writes: number of writes that failed.
+    """
+
+    def __init__(self) -> None:
+        self.is_full = False
+        self.failed_writes = 0
+
+
+class FullDiskFile:
+    """A file on a disk that may be full."""
+
+    def __init__(self, disk: FullDisk, file: _files.AppendFile) -> None:
+        self._disk = disk
+        self._file = file
+
+    def write(self, data: bytes) -> None:
+        """Write ``data``, or its first half and fail."""
+        if self._disk.is_full:
+            self._disk.failed_writes += 1
+            self._file.write(data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "No space left on device")
+        self._file.write(data)
+
+    def sync(self) -> None:
+        """Sync the file."""
+        self._file.sync()
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+# Guards against a replica that ends its process because its disk is full:
+# the next processes would end as well, until there is room again.
+@pytest.mark.parametrize("is_leader", [False, True])
+async def test_a_replica_on_a_full_disk_returns_in_the_same_process(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    is_leader: bool,
+) -> None:
+    with anyio.fail_after(TIME_LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            planes = Planes(tmp_path, tasks)
+            disks = {address: FullDisk() for address in ADDRESSES}
+            open_real = _files.RealFileSystem.open_append
+
+            def open_append(
+                files: _files.RealFileSystem, path: str
+            ) -> _files.AppendFile:
+                address = next(a for a in ADDRESSES if f"/{a}/" in path)
+                return FullDiskFile(disks[address], open_real(files, path))
+
+            monkeypatch.setattr(
+                _files.RealFileSystem, "open_append", open_append
+            )
+            for address in ADDRESSES:
+                await planes.start(address)
+            leader = await planes.find_leader()
+            other = next(a for a in ADDRESSES if a != leader)
+            full, sender = (leader, other) if is_leader else (other, leader)
+            config = planes.planes[sender].config
+            await config.change_routes(make_change(0, 1))
+            folder_id = planes.voters(leader)[full]
+            disks[full].is_full = True
+            await config.change_routes(make_change(1, 2))
+            while disks[full].failed_writes < 3 and not planes.failures:
+                await anyio.sleep(POLL_INTERVAL_S)
+            await config.change_routes(make_change(2, 3))
+            disks[full].is_full = False
+            while planes.indexes[full][-1:] != planes.indexes[sender][-1:]:
+                assert planes.failures == []
+                await anyio.sleep(POLL_INTERVAL_S)
+            leader = await planes.find_leader()
+            table = await planes.planes[full].config.read_routes()
+            kept_folder_id = planes.voters(leader)[full]
+            for plane in planes.planes.values():
+                await plane.close()
+            tasks.cancel_scope.cancel()
+    assert table.version == 3
+    assert kept_folder_id == folder_id
+    assert planes.indexes[full] == sorted(set(planes.indexes[full]))
+    assert planes.failures == []
