Test a doubted upstream again while a trial lookup stays unanswered

Upstreams that had recovered got no request for 2 s and more, and requests were refused as steered away.

Cause: an owner sent a doubted upstream the next trial lookup only when the last one had ended. One that is left unanswered ends at its hedge or deadline, 8 s to 15 s later on a route of 3.2 s; a sound one of 3.2 s held back the next one, too.

A trial without an answer now delays the next one by 1 s at most. A long lookup is a trial only if no short one came for 0.7 s: its result is known late, and a hang costs its caller more. Non-idempotent requests are never trials, as before.

--- a/src/papayastall/_ejection.py
+++ b/src/papayastall/_ejection.py
@@ -30,6 +30,10 @@
 _SLOW_START_MIN_WEIGHT = 0.1
 _PERMIT_RETRY_INTERVAL_S = 5.0
 _DOUBT_TRIAL_INTERVAL_S = 0.3
+_MAX_TRIAL_WAIT_S = 1.0
+"""Age from which a trial without an answer no longer delays the next one."""
+_LONG_TRIAL_DELAY_S = 0.7
+"""Time for which a long lookup waits for a short one to come as a trial."""
 _FIRST_TRIAL_DELAY_S = 0.5
 _MAX_TRIAL_RETRY_DELAY_S = 5.0
 _MIN_FAILED_TRIALS_TO_EJECT = 2
@@ -144,11 +148,26 @@
     return [types.ReleasePermit(upstream.name, upstream.service)]
 
 
-def is_trial_due(upstream: state.Upstream, now_s: float) -> bool:
-    """Return whether a trial lookup may be sent to the upstream."""
-    if is_trusted(upstream) or now_s < upstream.trial_due_s:
+def is_trial_due(upstream: state.Upstream, now_s: float, run_s: float) -> bool:
+    """Return whether a lookup may be sent to the upstream as a trial.
+
+    Short lookups come before long ones, as their result is known sooner. A
+    trial that stays unanswered delays the next one only briefly: the upstream
+    may recover long before that trial ends.
+
+    :param run_s: expected run time of the lookup, in seconds.
+    """
+    due_s = upstream.trial_due_s
+    if run_s > _MAX_TRIAL_WAIT_S:
+        due_s += _LONG_TRIAL_DELAY_S
+    if is_trusted(upstream) or now_s < due_s:
         return False
-    return not any(run.is_trial for run in upstream.running.values())
+    return not any(
+        run.is_trial
+        and not run.trial_failed
+        and now_s - run.started_s < _MAX_TRIAL_WAIT_S
+        for run in upstream.running.values()
+    )
 
 
 def trial_limit_s(reference_s: float) -> float:
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -108,7 +108,7 @@
         if not trusted:
             return NoUpstream(exceptions.ErrorCode.UNPROVEN)
         return _choose_least_busy(now_s, service, trusted)
-    trial = _find_due_trial(now_s, usable, request)
+    trial = _find_due_trial(now_s, service, usable, request)
     if trial and (not trusted or rng.random() < _TRIAL_PROBABILITY):
         return Place(trial, is_trial=True)
     if not trusted and request.hints.last_resort:
@@ -251,13 +251,17 @@
 
 def _find_due_trial(
     now_s: float,
+    service: state.ServiceState,
     usable: cabc.Sequence[state.Upstream],
     request: types.OwnerRequest,
 ) -> state.Upstream | None:
     if request.kind is not types.RequestKind.LOOKUP:
         return None
+    run_s = expected_run_s(service, request)
     for up in usable:
-        if _ejection.is_trial_due(up, now_s) and up.free_slots(now_s) > 0:
+        if _ejection.is_trial_due(up, now_s, run_s) and (
+            up.free_slots(now_s) > 0
+        ):
             return up
     return None
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -10,6 +10,7 @@
 import pytest
 
 from papayastall import _decision_types as types
+from papayastall import _owner_controller
 from papayastall import _retry
 from papayastall import _service_policy
 from papayastall import exceptions
@@ -449,3 +450,46 @@
     ingress.begin(0.0, request)
     assert not _forwards(ingress.tick(0.2))
     assert len(_forwards(ingress.tick(0.3))) == 1
+
+
+def _doubted_owner() -> _owner_controller.OwnerController:
+    """Return an owner that doubts its upstream from 2 s on."""
+    owner = helpers.owner(policy=TABLE_POLICY, slots=15)
+    for number in (1, 2, 3):
+        owner.submit(0.0, helpers.owner_request(number, reference_ms=160.0))
+    owner.tick(2.0)
+    assert not owner.is_trusted(helpers.UPSTREAM)
+    return owner
+
+
+def test_trial_lookup_that_hangs_until_a_late_deadline() -> None:
+    """The next trial is sent a second later, not after the one that hangs.
+
+    The upstream may have recovered meanwhile, and would get nothing.
+    """
+    owner = _doubted_owner()
+    long = helpers.owner_request(4, reference_ms=3200.0)
+    assert owner.submit(3.0, long) == [types.Dispatch(4, helpers.UPSTREAM)]
+    early = helpers.owner_request(5, reference_ms=160.0)
+    assert _refusals(owner.submit(3.5, early)) == {5: _Code.STEERED_AWAY}
+    late = helpers.owner_request(6, reference_ms=160.0)
+    assert owner.submit(4.0, late) == [types.Dispatch(6, helpers.UPSTREAM)]
+
+
+@pytest.mark.parametrize(
+    ("reference_ms", "is_sent"), [(160.0, True), (3200.0, False)]
+)
+def test_short_and_long_lookups_while_an_upstream_is_in_doubt(
+    reference_ms: float, is_sent: bool
+) -> None:
+    """A short lookup is a trial at once; a long one only if no other comes.
+
+    The result of a long one is known late, and a hang costs its caller more.
+    """
+    owner = _doubted_owner()
+    request = helpers.owner_request(4, reference_ms=reference_ms)
+    actions = owner.submit(2.1, request)
+    assert (types.Dispatch(4, helpers.UPSTREAM) in actions) is is_sent
+    request = helpers.owner_request(5, reference_ms=reference_ms)
+    actions = owner.submit(3.2, request)
+    assert types.Dispatch(5, helpers.UPSTREAM) in actions
