Let later answers outweigh requests that still hang in the gray filter

What callers saw: requests refused as steered away or overloaded, and non-idempotent ones lost, for seconds after upstreams had recovered from a stall.

Cause: each request in flight counted with its full evidence until it ended, at its deadline or hedge, whatever was answered meanwhile. With six requests hanging, 15 nats stood against the upstream, beyond the limit of 6 to the log-odds, and no number of answers could bring it below the doubt. Their ends then counted as new evidence for ten seconds more.

An answer now counts the evidence of all requests that were sent before its own into the log-odds first. There the limit holds, it decays with time, and it is not counted again when they end. A late answer takes back what its own wait had added.

--- a/src/papayastall/_gray_filter.py
+++ b/src/papayastall/_gray_filter.py
@@ -5,7 +5,8 @@
 in flight is evidence for "gray", and every answer is evidence against it.
 Unlike the scores of a sequential test, the estimate also returns to its prior
 with time: gray periods begin and end within seconds, so old evidence of
-either kind has little value.
+either kind has little value. This holds for requests still in flight, too,
+once a request that was sent after them has been answered.
 """
 
 from __future__ import annotations
@@ -67,8 +68,14 @@
 
 
 class _InFlightRequest(msgspec.Struct):
+    """A request in flight.
+
+    :param counted: part of its evidence that the log-odds include, in nats.
+    """
+
     started_s: float
     reference_s: float
+    counted: float = 0.0
 
 
 class GrayFilter:
@@ -119,9 +126,10 @@
         if ended is None:
             return
         if answered:
-            self._add(-self.model.answer_log_ratio)
+            self._count_older(now_s, ended.started_s)
+            self._add(-self.model.answer_log_ratio - ended.counted)
         else:
-            self._add(self._age_log_ratio(now_s, ended))
+            self._count(now_s, ended)
 
     def drop(self, request_id: int) -> None:
         """Remove a request whose duration is no evidence."""
@@ -166,9 +174,26 @@
         total = self._log_odds
         for request in self._in_flight.values():
             if now_s - request.started_s >= min_age_s:
-                total += max(0.0, self._age_log_ratio(now_s, request))
+                total += self._age_log_ratio(now_s, request) - request.counted
         return total
 
+    def _count_older(self, now_s: float, before_s: float) -> None:
+        """Add what requests in flight show to the log-odds.
+
+        The answer to a later request can outweigh it there, and it decays
+        with time. In flight, it would count until the request ends.
+
+        :param before_s: only requests that were started earlier.
+        """
+        for request in self._in_flight.values():
+            if request.started_s < before_s:
+                self._count(now_s, request)
+
+    def _count(self, now_s: float, request: _InFlightRequest) -> None:
+        log_ratio = self._age_log_ratio(now_s, request)
+        self._add(log_ratio - request.counted)
+        request.counted = log_ratio
+
     def _age_log_ratio(self, now_s: float, request: _InFlightRequest) -> float:
         age_s = now_s - request.started_s
         return self.model.age_log_ratio(age_s / request.reference_s)
--- a/tests/decision_fleet.py
+++ b/tests/decision_fleet.py
@@ -144,6 +144,10 @@
             if start_s <= handover.at_s < end_s
         }
 
+    def takes_all_work(self, upstream: int) -> bool:
+        """Return whether an upstream now gets more than trial lookups."""
+        return self.owners[upstream].is_trusted(_upstream_name(upstream))
+
     def lost(self, kind: types.RequestKind) -> int:
         """Return how many requests of a kind were left unanswered."""
         return sum(
--- a/tests/test_gray_filter.py
+++ b/tests/test_gray_filter.py
@@ -93,3 +93,57 @@
     assert log_ratios == sorted(log_ratios)
     assert log_ratios[0] == 0.0
     assert log_ratios[-1] <= math.log(1.0 / MODEL.slow_share)
+
+
+def _hang(gray_filter: _gray_filter.GrayFilter, count: int) -> None:
+    """Send requests at 0 s that are never answered."""
+    for number in range(100, 100 + count):
+        gray_filter.start(0.0, number, "route", MEDIAN_S)
+
+
+# Guards against requests left unanswered in a gray period that count until
+# they end, many seconds after the upstream has recovered.
+@pytest.mark.parametrize("hung_requests", [1, 4, 15])
+def test_later_answers_outweigh_requests_that_still_hang(
+    hung_requests: int,
+) -> None:
+    gray_filter = _gray_filter.GrayFilter(MODEL)
+    _hang(gray_filter, hung_requests)
+    assert gray_filter.score(5.0, 0.0) >= GRAY.doubt_score
+    for number in range(5):
+        gray_filter.start(5.0 + number, number, "route", MEDIAN_S)
+        gray_filter.end(5.5 + number, number, answered=True)
+    assert gray_filter.score(9.5, 0.0) < GRAY.doubt_score
+    for number in range(100, 100 + hung_requests):
+        gray_filter.end(10.0, number, answered=False)
+    assert gray_filter.score(10.0, 0.0) < GRAY.doubt_score
+
+
+# Guards against a stall of which few requests are answered and that raises
+# no doubt, as each answer outweighs all that hang.
+@pytest.mark.parametrize("seed", range(20))
+def test_a_gray_upstream_with_few_answers_stays_in_doubt(seed: int) -> None:
+    rng = random.Random(seed)
+    gray_filter = _gray_filter.GrayFilter(MODEL)
+    _hang(gray_filter, 4)
+    scores: list[float] = []
+    for number in range(40):
+        now_s = 5.0 + number * 0.3
+        gray_filter.decay(0.3)
+        gray_filter.start(now_s, number, "route", MEDIAN_S)
+        if rng.random() >= MODEL.hang_share:
+            gray_filter.end(now_s + 0.25, number, answered=True)
+        scores.append(gray_filter.score(now_s + 0.25, 0.0))
+    doubted = sum(score >= GRAY.doubt_score for score in scores)
+    assert doubted >= 0.9 * len(scores)
+
+
+def test_a_late_answer_takes_back_what_its_wait_had_added() -> None:
+    gray_filter = _gray_filter.GrayFilter(MODEL)
+    before = gray_filter.score(0.0, 0.0)
+    gray_filter.start(0.0, 1, "route", MEDIAN_S)
+    gray_filter.start(1.0, 2, "route", MEDIAN_S)
+    gray_filter.end(3.0, 2, answered=True)
+    gray_filter.end(3.5, 1, answered=True)
+    expected = before - 2 * MODEL.answer_log_ratio
+    assert gray_filter.score(3.5, 0.0) == pytest.approx(expected)
