Stop serving with a config that was replaced for over 1.5 s

What callers saw: requests on routes that had been moved or dropped were handled as an older version says, later than 2 s after the change was acknowledged (CONFIG).

Cause: a node that knew of a later config served with its own one for as long as the fetch of the later one took. The check for the latest config covered requests without a route only. The time for which a node was behind was counted anew from each config that it got, so that a node that was always one change behind never looked late.

A node now stops serving 1.5 s after it first knew of a change that it still lacks, and answers 503 until that change is in force: the node that is late carries the check, and an acknowledgement need not wait for it. A later index counts only while some member is known to have it. With none left, as while control is away, the fleet goes on serving with the config that it has.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -40,6 +40,11 @@
 """A node that did not tick for this long, such as a suspended process, must
 confirm its config again. It is the time that nodes may take to have a new
 config."""
+MAX_BEHIND_S = 1.5
+"""A node that has known of a later config for this long does not serve with
+its own one. Shorter than the time that nodes may take to have a new config,
+by the time in which its index reaches them."""
+MAX_AWAITED_INDEXES = 64
 CONFIRM_INTERVAL_S = 0.2
 """Shorter than ``UNCONFIRMED_TICK_INTERVAL_S`` of the config service, so that
 a node that is not ready asks again at each tick: at the first one its links
@@ -160,7 +165,7 @@
         self._fetches: dict[Fetch, _OpenFetch] = {}
         self._fetch_count = 0
         self._fetch_failed_s: dict[str, float] = {}
-        self._behind_since_s: float | None = None
+        self._awaited_s: dict[int, float] = {}
         self._failed_fetches = 0
         self._peer_indexes: dict[str, int] = {}
         self._members: set[str] = set()
@@ -181,7 +186,24 @@
 
     def is_ready(self, now_s: float) -> bool:
         """Return whether this node may serve requests with its config."""
-        return self._confirmed and now_s - self._last_tick_s < MAX_TICK_GAP_S
+        if now_s - self._last_tick_s >= MAX_TICK_GAP_S:
+            return False
+        return self._confirmed and not self.is_outdated(now_s)
+
+    def is_outdated(self, now_s: float) -> bool:
+        """Return whether a later config has been available for too long.
+
+        A later index counts only while a member is known to have it: with
+        no source left, as when control is away, the fleet goes on with the
+        config that it has.
+        """
+        if self._behind_s(now_s) < MAX_BEHIND_S:
+            return False
+        return any(index > self.index for index in self._peer_indexes.values())
+
+    def _behind_s(self, now_s: float) -> float:
+        """Return for how long the first change missing here is known."""
+        return now_s - next(iter(self._awaited_s.values()), now_s)
 
     def is_latest(self, now_s: float) -> bool:
         """Return whether the config in force is known to be the latest.
@@ -208,12 +230,10 @@
 
     def explain(self, now_s: float) -> dict[str, float]:
         """Return the inputs of decisions about the config, for logs."""
-        since_s = self._behind_since_s
-        behind_s = 0.0 if since_s is None else now_s - since_s
         return {
             "config_index": self.index,
             "highest_known_index": self.seen_index,
-            "behind_ms": round(behind_s * 1000),
+            "behind_ms": round(self._behind_s(now_s) * 1000),
         }
 
     def set_control(self, control: cabc.Sequence[str]) -> None:
@@ -367,9 +387,12 @@
         self._note_seen(now_s, index)
 
     def _note_seen(self, now_s: float, index: int) -> None:
-        self.seen_index = max(self.seen_index, index)
-        if self.seen_index > self.index and self._behind_since_s is None:
-            self._behind_since_s = now_s
+        if index <= self.seen_index:
+            return
+        self.seen_index = index
+        if len(self._awaited_s) >= MAX_AWAITED_INDEXES:
+            self._awaited_s.popitem()
+        self._awaited_s[index] = now_s
 
     def _put_in_force(
         self, now_s: float, index: int, stored: list[IndexedDocument]
@@ -394,16 +417,19 @@
         )
         self.index = index
         self._fetches.clear()
-        since_s = self._behind_since_s
         update = ConfigUpdate(
             index,
             tuple(changed.values()),
-            0.0 if since_s is None else now_s - since_s,
+            self._behind_s(now_s),
             self._failed_fetches,
         )
         self._failed_fetches = 0
-        self._behind_since_s = None
         self._note_seen(now_s, index)
+        self._awaited_s = {
+            awaited: since_s
+            for awaited, since_s in self._awaited_s.items()
+            if awaited > index
+        }
         return update
 
     def _fetch_if_behind(self, now_s: float) -> list[Fetch]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -313,6 +313,41 @@
     assert node.tick(0.3, ["n1", "n2"])[0].confirmation
 
 
+def make_confirmed() -> _config.ConfigController:
+    """Return the controller of a node that serves with index 7."""
+    node = _config.ConfigController("n0", ("c0",), 0.0)
+    node.note_applied(0.0, 7, make_config(7))
+    node.note_authoritative(0.0, 7)
+    assert node.is_ready(0.0)
+    return node
+
+
+# Guards against a node that serves for longer than the users' bound although
+# it knows of a later config, and that counts anew from each one that it gets.
+def test_a_node_that_stays_behind_stops_serving() -> None:
+    node = make_confirmed()
+    for tenths in range(1, 30):
+        now_s = tenths / 10
+        node.tick(now_s, ["n1"])
+        node.observe(now_s, "n1", 7 + tenths)
+        if tenths == 10:
+            node.note_applied(now_s, 8, make_config(8))
+    assert not node.is_ready(2.0)
+    node.note_applied(3.0, 36, make_config(36))
+    assert node.is_ready(3.0)
+
+
+# Guards against a fleet that serves nothing because the only member with a
+# later config is gone, as while control is away.
+def test_a_later_config_that_no_member_has_ends_no_service() -> None:
+    node = make_confirmed()
+    node.observe(0.1, "n1", 8)
+    node.tick(1.7, ["n1"])
+    assert not node.is_ready(1.7)
+    node.tick(1.8, [])
+    assert node.is_ready(1.8)
+
+
 steps = st.lists(
     st.tuples(
         st.sampled_from(
