Reproduce nodes that learn late of a change with a slow table (known red)

A node can stop serving with an old config only if it knows of a later one.

Only a node that has a config in force tells others of its index. While the table is under way to most nodes, the control replicas alone do, each a limited number of times to members drawn at random. The polls of the replica that acknowledges the change hide that, unless it has failed.

python -m pytest tests/test_config_staleness.py -k news: 4 failed, with 7 to 11 of 40 nodes that serve with the config before the change 2 s after it was accepted.

--- a/tests/test_config_staleness.py
+++ b/tests/test_config_staleness.py
@@ -92,3 +92,40 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     config_fleet.run_virtually(check_changes(seed, conditions), monkeypatch)
+
+
+async def check_unpolled_change(
+    seed: int, conditions: config_fleet.Conditions
+) -> None:
+    async with anyio.create_task_group() as tasks:
+        fleet = config_fleet.ConfigFleet(
+            tasks, NODES, CONTROL, seed, conditions
+        )
+        await fleet.start()
+        index = await fleet.change_routes()
+        changed_s = [(anyio.current_time(), index)]
+        await sample_served(fleet, changed_s, CATCH_UP_LIMIT_S)
+        assert fleet.find_missing() == []
+        tasks.cancel_scope.cancel()
+
+
+# Guards against nodes that do not learn of a change in time because those that
+# know of it tell nobody until they have it in force themselves. The replica
+# that accepted the change has failed, so none polls the nodes.
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "conditions",
+    [
+        config_fleet.Conditions(transfer_s=2.5),
+        config_fleet.Conditions(loss=0.2, transfer_s=2.5),
+    ],
+    ids=["very-slow-links", "lost-datagrams"],
+)
+def test_news_of_a_change_spreads_while_its_table_is_under_way(
+    conditions: config_fleet.Conditions,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    config_fleet.run_virtually(
+        check_unpolled_change(seed, conditions), monkeypatch
+    )
