Spread the highest known config index, not only the one in force

What callers saw: requests handled as an older version says, later than 2 s after the change was acknowledged (CONFIG).

Cause: news of an index was passed on only by nodes that had the config in force. With a table that takes seconds to arrive, most nodes tell nobody, and those that hear nothing go on serving.

A datagram now also carries the highest index that its sender knows, with the address of a member that has it, while that index is above the sender's own. A node that still lacks the config at a tick tells other members, as often as it does of an index in force. In calm nothing is added: the config is there before the tick. Nodes of the previous release ignore the two fields.

With this a node learns of a change earlier and mostly from control replicas. The source of a fetch is therefore the member with the latest news, and among those that failed the one that failed least recently.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -383,6 +383,8 @@
 
     def _note_peer_index(self, now_s: float, peer: str, index: int) -> None:
         known = self._peer_indexes.get(peer, 0)
+        if index > known:
+            self._peer_indexes.pop(peer, None)
         self._peer_indexes[peer] = max(known, index)
         self._note_seen(now_s, index)
 
@@ -447,15 +449,32 @@
             return []
         if any(not state.is_late for state in open_fetches.values()):
             return []
-        asked = {fetch.peer for fetch in open_fetches}
-        for peer, index in self._peer_indexes.items():
-            failed_s = self._fetch_failed_s.get(peer, float("-inf"))
-            if index <= self.index or peer in asked:
-                continue
-            if now_s - failed_s < FAILED_PEER_PAUSE_S:
-                continue
-            return [self._open_fetch(peer, self.index, _OpenFetch(now_s))]
-        return []
+        peer = self._choose_source(
+            now_s, {fetch.peer for fetch in open_fetches}
+        )
+        if peer is None:
+            return []
+        return [self._open_fetch(peer, self.index, _OpenFetch(now_s))]
+
+    def _choose_source(self, now_s: float, asked: set[str]) -> str | None:
+        """Return the member to fetch from.
+
+        The one that failed least recently is the first, so that one that goes
+        on failing does not keep this node from asking the others. Of those
+        that did not fail it is the one that had the latest news.
+        """
+        never_s = float("-inf")
+        sources = [
+            (self._fetch_failed_s.get(peer, never_s), peer)
+            for peer, index in reversed(self._peer_indexes.items())
+            if index > self.index and peer not in asked
+        ]
+        failed_s, peer = min(
+            sources, key=lambda source: source[0], default=(now_s, "")
+        )
+        if now_s - failed_s < FAILED_PEER_PAUSE_S:
+            return None
+        return peer
 
     def _open_fetch(
         self, peer: str, after_index: int, open_fetch: _OpenFetch
--- a/src/papayastall/_gossip_codec.py
+++ b/src/papayastall/_gossip_codec.py
@@ -90,6 +90,7 @@
         kind=_KINDS[type(datagram.body)],
         members=members or None,
         adverts=adverts or None,
+        **_encode_known_index(datagram),
         **_encode_body(datagram.body),
     )
     return _thrift.encode(content)
@@ -142,9 +143,28 @@
         digest=_integer(content.digest),
         records=tuple(records),
         body=_decode_body(content),
+        **_decode_known_index(content),
     )
 
 
+def _encode_known_index(datagram: types.Datagram) -> dict[str, t.Any]:
+    if not datagram.known_index:
+        return {}
+    return {
+        "known_index": datagram.known_index,
+        "known_holder": _pack_address(datagram.known_holder),
+    }
+
+
+def _decode_known_index(content: t.Any) -> dict[str, t.Any]:
+    if not content.known_index:
+        return {}
+    return {
+        "known_index": _integer(content.known_index),
+        "known_holder": _unpack_address(content.known_holder),
+    }
+
+
 def _encode_body(body: types.Body) -> dict[str, t.Any]:
     match body:
         case types.Ping() | types.Ack() | types.Nack():
--- a/src/papayastall/_gossip_tables.py
+++ b/src/papayastall/_gossip_tables.py
@@ -27,4 +27,6 @@
               10: (8, 'number', False),
               11: (18, 'digests', False),
               12: (2, 'wants_reply', False),
-              13: (8, 'next_cursor', False)}}
+              13: (8, 'next_cursor', False),
+              14: (10, 'known_index', False),
+              15: (18, 'known_holder', False)}}
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -87,6 +87,9 @@
         self._state = types.MemberState.ALIVE
         self._config_index = 0
         self._config_index_sends_left = 0
+        self._known_index = 0
+        self._known_holder = ""
+        self._known_index_sends_left = 0
         self._last_run_s = now_s
         self._suspicion_timers = _suspicion_timers.SuspicionTimers(
             settings.address, self._table, rng, now_s
@@ -130,6 +133,7 @@
         actions.extend(self._repair_datagrams(self._reconciler.tick(now_s)))
         actions.extend(self._send_gossip(now_s))
         actions.extend(self._send_config_index())
+        actions.extend(self._send_known_index())
         actions.extend(self._reconnect(now_s))
         return actions
 
@@ -411,9 +415,23 @@
         member = self._table.members.get(datagram.sender)
         if member is not None:
             member.config_index = datagram.config_index
-        if datagram.config_index <= self._config_index:
-            return []
-        return [types.PeerConfigIndex(datagram.sender, datagram.config_index)]
+        actions: list[types.MembershipAction] = []
+        for holder, index in (
+            (datagram.sender, datagram.config_index),
+            (datagram.known_holder, datagram.known_index),
+        ):
+            if index > self._config_index and holder != self._address:
+                actions.append(types.PeerConfigIndex(holder, index))
+                self._note_known_index(holder, index)
+        return actions
+
+    def _note_known_index(self, holder: str, index: int) -> None:
+        if index > self._known_index:
+            self._known_index = index
+            self._known_holder = holder
+            self._known_index_sends_left = _gossip_queue.count_transmissions(
+                len(self._table.live)
+            )
 
     def _handle_body(
         self, now_s: float, datagram: types.Datagram, source: str
@@ -484,18 +502,39 @@
         """Tell some members that are not known to have the config index."""
         if not self._config_index_sends_left:
             return []
+        sent = self._tell_members(
+            self._config_index, self._config_index_sends_left
+        )
+        self._config_index_sends_left -= len(sent)
+        if not sent:
+            self._config_index_sends_left = 0
+        return sent
+
+    def _send_known_index(self) -> list[types.MembershipAction]:
+        """Tell some members of a config index that is not in force here yet.
+
+        News of an index therefore spreads as fast if the config takes long
+        to arrive.
+        """
+        if self._known_index <= self._config_index:
+            return []
+        sent = self._tell_members(
+            self._known_index, self._known_index_sends_left
+        )
+        self._known_index_sends_left -= len(sent)
+        return sent
+
+    def _tell_members(
+        self, config_index: int, limit: int
+    ) -> list[types.MembershipAction]:
+        """Send to members that are not known to have a config index."""
         others = [
             member
             for member in self.members()
-            if member.config_index < self._config_index
+            if member.config_index < config_index
             and member.address != self._address
         ]
-        count = min(
-            CONFIG_INDEX_FANOUT, self._config_index_sends_left, len(others)
-        )
-        self._config_index_sends_left -= count
-        if not count:
-            self._config_index_sends_left = 0
+        count = min(CONFIG_INDEX_FANOUT, limit, len(others))
         return [
             self._with_piggyback(
                 _prober.ProbeMessage(
@@ -579,9 +618,15 @@
             self._table.digest,
             records,
             body,
+            *self._find_known_index(),
         )
         return types.SendDatagram(datagram_address, datagram)
 
+    def _find_known_index(self) -> tuple[int, str]:
+        if self._known_index <= self._config_index:
+            return 0, ""
+        return self._known_index, self._known_holder
+
     def _other_live_members(self) -> list[str]:
         return [
             address for address in self._table.live if address != self._address
--- a/src/papayastall/gossip.thrift
+++ b/src/papayastall/gossip.thrift
@@ -35,4 +35,6 @@
   11: binary digests,
   12: bool wants_reply,
   13: i32 next_cursor,
+  14: i64 known_index,
+  15: binary known_holder,
 }
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -9,6 +9,7 @@
 import anyio
 import hypothesis
 from hypothesis import strategies
+import msgspec.structs
 import pytest
 
 from papayastall import _decision_types
@@ -76,9 +77,15 @@
     ).map(lambda parts: (*parts[0], *parts[1])),
     body=BODIES,
 )
+DATAGRAMS_WITH_KNOWN_INDEX = strategies.builds(
+    msgspec.structs.replace,
+    DATAGRAMS,
+    known_index=strategies.integers(1, 2**62),
+    known_holder=ADDRESSES,
+)
 
 
-@hypothesis.given(DATAGRAMS)
+@hypothesis.given(DATAGRAMS | DATAGRAMS_WITH_KNOWN_INDEX)
 def test_a_datagram_comes_back_as_it_was(datagram: types.Datagram) -> None:
     data = _gossip_codec.encode(datagram, KEY)
     assert _gossip_codec.decode(data, [b"other", KEY]) == datagram
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -493,3 +493,27 @@
         assert node.set_config_index(5) == []
         assert node.set_config_index(4) == []
         assert node._config_index_sends_left == 0
+
+
+# Guards against news of a config index that stops at the nodes that do not
+# have the config in force yet, and against news without end.
+def test_a_known_config_index_is_told_to_every_member_and_then_no_more() -> (
+    None
+):
+    fleet = start_fleet(30)
+    holder = gossip_fleet.address_of(0)
+    fleet.act(0, fleet.nodes[holder].set_config_index(5))
+    told: set[str] = set()
+
+    def spread() -> bool:
+        for address, events in fleet.events.items():
+            if types.PeerConfigIndex(holder, 5) in events:
+                told.add(address)
+        return len(told) == len(fleet.nodes) - 1
+
+    fleet.run_until(spread, 1.5)
+    fleet.run(5.0)
+    for node in fleet.nodes.values():
+        assert node._known_index_sends_left == 0
+        node.set_config_index(5)
+        assert node._send_known_index() == []
