Count the age of news from the start of a stall in which it arrived

A node that did not run for under 2 s, for lack of processor time or because it was suspended, reads at once what arrived meanwhile. News of a config index counted from then on, so that the node could serve with the config before it for 1.5 s more, up to 3.5 s after the change.

News that is read after a second without a tick, or up to 0.25 s after that, counts from the last tick before it.

Failed before, passes now: test_news_read_after_a_stall_counts_from_its_start, both cases (python -m pytest tests/test_config.py tests/test_config_staleness.py: all passed).

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -45,6 +45,11 @@
 its own one. Shorter than the time that nodes may take to have a new config,
 by the time in which its index reaches them."""
 MAX_AWAITED_INDEXES = 64
+STALL_S = 1.0
+"""Time without a tick after which news may have waited to be read for as
+long; a node ticks at least every half a second."""
+BACKLOG_S = 0.25
+"""Time in which a node reads what arrived while it did not run."""
 CONFIRM_INTERVAL_S = 0.2
 """Shorter than ``UNCONFIRMED_TICK_INTERVAL_S`` of the config service, so that
 a node that is not ready asks again at each tick: at the first one its links
@@ -171,6 +176,8 @@
         self._members: set[str] = set()
         self._member_added_s = now_s
         self._last_tick_s = now_s
+        self._stall_started_s = now_s
+        self._stall_ended_s = float("-inf")
         self._confirmation_number = 0
         self._confirm_round = 0
         self._latest_s = float("-inf")
@@ -259,6 +266,9 @@
         """
         if now_s - self._last_tick_s >= MAX_TICK_GAP_S:
             self._start_confirmation(now_s)
+        if now_s - self._last_tick_s >= STALL_S:
+            self._stall_started_s = self._last_tick_s
+            self._stall_ended_s = now_s
         self._last_tick_s = now_s
         self._note_members(now_s, set(members) - {self._node})
         fetches = self._retry_fetch(now_s)
@@ -394,7 +404,15 @@
         self.seen_index = index
         if len(self._awaited_s) >= MAX_AWAITED_INDEXES:
             self._awaited_s.popitem()
-        self._awaited_s[index] = now_s
+        self._awaited_s[index] = self._find_arrival_s(now_s)
+
+    def _find_arrival_s(self, now_s: float) -> float:
+        """Return when news that is read now may have arrived at earliest."""
+        if now_s - self._last_tick_s >= STALL_S:
+            return self._last_tick_s
+        if now_s - self._stall_ended_s < BACKLOG_S:
+            return self._stall_started_s
+        return now_s
 
     def _put_in_force(
         self, now_s: float, index: int, stored: list[IndexedDocument]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -337,6 +337,27 @@
     assert node.is_ready(3.0)
 
 
+# Guards against a node that did not run for a while and counts the age of what
+# it then reads from the time at which it reads it.
+@pytest.mark.parametrize("ticks_first", [False, True])
+def test_news_read_after_a_stall_counts_from_its_start(
+    *, ticks_first: bool
+) -> None:
+    node = make_confirmed()
+    node.tick(0.5, ["n1"])
+    if ticks_first:
+        node.tick(2.2, ["n1"])
+    node.observe(2.25, "n1", 8)
+    node.tick(2.3, ["n1"])
+    assert not node.is_ready(2.3)
+    node.note_applied(2.4, 8, make_config(8))
+    assert node.is_ready(2.4)
+    node.tick(2.8, ["n1"])
+    node.tick(3.3, ["n1"])
+    node.observe(3.3, "n1", 9)
+    assert node.is_ready(3.8)
+
+
 # Guards against a fleet that serves nothing because the only member with a
 # later config is gone, as while control is away.
 def test_a_later_config_that_no_member_has_ends_no_service() -> None:
