Take back the wait of a dropped request in the gray filter

A request that its upstream refuses unrun, or whose connection breaks, is dropped: its duration is no evidence. What an answer to a later request had counted of it stayed in the log-odds, up to 2.6 nats.

drop() now takes that part back. The new case in tests/test_gray_filter.py failed before.

--- a/src/papayastall/_gray_filter.py
+++ b/src/papayastall/_gray_filter.py
@@ -133,7 +133,9 @@
 
     def drop(self, request_id: int) -> None:
         """Remove a request whose duration is no evidence."""
-        self._in_flight.pop(request_id, None)
+        dropped = self._in_flight.pop(request_id, None)
+        if dropped is not None:
+            self._add(-dropped.counted)
 
     def add_answer(
         self, route: str, failed: bool, reference_ratio: float
--- a/tests/test_gray_filter.py
+++ b/tests/test_gray_filter.py
@@ -138,12 +138,20 @@
     assert doubted >= 0.9 * len(scores)
 
 
-def test_a_late_answer_takes_back_what_its_wait_had_added() -> None:
+# Guards against a request that counts against its upstream although it was
+# answered in the end, or was refused by the upstream.
+@pytest.mark.parametrize(("is_answered", "answers"), [(True, 2), (False, 1)])
+def test_the_wait_of_a_request_that_did_not_hang_is_taken_back(
+    is_answered: bool, answers: int
+) -> None:
     gray_filter = _gray_filter.GrayFilter(MODEL)
     before = gray_filter.score(0.0, 0.0)
     gray_filter.start(0.0, 1, "route", MEDIAN_S)
     gray_filter.start(1.0, 2, "route", MEDIAN_S)
     gray_filter.end(3.0, 2, answered=True)
-    gray_filter.end(3.5, 1, answered=True)
-    expected = before - 2 * MODEL.answer_log_ratio
+    if is_answered:
+        gray_filter.end(3.5, 1, answered=True)
+    else:
+        gray_filter.drop(1)
+    expected = before - answers * MODEL.answer_log_ratio
     assert gray_filter.score(3.5, 0.0) == pytest.approx(expected)
