--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -46,8 +46,8 @@
 by the time in which its index reaches them."""
 MAX_AWAITED_INDEXES = 64
 STALL_S = 1.0
-"""Time without a tick after which news may have waited to be read for as
-long; a node ticks at least every half a second."""
+"""Time without a tick after which a received index may have waited for as
+long to be read; a node ticks at least every half a second."""
 BACKLOG_S = 0.25
 """Time in which a node reads what arrived while it did not run."""
 CONFIRM_INTERVAL_S = 0.2
@@ -407,7 +407,7 @@
         self._awaited_s[index] = self._find_arrival_s(now_s)
 
     def _find_arrival_s(self, now_s: float) -> float:
-        """Return when news that is read now may have arrived at earliest."""
+        """Return the earliest time at which data read now may have arrived."""
         if now_s - self._last_tick_s >= STALL_S:
             return self._last_tick_s
         if now_s - self._stall_ended_s < BACKLOG_S:
@@ -489,7 +489,7 @@
 
         The one that failed least recently is the first, so that one that goes
         on failing does not keep this node from asking the others. Of those
-        that did not fail it is the one that had the latest news.
+        that did not fail it is the one that reported an index last.
         """
         never_s = float("-inf")
         sources = [
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -502,7 +502,7 @@
         """Tell some members that are not known to have the config index."""
         if not self._config_index_sends_left:
             return []
-        sent = self._tell_members(
+        sent = self._send_to_members_behind(
             self._config_index, self._config_index_sends_left
         )
         self._config_index_sends_left -= len(sent)
@@ -511,20 +511,20 @@
         return sent
 
     def _send_known_index(self) -> list[types.MembershipAction]:
-        """Tell some members of a config index that is not in force here yet.
+        """Pass on a config index that is not in force here yet.
 
-        News of an index therefore spreads as fast if the config takes long
-        to arrive.
+        So the index spreads at the same rate where the config itself takes
+        long to arrive.
         """
         if self._known_index <= self._config_index:
             return []
-        sent = self._tell_members(
+        sent = self._send_to_members_behind(
             self._known_index, self._known_index_sends_left
         )
         self._known_index_sends_left -= len(sent)
         return sent
 
-    def _tell_members(
+    def _send_to_members_behind(
         self, config_index: int, limit: int
     ) -> list[types.MembershipAction]:
         """Send to members that are not known to have a config index."""
--- a/src/papayastall/_membership_types.py
+++ b/src/papayastall/_membership_types.py
@@ -193,8 +193,8 @@
     :param sender: link address of the sender.
     :param config_index: index of the config in force on the sender.
     :param digest: digest of the sender's whole member table.
-    :param known_index: highest config index in force on any member, as far
-        as the sender knows, if it is above its own; else 0.
+    :param known_index: highest config index that the sender has received, if
+        it is above its own; else 0.
     :param known_holder: link address of a member with that index.
     """
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -336,7 +336,7 @@
 
 
 # Guards against a node that serves for longer than the users' bound although
-# it knows of a later config, and that counts anew from each one that it gets.
+# a later config exists, and that counts anew from each one that it gets.
 def test_a_node_that_stays_behind_stops_serving() -> None:
     node = make_confirmed()
     for tenths in range(1, 30):
@@ -353,7 +353,7 @@
 # Guards against a node that did not run for a while and counts the age of what
 # it then reads from the time at which it reads it.
 @pytest.mark.parametrize("ticks_first", [False, True])
-def test_news_read_after_a_stall_counts_from_its_start(
+def test_an_index_read_after_a_stall_counts_from_its_start(
     *, ticks_first: bool
 ) -> None:
     node = make_confirmed()
--- a/tests/test_config_staleness.py
+++ b/tests/test_config_staleness.py
@@ -74,8 +74,8 @@
         tasks.cancel_scope.cancel()
 
 
-# Guards against a node that has long known of a later config, does not get it
-# in time and goes on serving routes that were moved or dropped.
+# Guards against a node that has received a later index, does not get the
+# config in time and goes on serving routes that were moved or dropped.
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize(
     "conditions",
@@ -109,9 +109,9 @@
         tasks.cancel_scope.cancel()
 
 
-# Guards against nodes that do not learn of a change in time because those that
-# know of it tell nobody until they have it in force themselves. The replica
-# that accepted the change has failed, so none polls the nodes.
+# Guards against an index that reaches nodes late because others pass it on
+# only once they have the change in force. The replica that accepted the change
+# has failed, so none polls the nodes.
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize(
     "conditions",
@@ -121,7 +121,7 @@
     ],
     ids=["very-slow-links", "lost-datagrams"],
 )
-def test_news_of_a_change_spreads_while_its_table_is_under_way(
+def test_the_index_of_a_change_spreads_while_its_table_is_under_way(
     conditions: config_fleet.Conditions,
     seed: int,
     monkeypatch: pytest.MonkeyPatch,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -495,8 +495,8 @@
         assert node._config_index_sends_left == 0
 
 
-# Guards against news of a config index that stops at the nodes that do not
-# have the config in force yet, and against news without end.
+# Guards against a config index that is not passed on by nodes without the
+# config itself, and against one that is passed on without end.
 def test_a_known_config_index_is_told_to_every_member_and_then_no_more() -> (
     None
 ):
