Send load notices only to ingresses that will use them

Each owner told up to 64 recent ingresses whenever its service started or stopped taking work. An ingress sends a request to a given owner about once in ten seconds; most notices had lost their validity before that.

A notice is now sent of a doubt if the ingress sent two requests within ten seconds, and of its end if the ingress was told of the doubt, by a notice, an answer or a refusal. A notice costs one frame, a request that is refused for lack of one three frames. Notices of a leaving upstream and those that carry a limit still go to all recent ingresses. Decisions of owners stay the same; an ingress that lacks a notice is refused once and tries another owner.

--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -14,6 +14,7 @@
 from papayastall import _links
 from papayastall import _owner_controller
 from papayastall import _owner_runs
+from papayastall import _recent_ingresses
 from papayastall import _upstream_client
 from papayastall import clock
 from papayastall import exceptions
@@ -28,10 +29,6 @@
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
 MAX_RECORDED_BODY_BYTES = 64 << 10
-RECENT_INGRESS_S = 10.0
-"""An ingress gets load notices for this time after its last request."""
-MAX_NOTIFIED_INGRESSES = 64
-"""Bounds the load notices that an owner in a large fleet sends at once."""
 
 Outcome = _decision_types.Outcome
 Actions = cabc.Sequence[_decision_types.OwnerAction]
@@ -113,7 +110,7 @@
         self._client = _upstream_client.UpstreamClient(names)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._is_stopping = False
-        self._ingress_seen_s: dict[str, float] = {}
+        self._recent_ingresses = _recent_ingresses.RecentIngresses()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Register the frame handlers, and run requests in ``tasks``."""
@@ -181,8 +178,7 @@
     def _receive_open(
         self, ingress: str, boot_id: int, frame: _frames.Open
     ) -> None:
-        self._ingress_seen_s.pop(ingress, None)
-        self._ingress_seen_s[ingress] = clock.now_s()
+        self._recent_ingresses.note_request(clock.now_s(), ingress)
         remaining_s = frame.remaining_ms / 1000
         key = (ingress, boot_id, frame.request_id)
         deadline_s = clock.now_s() + remaining_s
@@ -427,9 +423,12 @@
         )
 
     def _load(self, run: _owner_runs.Run) -> _decision_types.OwnerLoad:
-        return self.controller.load(
+        """Return the load to send with the answer of a run."""
+        load = self.controller.load(
             clock.now_s(), run.open.service_name, run.open.route
         )
+        self._recent_ingresses.note_load(run.ingress, load)
+        return load
 
     def note_upstream(
         self,
@@ -491,28 +490,13 @@
                 ran_unknown=False,
             )
 
-    def _remove_old_ingresses(self, now_s: float) -> None:
-        for ingress, seen_s in list(self._ingress_seen_s.items()):
-            if now_s - seen_s < RECENT_INGRESS_S:
-                break
-            del self._ingress_seen_s[ingress]
-
     def _notify_availability_changes(self, now_s: float) -> None:
-        """Notify recent ingresses of services that start or stop taking work.
+        """Notify ingresses of services that start or stop taking work.
 
-        Without the notice, each ingress would find out only from a refused
-        request.
+        Without the notice, an ingress finds out only from a refused request.
         """
-        changes = self.controller.take_availability_changes(now_s)
-        if not changes:
-            return
-        recent = [
-            ingress
-            for ingress, seen_s in self._ingress_seen_s.items()
-            if now_s - seen_s < RECENT_INGRESS_S
-        ]
-        for ingress in recent[-MAX_NOTIFIED_INGRESSES:]:
-            for load in changes:
+        for load in self.controller.take_availability_changes(now_s):
+            for ingress in self._recent_ingresses.choose(now_s, load):
                 self._links.send(ingress, _frames.LoadNotice(load))
 
     async def _tick(self) -> None:
@@ -528,7 +512,7 @@
             if now_s > expire_s:
                 self._end_unfinished_bodies(now_s)
                 self._runs.expire(now_s)
-                self._remove_old_ingresses(now_s)
+                self._recent_ingresses.expire(now_s)
                 expire_s = now_s + EXPIRE_INTERVAL_S
 
 
