Read sockets into buffers that need no system calls

asyncio allocates 256 KiB for each read of a socket. The C library maps memory for an allocation of 128 KiB or more, so that each message that arrived, even a frame of 30 bytes, cost mmap, mremap and munmap and a page fault beside epoll_wait, two epoll_ctl and recv: strace of 3,000 frames between two links showed 3,642, 3,002 and 3,424 of them, and 640, none in its first lines and 422 with 64 KiB. This holds for links, callers and upstreams alike.

A node now limits the buffers to 64 KiB, which is also what links ask for. The limit is an attribute of asyncio's transports without a public name; the interpreter has no setting for it. Larger bodies take more reads.

--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -37,6 +37,7 @@
 from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import _peering
+from papayastall import _read_buffers
 from papayastall import _retry
 from papayastall import _route_lookup
 from papayastall import _service_policy
@@ -99,6 +100,7 @@
         that admits replicas at run time lost its data folder; the next
         process rejoins the group.
     """
+    _read_buffers.limit_reads()
     anyio.run(_run, node_settings, interfaces or Interfaces())
 
 
