Wake all callers that wait for a link when it opens

What callers saw: requests that were sent a second late to an owner without an open link, calls to control that failed with "no answer in time" although the link had been up for milliseconds, and with them late acknowledgements.

Cause: each caller of connect() replaced the event that the others waited for. When the link opened, only the last caller was woken; the others slept for CONNECT_TIMEOUT_S. A call with a shorter timeout than that failed, which cost a control client its leader and marked a member as one that does not answer.

The event is replaced only once it has been set.

Evidence: test_all_callers_that_wait_for_a_link_continue_once_it_is_open failed before ("no answer in time") and passes now: python -m pytest tests/test_links.py.

--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -182,7 +182,8 @@
         """
         peer = self._peer(address)
         if not self.is_connected(address):
-            peer.ready = anyio.Event()
+            if peer.ready.is_set():
+                peer.ready = anyio.Event()
             self._dial(peer)
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
                 await peer.ready.wait()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -188,3 +188,38 @@
             await caller.call(peer, _peering.Channel.RAFT, b"", 5.0)
         assert caught.value.code is exceptions.ErrorCode.BAD_FRAME
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_all_callers_that_wait_for_a_link_continue_once_it_is_open() -> (
+    None
+):
+    """All but the last one of them waited for the whole timeout."""
+    here, there = [make_links(fleet.free_address()) for _ in range(2)]
+    answers: list[bytes] = []
+
+    async def answer(_peer: str, body: bytes) -> bytes:
+        return body
+
+    async def call(body: bytes) -> None:
+        # Fails where the wait takes the link's whole timeout.
+        answers.append(
+            await here.call(
+                there.settings.address,
+                _peering.Channel.CONTROL,
+                body,
+                _links.CONNECT_TIMEOUT_S / 2,
+            )
+        )
+
+    there.handle_calls(_peering.Channel.CONTROL, answer)
+    async with anyio.create_task_group() as tasks:
+        await here.start(tasks)
+        await there.start(tasks)
+        async with anyio.create_task_group() as calls:
+            for body in (b"1", b"2", b"3"):
+                calls.start_soon(call, body)
+        await here.close()
+        await there.close()
+        tasks.cancel_scope.cancel()
+    assert sorted(answers) == [b"1", b"2", b"3"]
