Hand leadership over where the leader's disk is slow

What callers saw: changes without an acknowledgement for 12 s and more, in a core whose processes all ran.

Cause: a leader's own write blocks the loop that sends its heartbeats and counts replies. With writes of 0.6 to 1.0 s, an attempt of a client ends after 0.5 s and the next one proposes the change again, which is one more write. Between the writes the heartbeats go out often enough to prevent an election.

A leader whose write takes longer than a heartbeat interval hands leadership to the most up-to-date voter, if one is eligible.

--- a/src/papayastall/_raft.py
+++ b/src/papayastall/_raft.py
@@ -223,6 +223,14 @@
             self._transfer_to(now_s, target)
         return self._take_output()
 
+    def transfer_if_eligible(self, now_s: float) -> types.Output:
+        """Transfer leadership if some voter is eligible to take it."""
+        if self._leadership is not None:
+            target = self._leadership.transfer_target(now_s)
+            if target is not None:
+                self._transfer_to(now_s, target)
+        return self._take_output()
+
     def _transfer_to_preferred(
         self, now_s: float, leadership: _raft_leader.Leadership
     ) -> None:
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -114,6 +114,8 @@
         self._closed = anyio.Event()
         self._is_closing = False
         self._leaders: dict[int, str | None] = {}
+        self._may_hand_over_s = float("-inf")
+        self._hand_over_delay_s = settings.timings.transfer_delay_s
         self.failure: exceptions.PapayastallError | None = None
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -368,16 +370,42 @@
                 "its data from the other replicas",
                 step="raft",
             )
+        started_s = clock.now_s()
         if iteration.needs_io:
             await self._run_in_thread(lambda: iteration.run(self._storage))
-        for resolved in replicas.finish(clock.now_s(), iteration):
+        now_s = clock.now_s()
+        for resolved in replicas.finish(now_s, iteration):
             self._proposals.resolve(resolved)
+        if now_s - started_s > self.settings.timings.heartbeat_s:
+            self._hand_over_leadership(now_s, replicas)
         self._links.send(iteration.messages)
         self._update_counters(replicas)
         self._log_leader_changes(replicas)
         self._iteration_done.set()
         self._iteration_done = anyio.Event()
 
+    def _hand_over_leadership(
+        self, now_s: float, replicas: _replica_set.ReplicaSet
+    ) -> None:
+        """Transfer leadership to other voters, as the own disk is slow.
+
+        A leader commits nothing while it writes, but sends enough heartbeats
+        between its writes to prevent an election. The delay until the next
+        transfer grows, so that several slow disks do not pass it around.
+        """
+        if now_s < self._may_hand_over_s:
+            return
+        own = self.settings.own_address
+        led = [g for g in replicas.groups if g.replica.leader == own]
+        for group in led:
+            group.output.extend(group.replica.transfer_if_eligible(now_s))
+        if led:
+            self._may_hand_over_s = now_s + self._hand_over_delay_s
+            self._hand_over_delay_s = min(
+                2 * self._hand_over_delay_s,
+                self.settings.timings.transfer_delay_max_s,
+            )
+
     def _update_counters(self, replicas: _replica_set.ReplicaSet) -> None:
         elections = sum(
             group.replica.election_count for group in replicas.groups
--- a/tests/test_change_time.py
+++ b/tests/test_change_time.py
@@ -272,3 +272,22 @@
             assert await fleet.order_change(address) < FIRST_CALL_LIMIT_S
 
     run_check(seed, check)
+
+
+# Guards against a leader whose writes take longer than an attempt of a client,
+# but not long enough for an election: it would commit nothing and lead on.
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("io_s", [0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 5.0])
+@pytest.mark.parametrize("slow_disks", [1, 2])
+def test_a_change_is_accepted_in_time_with_slow_disks(
+    slow_disks: int, io_s: float, seed: int, run_check: RunCheck
+) -> None:
+    async def check(fleet: ControlFleet) -> None:
+        leader = fleet.find_leader()
+        others = [a for a in fleet.addresses if a != leader]
+        slow = [leader, *fleet.rng.sample(others, slow_disks - 1)]
+        for address in slow:
+            fleet.hosts[address].io_s = io_s
+        assert await fleet.order_change() < ACCEPTED_LIMIT_S
+
+    run_check(seed, check)
