Refuse requests for an old config only while a link to a newer one is open

What callers would have seen: all nodes refuse all requests while control is away, if it failed right after a change.

Cause: a node stops serving 1.5 s after it received a later index, as long as some peer has that config. The addresses of control replicas are kept also while they are unreachable, and the index spreads to all nodes although none of them can fetch the config.

A peer counts as a source only while a link to it is open.

--- a/bench/replica_process.py
+++ b/bench/replica_process.py
@@ -165,6 +165,7 @@
         self.handle_casts = links.handle_casts
         self.handle_calls = links.handle_calls
         self.call = links.call
+        self.is_connected = links.is_connected
 
     def cast(self, peer: str, channel: t.Any, body: bytes) -> None:
         """Count a cast and send it."""
--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -157,11 +157,17 @@
     that this node knows of is in force on it.
 
     :param control: addresses of the control replicas.
+    :param is_connected: returns whether a link to a peer is open.
     """
 
     def __init__(
-        self, node: str, control: cabc.Sequence[str], now_s: float
+        self,
+        node: str,
+        control: cabc.Sequence[str],
+        now_s: float,
+        is_connected: cabc.Callable[[str], bool] = lambda _peer: True,
     ) -> None:
+        self._is_connected = is_connected
         self.index = 0
         self.seen_index = 0
         self._node = node
@@ -200,13 +206,16 @@
     def is_outdated(self, now_s: float) -> bool:
         """Return whether a later config has been available for too long.
 
-        A later index counts only while a member is known to have it: with
-        no source left, as when control is away, the fleet goes on with the
-        config that it has.
+        A later index counts only while a link to a peer that has it is open.
+        Without such a source, as when control is away, the fleet goes on
+        with the config that it has.
         """
         if self._behind_s(now_s) < MAX_BEHIND_S:
             return False
-        return any(index > self.index for index in self._peer_indexes.values())
+        return any(
+            index > self.index and self._is_connected(peer)
+            for peer, index in self._peer_indexes.items()
+        )
 
     def _behind_s(self, now_s: float) -> float:
         """Return for how long the first change missing here is known."""
--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -157,7 +157,7 @@
         self._latest_checked_s = float("-inf")
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
-            node, control, clock.now_s()
+            node, control, clock.now_s(), peering.is_connected
         )
         peering.handle_calls(_peering.Channel.CONFIG, self._receive_fetch)
 
--- a/src/papayastall/_peering.py
+++ b/src/papayastall/_peering.py
@@ -40,6 +40,9 @@
     def handle_calls(self, channel: Channel, handler: CallHandler) -> None:
         """Register the handler that answers a channel's calls."""
 
+    def is_connected(self, peer: str) -> bool:
+        """Return whether a link to the peer is open."""
+
     def cast(self, peer: str, channel: Channel, body: bytes) -> None:
         """Send a one-way message; dropped if the link is down or full."""
 
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -223,6 +223,11 @@
         actions = membership.set_config_index(index)
         self._fleet.gossip.act(self._number, actions)
 
+    def is_connected(self, peer: str) -> bool:
+        is_silent = peer in self._fleet.silent
+        is_running = self._fleet.nodes[peer].is_running
+        return peer in self.linked and is_running and not is_silent
+
     async def _connect(self, node: _Node) -> None:
         await anyio.sleep(2 * LINK_DELAY_S)
         if node.is_running and node.address not in self._fleet.silent:
@@ -339,9 +344,10 @@
         for node in self.nodes.values():
             node.linked.clear()
 
-    async def change_routes(self) -> int:
+    async def change_routes(self, replicas: int | None = None) -> int:
         """Put a change in force on the control replicas, as the log does.
 
+        :param replicas: how many of them apply it; by default all.
         :returns: its index.
         """
         self._version += 1
@@ -357,7 +363,7 @@
         )
         stored = [_config.IndexedDocument(self._version, document)]
         self.in_force_s.clear()
-        for address in self.control:
+        for address in self.control[:replicas]:
             self.nodes[address].config.note_applied(self._version, stored)
             await anyio.sleep(LINK_DELAY_S)
         return self._version
@@ -425,8 +431,12 @@
         count = int(self.conditions.suspended * len(self.nodes))
         self._suspended = set(self.rng.sample(others, count))
         for address in self._suspended:
-            self.gossip.pause(self._numbers[address])
-            self.nodes[address].stop()
+            self.suspend(address)
+
+    def suspend(self, address: str) -> None:
+        """Suspend a node."""
+        self.gossip.pause(self._numbers[address])
+        self.nodes[address].stop()
 
     async def _run_restarts(self) -> None:
         others = sorted(set(self.nodes) - set(self.control))
--- a/tests/fake_peering.py
+++ b/tests/fake_peering.py
@@ -50,6 +50,10 @@
     ) -> None:
         self._calls[channel] = handler
 
+    def is_connected(self, peer: str) -> bool:
+        cuts = {(self._address, peer), (peer, self._address)}
+        return peer in self._network.nodes and not cuts & self._network.cuts
+
     def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
         network = self._network
         node = network.nodes.get(peer)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -371,6 +371,22 @@
     assert node.is_ready(3.8)
 
 
+# Guards against a fleet that serves nothing while control is away: the replica
+# that has a later config is a seed, and its address is kept.
+def test_a_later_config_of_an_unreachable_replica_ends_no_service() -> None:
+    connected = {"c0"}
+    node = _config.ConfigController(
+        "n0", ("c0",), 0.0, lambda peer: peer in connected
+    )
+    node.note_applied(0.0, 7, make_config(7))
+    node.note_authoritative(0.0, 7)
+    node.observe(0.1, "c0", 8)
+    node.tick(1.7, ["n1"])
+    assert not node.is_ready(1.7)
+    connected.clear()
+    assert node.is_ready(1.7)
+
+
 # Guards against a fleet that serves nothing because the only member with a
 # later config is gone, as while control is away.
 def test_a_later_config_that_no_member_has_ends_no_service() -> None:
--- a/tests/test_config_staleness.py
+++ b/tests/test_config_staleness.py
@@ -14,6 +14,8 @@
 CHANGE_INTERVAL_S = 0.7
 CHANGES = 6
 SAMPLE_INTERVAL_S = 0.05
+CONTROL_AWAY_SERVED_S = 1.0
+"""Time until the links to the failed replicas count as closed."""
 CATCH_UP_LIMIT_S = 6.0
 ORDER_LIMIT_S = 10.0
 
@@ -129,3 +131,35 @@
     config_fleet.run_virtually(
         check_unpolled_change(seed, conditions), monkeypatch
     )
+
+
+async def check_control_away(seed: int) -> None:
+    async with anyio.create_task_group() as tasks:
+        fleet = config_fleet.ConfigFleet(
+            tasks, NODES, CONTROL, seed, config_fleet.Conditions()
+        )
+        await fleet.start()
+        # Only the leader applies the change, and sends datagrams about it.
+        await fleet.change_routes(replicas=1)
+        for address in fleet.control:
+            fleet.suspend(address)
+        others = sorted(set(fleet.nodes) - set(fleet.control))
+        await anyio.sleep(CONTROL_AWAY_SERVED_S)
+        for _ in range(20):
+            unready = [
+                address
+                for address in others
+                if not fleet.nodes[address].config.is_ready()
+            ]
+            assert unready == []
+            await anyio.sleep(1.0)
+        tasks.cancel_scope.cancel()
+
+
+# Guards against a fleet that refuses all requests while control is away, as
+# the only replica with the latest change has failed right after it.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_fleet_serves_on_while_control_is_away(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    config_fleet.run_virtually(check_control_away(seed), monkeypatch)
--- a/tests/test_fleet_calls.py
+++ b/tests/test_fleet_calls.py
@@ -30,6 +30,10 @@
         """Keep the handler of calls from other nodes."""
         self.handler = handler
 
+    def is_connected(self, peer: str) -> bool:
+        """Return whether the other node is not cut off."""
+        return not self._peers[peer].is_cut
+
     def cast(self, peer: str, channel: _peering.Channel, body: bytes) -> None:
         """Drop the cast."""
 
