--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -37,7 +37,7 @@
 GONE_RETENTION_S = 7200.0
 LEFT_NOTICE_FANOUT = 5
 CONFIG_INDEX_FANOUT = 3
-"""Members told of a new config index at once, and at each tick after."""
+"""Members notified of a new config index at once, and at each tick after."""
 MAX_MEMBERS_POLLED = 512
 """Pings sent at once to members behind a config index, some 50 KB."""
 
@@ -181,9 +181,9 @@
     def set_config_index(
         self, config_index: int
     ) -> list[types.MembershipAction]:
-        """Set the index of the config in force here, and tell some members.
+        """Set the index of the config in force here; notify some members.
 
-        Each member that puts it in force tells others. An index that is no
+        Each member that puts it in force notifies others. An index that is no
         later than the present one changes nothing.
         """
         if config_index <= self._config_index:
@@ -234,7 +234,7 @@
         return actions
 
     def finish_leaving(self, now_s: float) -> list[types.MembershipAction]:
-        """Change the own state to left and tell some members.
+        """Change the own state to left and notify some members.
 
         The node sends nothing more after this.
         """
--- a/src/papayastall/_recent_ingresses.py
+++ b/src/papayastall/_recent_ingresses.py
@@ -31,7 +31,7 @@
 
 
 class RecentIngresses:
-    """The ingresses that sent requests lately, and what they were told.
+    """The ingresses that sent requests lately, and the last load sent to them.
 
     A notice costs one frame, a request that is refused because its ingress
     had no notice costs three. So an ingress that will hardly send a request
@@ -65,8 +65,8 @@
     ) -> list[str]:
         """Return the ingresses to notify of a change, and record it.
 
-        That a service takes work again is sent to those that were told
-        otherwise.
+        That a service takes work again is sent to those that got a load
+        without weight before.
         """
         chosen = [
             name
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -497,7 +497,7 @@
 
 # Guards against a config index that is not passed on by nodes without the
 # config itself, and against one that is passed on without end.
-def test_a_known_config_index_is_told_to_every_member_and_then_no_more() -> (
+def test_a_known_config_index_is_sent_to_every_member_and_then_no_more() -> (
     None
 ):
     fleet = start_fleet(30)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -134,7 +134,7 @@
         self.send_request(ingress)
 
     def change(self, load: _decision_types.OwnerLoad) -> list[str]:
-        """Change the availability; return the ingresses that are told."""
+        """Change the availability; return the ingresses that get a notice."""
         self._controller.present = load
         self._controller.changes = [load]
         self._links.sent.clear()
@@ -159,7 +159,9 @@
     assert notices.change(AVAILABLE) == []
 
 
-async def test_a_frequent_ingress_is_told_of_a_doubt_and_of_its_end() -> None:
+async def test_a_frequent_ingress_is_notified_of_a_doubt_and_of_its_end() -> (
+    None
+):
     notices = NoticeFleet()
     notices.send_request("10.0.1.1:1")
     for _ in range(2):
@@ -169,7 +171,7 @@
     assert notices.change(AVAILABLE) == []
 
 
-async def test_a_refused_ingress_is_told_when_the_doubt_ends() -> None:
+async def test_a_refused_ingress_is_notified_when_the_doubt_ends() -> None:
     """It would avoid an owner that has recovered for seconds."""
     notices = NoticeFleet()
     assert notices.change(DOUBTED) == []
@@ -177,7 +179,9 @@
     assert notices.change(AVAILABLE) == ["10.0.1.1:1"]
 
 
-async def test_all_recent_ingresses_are_told_of_a_leaving_upstream() -> None:
+async def test_all_recent_ingresses_are_notified_of_a_leaving_upstream() -> (
+    None
+):
     notices = NoticeFleet()
     ingresses = [f"10.0.1.{number}:1" for number in range(60)]
     for ingress in ingresses:
