--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -41,9 +41,9 @@
 confirm its config again. It is the time that nodes may take to have a new
 config."""
 MAX_BEHIND_S = 1.5
-"""A node that has known of a later config for this long does not serve with
-its own one. Shorter than the time that nodes may take to have a new config,
-by the time in which its index reaches them."""
+"""Time after the index of a later config was received, after which a node does
+not serve with its own one. Shorter than the time that nodes may take to have a
+new config, by the time in which its index reaches them."""
 MAX_AWAITED_INDEXES = 64
 STALL_S = 1.0
 """Time without a tick after which a received index may have waited for as
