--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -196,7 +196,7 @@
         self, scope: Scope, receive: Receive, started_s: float
     ) -> _exchange.Exchange:
         if not self._is_ready():
-            raise _not_ready("this node lacks the latest configuration")
+            raise _not_ready("the configuration here is not confirmed")
         target = await self._resolve(scope)
         timeout_ms = self._read_timeout_ms(scope, target)
         body = await _read_body(scope, receive, target.max_body_bytes)
