--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -159,6 +159,8 @@
     assert notices.change(AVAILABLE) == []
 
 
+# Guards against an ingress that sends often and finds out from refusals only,
+# and against one without use for the notice that gets it.
 async def test_a_frequent_ingress_is_notified_of_a_doubt_and_of_its_end() -> (
     None
 ):
@@ -179,6 +181,7 @@
     assert notices.change(AVAILABLE) == ["10.0.1.1:1"]
 
 
+# Guards against a leaving upstream that is treated like a passing doubt.
 async def test_all_recent_ingresses_are_notified_of_a_leaving_upstream() -> (
     None
 ):
