Keep most membership messages within a failure domain

Cause: updates, probes, repairs and reads of tables went to members drawn evenly from the fleet, so of three failure domains two thirds of the bytes crossed. Now they go to members of the own one; one in eight messages, a few probes of each round and one exchange in four intervals go to others. So the loss of a whole failure domain is still noticed.

A config index is sent to 4 members a tick instead of 3: the same number in all, sooner, as datagrams that carry it along cross less often.

--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -19,6 +19,7 @@
 from papayastall import _gossip_queue
 from papayastall import _member_table
 from papayastall import _membership_types as types
+from papayastall import _peer_choice
 from papayastall import _prober
 from papayastall import _reconciler
 from papayastall import _suspicion_timers
@@ -36,7 +37,7 @@
 nodes that joined through the same one until one of them reaches another."""
 GONE_RETENTION_S = 7200.0
 LEFT_NOTICE_FANOUT = 5
-CONFIG_INDEX_FANOUT = 3
+CONFIG_INDEX_FANOUT = 4
 """Members notified of a new config index at once, and at each tick after."""
 MAX_MEMBERS_POLLED = 512
 """Pings sent at once to members behind a config index, some 50 KB."""
@@ -78,11 +79,14 @@
         )
         self._table = _member_table.MemberTable()
         self._queue = _gossip_queue.GossipQueue(self._table)
+        self._peers = _peer_choice.PeerChoice(
+            settings.address, settings.failure_domain, self._table, rng
+        )
         self._prober = _prober.Prober(
-            settings.address, self._table, rng, now_s
+            settings.address, self._table, self._peers, rng, now_s
         )
         self._reconciler = _reconciler.Reconciler(
-            settings.address, self._table, self._seeds, rng, now_s
+            self._table, self._peers, self._seeds, rng, now_s
         )
         self._state = types.MemberState.ALIVE
         self._config_index = 0
@@ -151,7 +155,12 @@
         actions = self._merge_records(now_s, datagram)
         actions.extend(self._note_config_index(datagram))
         actions.extend(self._handle_body(now_s, datagram, source))
-        compared = self._reconciler.compare(now_s, source, datagram.digest)
+        compared = self._reconciler.compare(
+            now_s,
+            source,
+            datagram.digest,
+            self._peers.is_near(datagram.sender),
+        )
         actions.extend(self._repair_datagrams(compared))
         return actions
 
@@ -485,13 +494,12 @@
         return actions
 
     def _send_gossip(self, now_s: float) -> list[types.MembershipAction]:
-        others = len(self._table.live) > 1
-        if now_s < self._next_gossip_s or not len(self._queue) or not others:
+        if now_s < self._next_gossip_s or not len(self._queue):
+            return []
+        address = self._peers.draw()
+        if address is None:
             return []
         self._next_gossip_s = now_s + GOSSIP_INTERVAL_S
-        address = self._address
-        while address == self._address:
-            address = self._rng.choice(self._table.live)
         member = self._table.members[address]
         message = _prober.ProbeMessage(
             member.datagram_address, address, types.Gossip()
--- a/src/papayastall/_prober.py
+++ b/src/papayastall/_prober.py
@@ -13,6 +13,7 @@
 
 from papayastall import _member_table
 from papayastall import _membership_types as types
+from papayastall import _peer_choice
 
 __all__ = ["PROBE_INTERVAL_S", "Prober", "ProbeFailed", "ProbeMessage"]
 
@@ -70,16 +71,18 @@
 
 
 class Prober:
-    """Probes live members one at a time, round-robin in shuffled order."""
+    """Probes live members one at a time, in rounds of shuffled order."""
 
     def __init__(
         self,
         own_address: str,
         table: _member_table.MemberTable,
+        peers: _peer_choice.PeerChoice,
         rng: random.Random,
         now_s: float,
     ) -> None:
         self._own_address = own_address
+        self._peers = peers
         self._table = table
         self._rng = rng
         self._sequence = rng.randrange(SEQUENCE_MASK)
@@ -214,13 +217,9 @@
             return None
         while True:
             if not self._order:
-                self._order = list(self._table.live)
-                self._rng.shuffle(self._order)
-            address = self._order.pop()
-            member = self._table.members.get(address)
-            if address == self._own_address or member is None:
-                continue
-            if member.state < types.MemberState.DEAD:
+                self._order = self._peers.make_probe_round()
+            member = self._table.members.get(self._order.pop())
+            if member is not None and member.state < types.MemberState.DEAD:
                 return member
 
     def _next_sequence(self) -> int:
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -15,10 +15,13 @@
 
 from papayastall import _member_table
 from papayastall import _membership_types as types
+from papayastall import _peer_choice
 
 __all__ = ["Reconciler", "RepairMessage"]
 
 EXCHANGE_INTERVAL_S = 3.0
+FAR_INTERVALS = 4
+"""Intervals from one exchange with another failure domain to the next."""
 MIN_INTERVAL_S = 0.3
 FULL_INTERVAL_MEMBERS = 200
 """From this size on, intervals are not shortened: sending a whole table is
@@ -55,17 +58,18 @@
 
     def __init__(
         self,
-        own_address: str,
         table: _member_table.MemberTable,
+        peers: _peer_choice.PeerChoice,
         seeds: tuple[str, ...],
         rng: random.Random,
         now_s: float,
     ) -> None:
-        self._own_address = own_address
         self._table = table
+        self._peers = peers
         self._seeds = seeds
         self._rng = rng
         self._next_exchange_s = now_s + rng.uniform(0, EXCHANGE_INTERVAL_S)
+        self._next_far_exchange_s = self._next_exchange_s
         self._cursor = 0 if seeds else -1
         self._requested_s = float("-inf")
         self._next_read_s = now_s
@@ -86,16 +90,23 @@
         return self._request_page(now_s)
 
     def compare(
-        self, now_s: float, source: str, digest: int
+        self, now_s: float, source: str, digest: int, is_near: bool
     ) -> list[RepairMessage]:
-        """Start an exchange if the digests differ and one is due."""
+        """Start an exchange if the digests differ and one is due.
+
+        :param is_near: whether the sender is in this node's failure domain;
+            exchanges with others are less frequent.
+        """
         if digest == self._table.digest or self.is_reading:
             return []
         if now_s < self._next_exchange_s:
             return []
-        self._next_exchange_s = now_s + self._scale_interval_s(
-            EXCHANGE_INTERVAL_S
-        )
+        if not is_near and now_s < self._next_far_exchange_s:
+            return []
+        interval_s = self._scale_interval_s(EXCHANGE_INTERVAL_S)
+        self._next_exchange_s = now_s + interval_s
+        if not is_near:
+            self._next_far_exchange_s = now_s + FAR_INTERVALS * interval_s
         digests = self._table.branch_digests()
         return [RepairMessage(source, types.BranchDigests(digests))]
 
@@ -191,15 +202,9 @@
         return [RepairMessage(target, types.PageRequest(self._cursor))]
 
     def _choose_source(self) -> str | None:
-        others = [
-            address
-            for address in self._rng.sample(
-                self._table.live, min(len(self._table.live), 3)
-            )
-            if address != self._own_address
-        ]
-        if others:
-            return self._table.members[others[0]].datagram_address
+        address = self._peers.draw()
+        if address is not None:
+            return self._table.members[address].datagram_address
         if self._seeds:
             return self._rng.choice(self._seeds)
         return None
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -25,6 +25,13 @@
     return f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7000"
 
 
+def domain_of(address: str) -> str:
+    """Return the failure domain of the node with an address."""
+    _, high, middle, low = address.partition(":")[0].split(".")
+    number = int(high) << 16 | int(middle) << 8 | int(low)
+    return DOMAINS[number % len(DOMAINS)]
+
+
 @dataclasses.dataclass(slots=True)
 class Faults:
     """Faults that the network injects.
@@ -45,6 +52,7 @@
     """Numbered nodes that start, pause, stop and exchange datagrams.
 
     :param with_codec: encode and decode every datagram.
+    :ivar far_bytes: sent to nodes of other failure domains.
     """
 
     def __init__(self, seed: int, with_codec: bool = True) -> None:
@@ -59,6 +67,7 @@
         self.sent: collections.Counter[str] = collections.Counter()
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.received_bytes: collections.Counter[str] = collections.Counter()
+        self.far_bytes = 0
         self._with_codec = with_codec
         self._queue: list[tuple[float, int, str, str, bytes]] = []
         self._unencoded: dict[int, types.Datagram] = {}
@@ -187,6 +196,8 @@
         if self._with_codec:
             data = _gossip_codec.encode(action.datagram, KEY)
             self.sent_bytes[address] += len(data)
+            if domain_of(address) != domain_of(target):
+                self.far_bytes += len(data)
         faults = self.faults
         if (address, target) in faults.cuts:
             return
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -517,3 +517,33 @@
         assert node._known_index_sends_left == 0
         node.set_config_index(5)
         assert node._send_known_index() == []
+
+
+def start_and_advertise(size: int) -> gossip_fleet.GossipFleet:
+    """Start all nodes at once; each soon advertises its upstream."""
+    fleet = gossip_fleet.GossipFleet(seed=1)
+    for number in range(size):
+        fleet.start(number)
+    fleet.run(1.0)
+    for number in range(size):
+        advertise(fleet, number, visits=1)
+    return fleet
+
+
+# Guards against membership traffic that is spread evenly over the failure
+# domains: of three, two thirds of its bytes would cross between them.
+@pytest.mark.parametrize("size", [24, 60])
+def test_most_membership_bytes_stay_within_a_failure_domain(size: int) -> None:
+    fleet = start_and_advertise(size)
+    fleet.run(30.0)
+    total_bytes = sum(fleet.sent_bytes.values())
+    assert fleet.far_bytes < 0.34 * total_bytes
+
+
+# Guards against a failure domain whose nodes are probed by one another only,
+# so that its loss as a whole is noticed by nobody.
+def test_the_loss_of_a_whole_failure_domain_is_noticed() -> None:
+    fleet = start_fleet(24)
+    for number in range(0, 24, len(gossip_fleet.DOMAINS)):
+        fleet.kill(number)
+    fleet.run_until(lambda: agrees(fleet), 60.0)
