Let nodes of a fleet that starts at once read each other's tables

Nodes that start together knew only part of the upstreams when traffic began: of 100 virtual nodes each lacked 82% of the adverts after 5 s and 42% after 10 s, and all knew all after 18.5 s; of 237 nodes after 46 s. Traffic begins 12 s after the machines of a large fleet start.

Cause: each node's queue of updates holds the records of the whole fleet, a datagram takes 400 bytes of them, newest first, and what repairs brought was queued once more. Within 15 s of its start a node that meets another table in its failure domain now reads it, each 2 s at most (less in small fleets); datagrams carry up to 1000 bytes of updates, and records from repairs are not queued again. Each update is sent log2(n) times a node instead of twice that, as comparing tables repairs the rest; a config index, which has no such repair, as often as before.

--- a/src/papayastall/_gossip_queue.py
+++ b/src/papayastall/_gossip_queue.py
@@ -10,17 +10,24 @@
 from papayastall import _member_table
 from papayastall import _membership_types as types
 
-__all__ = ["GossipQueue", "count_transmissions"]
+__all__ = ["GossipQueue", "count_index_transmissions"]
 
-TRANSMISSIONS_PER_DOUBLING = 2
+TRANSMISSIONS_PER_DOUBLING = 1
+INDEX_TRANSMISSIONS_PER_DOUBLING = 2
+"""A config index is not repaired by comparing tables, so it is sent more
+often than a record."""
 MIN_TRANSMISSIONS = 6
 MAX_QUEUED_UPDATES = 512
 
 
-def count_transmissions(members: int) -> int:
-    """Return how often a node sends an update, so that all receive it."""
+def count_index_transmissions(members: int) -> int:
+    """Return how often a node sends a config index, so that all receive it."""
+    return _scale(INDEX_TRANSMISSIONS_PER_DOUBLING, members)
+
+
+def _scale(per_doubling: int, members: int) -> int:
     doublings = math.ceil(math.log2(members + 1))
-    return max(MIN_TRANSMISSIONS, TRANSMISSIONS_PER_DOUBLING * doublings)
+    return max(MIN_TRANSMISSIONS, per_doubling * doublings)
 
 
 class _Key(msgspec.Struct, frozen=True):
@@ -75,8 +82,8 @@
     def _add(self, key: _Key) -> None:
         if key not in self._transmissions_left:
             self._order.appendleft(key)
-        self._transmissions_left[key] = count_transmissions(
-            len(self._table.live)
+        self._transmissions_left[key] = _scale(
+            TRANSMISSIONS_PER_DOUBLING, len(self._table.live)
         )
         if len(self._order) > MAX_QUEUED_UPDATES:
             del self._transmissions_left[self._order.pop()]
--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -28,7 +28,7 @@
 
 TICK_INTERVAL_S = 0.2
 GOSSIP_INTERVAL_S = 0.25
-MAX_PIGGYBACK_BYTES = 400
+MAX_PIGGYBACK_BYTES = 1000
 PAUSE_THRESHOLD_S = 1.0
 RECONNECT_INTERVAL_S = 10.0
 STARTUP_PERIOD_S = 30.0
@@ -198,8 +198,8 @@
         if config_index <= self._config_index:
             return []
         self._config_index = config_index
-        self._config_index_sends_left = _gossip_queue.count_transmissions(
-            len(self._table.live)
+        self._config_index_sends_left = (
+            _gossip_queue.count_index_transmissions(len(self._table.live))
         )
         return self._send_config_index()
 
@@ -315,7 +315,9 @@
     def _merge_records(
         self, now_s: float, datagram: types.Datagram
     ) -> list[types.MembershipAction]:
-        disseminate = not isinstance(datagram.body, types.Page)
+        disseminate = not isinstance(
+            datagram.body, types.Page | types.LeafRecords
+        )
         actions: list[types.MembershipAction] = []
         for record in datagram.records:
             match record:
@@ -438,8 +440,8 @@
         if index > self._known_index:
             self._known_index = index
             self._known_holder = holder
-            self._known_index_sends_left = _gossip_queue.count_transmissions(
-                len(self._table.live)
+            self._known_index_sends_left = (
+                _gossip_queue.count_index_transmissions(len(self._table.live))
             )
 
     def _handle_body(
--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -30,6 +30,11 @@
 READ_INTERVAL_S = 10.0
 """Shortest time from the end of one read of a table to the next, with
 ``FULL_INTERVAL_MEMBERS`` or more."""
+STARTUP_PERIOD_S = 15.0
+STARTUP_READ_INTERVAL_S = 2.0
+"""The same within ``STARTUP_PERIOD_S`` of the start. Where all nodes start
+together, the tables that they read are incomplete, and a read passes on many
+more records than the queue of updates can."""
 BRANCHES_PER_EXCHANGE = 3
 MAX_BRANCHES_FOR_EXCHANGE = 16
 """If more branches differ, a node also reads the table of another node."""
@@ -69,6 +74,7 @@
         self._seeds = seeds
         self._rng = rng
         self._next_exchange_s = now_s + rng.uniform(0, EXCHANGE_INTERVAL_S)
+        self._started_s = now_s
         self._next_far_exchange_s = self._next_exchange_s
         self._cursor = 0 if seeds else -1
         self._requested_s = float("-inf")
@@ -103,6 +109,9 @@
             return []
         if not is_near and now_s < self._next_far_exchange_s:
             return []
+        if is_near and self._is_starting(now_s) and now_s >= self._next_read_s:
+            self._cursor = 0
+            return self._request_page(now_s)
         interval_s = self._scale_interval_s(EXCHANGE_INTERVAL_S)
         self._next_exchange_s = now_s + interval_s
         if not is_near:
@@ -179,10 +188,16 @@
             return []
         self._cursor = body.next_cursor
         if not self.is_reading:
-            self._next_read_s = now_s + self._scale_interval_s(READ_INTERVAL_S)
+            interval_s = READ_INTERVAL_S
+            if self._is_starting(now_s):
+                interval_s = STARTUP_READ_INTERVAL_S
+            self._next_read_s = now_s + self._scale_interval_s(interval_s)
             return []
         return self._request_page(now_s)
 
+    def _is_starting(self, now_s: float) -> bool:
+        return now_s - self._started_s < STARTUP_PERIOD_S
+
     def _scale_interval_s(self, interval_s: float) -> float:
         """Return the interval, shortened in a small fleet.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -530,6 +530,18 @@
     return fleet
 
 
+# Guards against a fleet that starts at once and whose nodes know only part of
+# the upstreams when traffic begins, as their queues of updates are too long.
+def test_a_large_fleet_that_starts_at_once_knows_all_adverts_in_time() -> None:
+    """Traffic begins 12 s after the machines of a large fleet start."""
+    fleet = start_and_advertise(100)
+    fleet.run(11.0)
+    counts = {
+        len(advertised(fleet, address, "visits")) for address in fleet.nodes
+    }
+    assert counts == {100}
+
+
 # Guards against membership traffic that is spread evenly over the failure
 # domains: of three, two thirds of its bytes would cross between them.
 @pytest.mark.parametrize("size", [24, 60])
