Take no answer without the request's id on a kept connection

A faulty upstream that wrote an earlier answer or refusal once more on a kept connection could have it taken for the one to the lookup that runs there now: the caller got another request's body, or was told "not run". The copies that name the earlier request were refused before; those without an id were not.

On a connection that has carried an earlier request, an answer must now name its request wherever requests have ids. Bookings use a new connection each, so they were not affected; a new connection may still answer without an id.

--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -152,7 +152,9 @@
             if reused is None:
                 return await self._run_on_new(request, deadline_s, sink)
             sent_s = clock.now_s()
-            outcome = await self._run_on(reused, request, deadline_s, sink)
+            outcome = await self._run_on(
+                reused, request, deadline_s, sink, is_reused=True
+            )
             was_idle = clock.now_s() - sent_s < IDLE_CLOSE_DETECTION_S
             if outcome is Outcome.BROKEN and was_idle and not sink.started:
                 # Either the upstream closed the idle connection or it died
@@ -193,13 +195,16 @@
         request: UpstreamRequest,
         deadline_s: float,
         sink: AnswerSink,
+        is_reused: bool = False,
     ) -> _decision_types.Outcome:
         answer: _upstream_connection.UpstreamAnswer | None = None
         try:
             data = self._encode(request, deadline_s)
             is_head = request.method == b"HEAD"
             answer = await connection.send(data, is_head)
-            outcome = await self._relay(connection, request, answer, sink)
+            outcome = await self._relay(
+                connection, request, answer, sink, is_reused
+            )
         except _DeadlinePassed:
             outcome = Outcome.EXPIRED
         except _upstream_connection.AnswerBroken:
@@ -214,8 +219,9 @@
         request: UpstreamRequest,
         answer: _upstream_connection.UpstreamAnswer,
         sink: AnswerSink,
+        is_reused: bool,
     ) -> _decision_types.Outcome:
-        if not self._belongs_to(request, answer):
+        if not self._belongs_to(request, answer, is_reused):
             answer.keeps_alive = False
             return Outcome.BROKEN
         if self._is_echo(request, answer):
@@ -268,17 +274,23 @@
         self,
         request: UpstreamRequest,
         answer: _upstream_connection.UpstreamAnswer,
+        is_reused: bool,
     ) -> bool:
         """Return whether an answer belongs to this request.
 
         An upstream may send a late second answer to an earlier request,
         where the answer to the current one is expected. An answer with a
         content encoding is not accepted either.
+
+        :param is_reused: whether the connection has carried an earlier
+            request; an answer without the request's id may then be to that.
         """
         if answer.find(b"content-encoding") is not None:
             return False
         name = self._names.request_id
-        if not name or answer.find(name) is None:
+        if not name:
+            return True
+        if answer.find(name) is None and not is_reused:
             return True
         return self._is_echo(request, answer)
 
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -4,6 +4,9 @@
 
 import collections.abc as cabc
 import contextlib
+import enum
+import socket
+import struct
 
 import anyio
 import anyio.abc
@@ -23,17 +26,30 @@
 TIMEOUT_S = 5.0
 
 
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class ConnectionEnd(enum.Enum):
+    """How an upstream ends a connection after an answer."""
+
+    NONE = "stays open"
+    CLOSE = "is closed"
+    RESET = "is reset"
+
+
 class FakeUpstream:
     """Answers one request after the other from a script.
 
     :param script: the answers; ``None`` closes the connection and the
         listener without an answer.
+    :ivar end: how each connection ends after one answer, if it does.
     :ivar requests: number of requests received.
     :ivar connections: number of connections accepted.
     """
 
     def __init__(self, script: list[bytes | None]) -> None:
         self.script = script
+        self.end = ConnectionEnd.NONE
         self.requests = 0
         self.connections = 0
         self.received = bytearray()
@@ -73,6 +89,14 @@
                     await stream.send(answer)
                     if answer is SHORT or b"Connection: close" in answer:
                         return
+                    if self.end is ConnectionEnd.RESET:
+                        stream.extra(
+                            anyio.abc.SocketAttribute.raw_socket
+                        ).setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE
+                        )
+                    if self.end is not ConnectionEnd.NONE:
+                        return
 
 
 @contextlib.asynccontextmanager
@@ -363,6 +387,63 @@
     assert upstream.connections == 1
 
 
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nTransfer-Encoding: chunked\r\n"
+    b"Trailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n"
+)
+WITH_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n" + OK % b"id-0"
+
+
+# Guards against an answer whose head or body ends in the middle and that is
+# passed on as whole, such as "Content-Length: 1" of "Content-Length: 12".
+@pytest.mark.parametrize("end", [ConnectionEnd.CLOSE, ConnectionEnd.RESET])
+@pytest.mark.parametrize(
+    "answer",
+    [OK % b"id-0", CHUNKED, WITH_CONTINUE],
+    ids=["length", "chunked", "continue"],
+)
+async def test_an_answer_that_ends_at_any_byte_is_no_answer(
+    answer: bytes, end: ConnectionEnd
+) -> None:
+    for size in range(1, len(answer)):
+        async with run_upstream([answer[:size]] * 2) as upstream:
+            upstream.end = end
+            client = _upstream_client.UpstreamClient(NAMES)
+            request = make_request(upstream, idempotent=True)
+            request.headers = [(b"request-id", b"id-0")]
+            sink = RecordingSink()
+            outcome = await client.run(request, TIMEOUT_S, sink)
+            await client.close()
+        assert (outcome, sink.status) == (Outcome.BROKEN, 0), size
+
+
+REFUSED = (
+    b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n%bContent-Length: 0\r\n\r\n"
+)
+
+
+# Guards against an earlier answer or refusal that is written once more on a
+# kept connection and taken for the one to the request that runs there now.
+@pytest.mark.parametrize("echo", [b"", b"Request-Id: id-0\r\n"])
+@pytest.mark.parametrize(
+    "copy",
+    [
+        REFUSED,
+        b"HTTP/1.1 421 No\r\n%bContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n%bContent-Length: 3\r\n\r\nold",
+    ],
+    ids=["refusal", "wrong-instance", "answer"],
+)
+async def test_a_copy_on_a_kept_connection_answers_no_later_request(
+    copy: bytes, echo: bytes
+) -> None:
+    script: list[bytes | None] = [OK % b"id-0", copy % echo, OK % b"id-2"]
+    outcomes, sinks, upstream = await run_named(script, 3)
+    assert outcomes[1] is not Outcome.SHED
+    assert sinks[1].body != b"old"
+    assert upstream.connections > 1
+
+
 BLOCK = b"x" * (64 << 10)
 MAX_SENT_BLOCKS = 1024
 MAX_TAKEN_BYTES = 16 << 20
