Send requests to owners with room in the own failure domain first

Requests and answers crossed failure domains although owners in the caller's own one had room: an ingress draws six owners of a service at random, of which two of 34 upstreams in three failure domains are near, and prefers these only within that draw.

Owners of the own failure domain now come first while the least loaded of a draw among them has less than 0.8 of its slots in use; else the draw is as before. Services with documents are routed as before.

--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -143,12 +143,17 @@
 ) -> OwnerView | None:
     """Draw a few owners at random and return the least loaded of them.
 
-    If that one is full, return the least loaded of all owners.
+    Owners in the failure domain of this node come first, as long as one of
+    them has room to spare. If the owner found is full, return the least
+    loaded of all owners.
 
     :param failure_domain: of this node.
     """
     if not views:
         return None
+    near = _find_near(now_s, views, failure_domain, tuning, rng)
+    if near is not None:
+        return near
     count = min(tuning.choices, len(views))
     best = _least_loaded(
         now_s, rng.sample(views, count), failure_domain, tuning
@@ -158,6 +163,32 @@
     return _least_loaded(now_s, views, failure_domain, tuning)
 
 
+def _find_near(
+    now_s: float,
+    views: cabc.Sequence[OwnerView],
+    failure_domain: str,
+    tuning: _service_policy.RoutingTuning,
+    rng: random.Random,
+) -> OwnerView | None:
+    """Return an owner in this failure domain that has room to spare."""
+    if tuning.near_fill_share <= 0.0:
+        return None
+    near = [
+        view for view in views if view.advert.failure_domain == failure_domain
+    ]
+    if not near:
+        return None
+    count = min(tuning.choices, len(near))
+    best = _least_loaded(
+        now_s, rng.sample(near, count), failure_domain, tuning
+    )
+    in_flight = expected_in_flight(best, now_s, tuning.load_decay_s)
+    weight = max(_MIN_WEIGHT, best.current_weight(now_s))
+    if in_flight + 1.0 > tuning.near_fill_share * weight:
+        return None
+    return best
+
+
 def _least_loaded(
     now_s: float,
     views: cabc.Sequence[OwnerView],
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -141,6 +141,8 @@
         ingresses decays.
     :param far_penalty: share of an owner's slots by which it may be busier
         than one in another failure domain and still be preferred.
+    :param near_fill_share: share of an owner's slots up to which owners in
+        this node's failure domain come before all others; 0 if never.
     """
 
     choices: int = 2
@@ -155,6 +157,7 @@
     load_decay_s: float = 1.0
     steered_word_s: float = 5.0
     far_penalty: float = 0.0
+    near_fill_share: float = 0.0
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
@@ -211,6 +214,7 @@
     max_refusals=6,
     steered_word_s=4.0,
     far_penalty=0.5,
+    near_fill_share=0.8,
 )
 
 
