--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -391,6 +391,7 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nTransfer-Encoding: chunked\r\n"
     b"Trailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n"
 )
+EMPTY = b"HTTP/1.1 %d Empty\r\nRequest-Id: %b\r\n\r\n"
 WITH_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n" + OK % b"id-0"
 
 
@@ -398,18 +399,26 @@
 # passed on as whole, such as "Content-Length: 1" of "Content-Length: 12".
 @pytest.mark.parametrize("end", [ConnectionEnd.CLOSE, ConnectionEnd.RESET])
 @pytest.mark.parametrize(
-    "answer",
-    [OK % b"id-0", CHUNKED, WITH_CONTINUE],
-    ids=["length", "chunked", "continue"],
+    ("method", "answer"),
+    [
+        (b"GET", OK % b"id-0"),
+        (b"GET", CHUNKED),
+        (b"GET", WITH_CONTINUE),
+        (b"GET", EMPTY % (204, b"id-0")),
+        (b"GET", EMPTY % (304, b"id-0")),
+        (b"HEAD", (OK % b"id-0").removesuffix(b"ok")),
+    ],
+    ids=["length", "chunked", "continue", "204", "304", "HEAD"],
 )
 async def test_an_answer_that_ends_at_any_byte_is_no_answer(
-    answer: bytes, end: ConnectionEnd
+    method: bytes, answer: bytes, end: ConnectionEnd
 ) -> None:
     for size in range(1, len(answer)):
         async with run_upstream([answer[:size]] * 2) as upstream:
             upstream.end = end
             client = _upstream_client.UpstreamClient(NAMES)
             request = make_request(upstream, idempotent=True)
+            request.method = method
             request.headers = [(b"request-id", b"id-0")]
             sink = RecordingSink()
             outcome = await client.run(request, TIMEOUT_S, sink)
