--- a/src/papayastall/_reconciler.py
+++ b/src/papayastall/_reconciler.py
@@ -32,9 +32,9 @@
 ``FULL_INTERVAL_MEMBERS`` or more."""
 STARTUP_PERIOD_S = 15.0
 STARTUP_READ_INTERVAL_S = 2.0
-"""The same within ``STARTUP_PERIOD_S`` of the start. Where all nodes start
-together, the tables that they read are incomplete, and a read passes on many
-more records than the queue of updates can."""
+"""``READ_INTERVAL_S`` within ``STARTUP_PERIOD_S`` of the start. Tables read
+then are incomplete if all nodes start together, and one read brings many more
+records than the queue of updates can."""
 BRANCHES_PER_EXCHANGE = 3
 MAX_BRANCHES_FOR_EXCHANGE = 16
 """If more branches differ, a node also reads the table of another node."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -97,6 +97,8 @@
     assert max(loads) <= 2
 
 
+# Guards against requests that queue at busy owners of the caller's domain
+# while owners of other domains have room.
 @pytest.mark.parametrize("near", [0, 1, 8])
 def test_callers_of_a_domain_without_room_in_it(near: int) -> None:
     """Requests go to owners of other domains, before theirs are full."""
@@ -108,6 +110,8 @@
     assert chosen.advert.failure_domain == "b"
 
 
+# Guards against upstreams of domains without callers that get no requests
+# while those of the callers' domain are overloaded.
 def test_all_callers_in_one_domain_use_most_upstreams_of_the_others() -> None:
     """Under load the share of upstreams that get requests stays over 0.7."""
     views = make_views(near=8, far=16)
