Refuse announcements with numbers that no message can carry

One heartbeat of another writer with maxConcurrency was answered 200; the advert made of it could not be encoded (TDecodeException, field slots, i32), and the task that gossips adverts took the process along.

Cause: the platform's heartbeats reach the registry of upstreams without the limits that the product's own interface has. Start times beyond 63 bits had the same effect on the frames of answers. The registry, which all interfaces share, now checks slots, start time and sequence; the node refuses start times in the future, which would outdate the real upstream's heartbeats.

--- a/src/papayastall/_announcements.py
+++ b/src/papayastall/_announcements.py
@@ -13,7 +13,6 @@
 
 __all__ = ["AnnounceAnswer", "AnnounceHandler", "parse"]
 
-MAX_SLOTS = 100_000
 MAX_LEASE_MS = 60_000
 MIN_LEASE_MS = 100
 
@@ -82,9 +81,11 @@
     value: dict[str, t.Any],
 ) -> cabc.Iterator[_checking.Problem]:
     slots = value.get("slots")
-    if type(slots) is int and slots > MAX_SLOTS:
+    if type(slots) is int and slots > _decision_types.MAX_SLOTS:
         yield _checking.Problem(
-            "slots", f"{slots} is too large", f"give {MAX_SLOTS} or less"
+            "slots",
+            f"{slots} is too large",
+            f"give {_decision_types.MAX_SLOTS} or less",
         )
     lease_ms = value.get("lease_ms")
     if type(lease_ms) is int and not MIN_LEASE_MS <= lease_ms <= MAX_LEASE_MS:
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -13,6 +13,8 @@
 from papayastall import exceptions
 
 __all__ = [
+    "MAX_EXACT_INTEGER",
+    "MAX_SLOTS",
     "AnswerChosen",
     "AskPermit",
     "AttemptOutcome",
@@ -38,6 +40,12 @@
     "split_name",
 ]
 
+MAX_SLOTS = 100_000
+"""Limit on the slots of one upstream: messages between nodes carry the slots
+of all upstreams of an owner in 32 bits."""
+MAX_EXACT_INTEGER = 2**53 - 1
+"""The largest integer that every JSON writer and reader handles exactly."""
+
 
 class RequestKind(enum.Enum):
     """Whether a request may safely run more than once."""
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -52,6 +52,28 @@
     return state.Standing.RETURNING
 
 
+def _find_out_of_range(
+    announcement: types.UpstreamAnnouncement,
+) -> cabc.Iterator[str]:
+    """Find numbers that messages between nodes can't carry."""
+    if not 1 <= announcement.slots <= types.MAX_SLOTS:
+        yield (
+            f"{announcement.slots} slots are out of range; "
+            f"give 1 to {types.MAX_SLOTS}"
+        )
+    if announcement.lease_s <= 0.0:
+        yield "the lease must be above 0 s"
+    for name, value in (
+        ("start time", announcement.started_ms),
+        ("sequence", announcement.sequence),
+    ):
+        if not 0 <= value <= types.MAX_EXACT_INTEGER:
+            yield (
+                f"the {name} {value} is out of range; "
+                f"give 0 to {types.MAX_EXACT_INTEGER}"
+            )
+
+
 class UpstreamRegistry:
     """Upstreams by name and by service, kept up to date by announcements."""
 
@@ -100,8 +122,8 @@
 
         An announcement that is older than the latest one is ignored.
 
-        :raises papayastall.exceptions.BadInputError: it has no slots or no
-            lease, or the upstream already serves another service.
+        :raises papayastall.exceptions.BadInputError: a number is out of
+            range, or the upstream already serves another service.
         """
         self._check(announcement)
         if self._is_outdated(announcement):
@@ -203,22 +225,20 @@
         return gone
 
     def _check(self, announcement: types.UpstreamAnnouncement) -> None:
+        problems = list(_find_out_of_range(announcement))
         known = self._by_name.get(announcement.name)
-        if announcement.slots < 1 or announcement.lease_s <= 0.0:
-            message = "slots must be 1 or more and the lease above 0 s"
-        elif known is not None and known.service != announcement.service:
-            message = (
+        if known is not None and known.service != announcement.service:
+            problems.append(
                 f"{announcement.upstream} already serves {known.service}; "
                 "let it leave first"
             )
-        else:
-            return
-        raise exceptions.BadInputError(
-            exceptions.ErrorCode.BAD_ANNOUNCEMENT,
-            message,
-            step="announce",
-            peer=announcement.upstream,
-        )
+        if problems:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_ANNOUNCEMENT,
+                "; ".join(problems),
+                step="announce",
+                peer=announcement.upstream,
+            )
 
     def _add(
         self,
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -72,6 +72,9 @@
 as owner: its upstream goes on serving, and most requests end while callers
 are told to use other connections."""
 MIN_RENEW_INTERVAL_MS = 100
+MAX_START_AHEAD_MS = 60_000
+"""How far the start time in an announcement may lie in the future: an
+announcement outdates all of its address that name an earlier start."""
 
 
 class Interfaces(msgspec.Struct, frozen=True):
@@ -464,7 +467,20 @@
     def announce(
         self, announcement: _decision_types.UpstreamAnnouncement
     ) -> _announcements.AnnounceAnswer:
-        """Handle an upstream's announcement; return the answer to it."""
+        """Handle an upstream's announcement; return the answer to it.
+
+        :raises papayastall.exceptions.BadInputError: a value is out of range,
+            or the upstream already serves another service.
+        """
+        latest_start_ms = int(time.time() * 1000) + MAX_START_AHEAD_MS
+        if announcement.started_ms > latest_start_ms:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_ANNOUNCEMENT,
+                f"the start time {announcement.started_ms} ms lies in the "
+                "future; set the clock of the upstream's VM",
+                step="announce",
+                peer=announcement.upstream,
+            )
         stopping = self.blackboard.stopping
         known = {
             view.upstream
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -233,6 +233,12 @@
 }
 
 
+NESTED: list[t.Any] = []
+"""A list nested more deeply than Python's own text of it can be made."""
+for _ in range(900):
+    NESTED = [NESTED]
+
+
 async def call(
     tmp_path: pathlib.Path, node: FakeNode, method: str, body: bytes
 ) -> int:
@@ -287,6 +293,8 @@
         {"maxConcurrency": "7"},
         {"sequence": None},
         {"born": 1.5},
+        {"address": "10.1.0.8:70000"},
+        {"sequence": NESTED},
     ],
 )
 async def test_an_invalid_heartbeat_announces_nothing(
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -16,10 +16,13 @@
 from papayastall import _announcements
 from papayastall import _decision_types
 from papayastall import _frames
+from papayastall import _gossip_codec
 from papayastall import _links
+from papayastall import _membership_types
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import metrics
+from tests import decision_helpers
 
 INT32 = strategies.integers(0, 2**31 - 1)
 INT64 = strategies.integers(0, 2**63 - 1)
@@ -151,12 +154,58 @@
     except exceptions.BadInputError as error:
         assert error.code is exceptions.ErrorCode.BAD_ANNOUNCEMENT
         return
-    assert 1 <= announcement.slots <= _announcements.MAX_SLOTS
+    assert 1 <= announcement.slots <= _decision_types.MAX_SLOTS
     assert announcement.connections >= 1
     assert math.isfinite(announcement.load)
     orjson.dumps(msgspec.structs.asdict(announcement))
 
 
+NEAR_WIDTHS = [
+    (1 << bits) + change
+    for bits in (0, 31, 32, 53, 63, 64)
+    for change in (-1, 0)
+]
+"""Numbers at the limits of integers of several widths."""
+
+
+@pytest.mark.parametrize("field", ["slots", "started_ms", "sequence"])
+@pytest.mark.parametrize("value", [-1, *NEAR_WIDTHS])
+def test_a_number_of_an_upstream_is_refused_or_fits_all_messages(
+    field: str, value: int
+) -> None:
+    """An upstream's number too large for a message ended the process."""
+    owner = decision_helpers.owner(upstreams=0)
+    announcement = msgspec.structs.replace(
+        decision_helpers.announcement(),
+        **{"instance": "i-1", "started_ms": 1, "sequence": 4, field: value},
+    )
+    try:
+        owner.announce(0.0, announcement)
+    except exceptions.BadInputError as error:
+        assert error.code is exceptions.ErrorCode.BAD_ANNOUNCEMENT
+        assert not owner.adverts(0.0)
+        return
+    owner.submit(0.0, decision_helpers.owner_request(1))
+    owner.note_answer(0.0, 1, 5.0, True)
+    load = owner.load(0.0, decision_helpers.SERVICE)
+    assert load.notices
+    head = _frames.AnswerHead(1, 200, [], load)
+    assert decode(_frames.encode(head, 3)) == head
+    advert = _membership_types.AdvertRecord(
+        decision_helpers.OWNER, decision_helpers.SERVICE, announcement.slots, 1
+    )
+    datagram = _membership_types.Datagram(
+        sender=decision_helpers.OWNER,
+        incarnation=1,
+        config_index=0,
+        digest=0,
+        body=_membership_types.Gossip(),
+        records=(advert,),
+    )
+    data = _gossip_codec.encode(datagram, b"key")
+    assert _gossip_codec.decode(data, [b"key"]).records == (advert,)
+
+
 def free_address() -> str:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -25,6 +25,8 @@
 """Time from SIGTERM to SIGKILL."""
 CATCH_UP_S = 4.0
 """Time for which a machine still counts as lost after its restart."""
+ADVERT_S = 0.5
+"""Time within which a node tells the others of its upstreams."""
 LOOPBACK_NETS = itertools.count(40)
 """Second part of the loopback addresses, different for each fleet."""
 
@@ -222,6 +224,35 @@
     wait_for_answer(running, running.nodes[1], "/visits/x")
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"maxConcurrency": 2**32 - 1},
+        {"maxConcurrency": 2**64 - 1},
+        {"born": 2**53 - 1},
+        {"born": 2**63},
+        {"sequence": 2**64 - 1},
+        {"address": "127.0.0.1:70000"},
+        {"version": "v1", "state": [[[[[[[[]]]]]]]]},
+    ],
+)
+def test_an_odd_heartbeat_is_refused_and_changes_nothing(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+    fields: dict[str, object],
+) -> None:
+    """A number too large for a message between nodes ended the process."""
+    visits, other = running.nodes
+    process = visits.process
+    assert process is not None
+    answer = running.send_heartbeat(visits, "i-other-writer", **fields)
+    assert answer.status == 400
+    time.sleep(ADVERT_S)
+    assert process.poll() is None
+    assert running.send_heartbeat(visits, "i-0", sequence=9).status == 200
+    assert running.send_request(other, "/visits/x").status == 200
+
+
 def start_slow_order(
     running: platform_fleet.PlatformFleet,
     node: platform_fleet.Machine,
