Refuse requests that would outlast a stopping ingress

Cause: only the owner's controller knew when the process ends. The ingress sent requests to the owners of other nodes whatever its own end. Ruled out: the listener, which closes after the leave notice and resets nobody.

The ingress controller now knows both times. After the leave notice it takes a new request only if its deadline lies before the end, so that it can't be broken off; before, and for each further attempt, only if the usual run fits (twice for a non-idempotent request, whose outcome would stay unknown). The refusal is 503 "not run", at once, with the time until the process has ended. A second SIGTERM moves the end on for both controllers.

Failing before: test_platform_processes.py -k late_orders (the order was passed on). New: test_ingress_controller.py -k stopping.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+import msgspec
+
 from papayastall import _decision_types as types
 from papayastall import _ingress_state as state
 from papayastall import _open_attempts
@@ -25,6 +27,21 @@
 
 _HEDGE_RETRY_DELAY_S = 0.1
 """Time until a hedge that the retry budget did not allow is tried again."""
+_RUN_MARGIN_FACTOR = 2.0
+"""Before a planned stop ends, a non-idempotent request needs time for this
+many median runs: if it is broken off, its outcome stays unknown."""
+
+
+class _StopTimes(msgspec.Struct, frozen=True):
+    """Times of the planned stop of this process.
+
+    :param late_s: when new requests begin to count as late; callers have
+        been told to use other nodes by then.
+    :param stop_s: when requests without an answer are given up.
+    """
+
+    late_s: float = math.inf
+    stop_s: float = math.inf
 
 
 class IngressController:
@@ -41,6 +58,7 @@
         self._pending: dict[int, state.PendingRequest] = {}
         self._suspects = _suspects.SuspectRegistry()
         self._links_down: set[str] = set()
+        self._stop = _StopTimes()
 
     def configure(
         self, service: str, policy: _service_policy.ServicePolicy
@@ -90,8 +108,34 @@
         service.budget.deposit(now_s)
         pending = state.PendingRequest(request)
         self._pending[request.request_id] = pending
+        is_late = now_s >= self._stop.late_s
+        if is_late and request.deadline_s > self._stop.stop_s:
+            return self._end_stopping(now_s, pending)
         return self._forward_or_end(now_s, pending)
 
+    def finish_by(self, late_s: float, stop_s: float) -> None:
+        """Accept only requests that will likely end before ``stop_s``.
+
+        :param late_s: from then on, a new request is accepted only if its
+            deadline is not after ``stop_s``.
+        :param stop_s: when this process gives up its requests.
+        """
+        self._stop = _StopTimes(late_s, stop_s)
+
+    def _has_time(
+        self,
+        now_s: float,
+        service: state.ServiceView,
+        request: types.IngressRequest,
+    ) -> bool:
+        """Return whether a run that starts now will likely end in time."""
+        if request.deadline_s <= self._stop.stop_s:
+            return True
+        run_ms = _service_view.reference_ms(service, request.route) or 0.0
+        if request.kind is types.RequestKind.NON_IDEMPOTENT:
+            run_ms *= _RUN_MARGIN_FACTOR
+        return now_s + run_ms / 1000 < self._stop.stop_s
+
     def answer_started(
         self,
         now_s: float,
@@ -304,6 +348,9 @@
             assert not pending.has_unknown_outcome, (
                 "an attempt may have run it"
             )
+        service = self._service(pending.request.service)
+        if not self._has_time(now_s, service, pending.request):
+            return self._end_stopping(now_s, pending)
         forward = self._forward(now_s, pending)
         if forward is not None:
             return [forward]
@@ -435,6 +482,13 @@
         forward = self._forward(now_s, pending)
         return [forward] if forward is not None else []
 
+    def _end_stopping(
+        self, now_s: float, pending: state.PendingRequest
+    ) -> _Actions:
+        """Refuse a request that would outlast this process."""
+        pending.retry_after_s = max(0.0, self._stop.stop_s - now_s)
+        return self._end(now_s, pending, _Code.LEAVING)
+
     def _end(
         self,
         now_s: float,
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 import os
 import random
 import signal
@@ -179,6 +180,7 @@
                 node_settings.data_folder, 1 + node_settings.claim_groups
             )
         self._stop_scope: anyio.CancelScope | None = None
+        self._late_s = math.inf
         self._budget_owner_counts: dict[str, int] = {}
         self._build_links()
         self._build_membership()
@@ -421,8 +423,9 @@
         self._log_state("running", "leaving", "asked to stop")
         self.blackboard.stopping = True
         timeout_s = self._stop_timeout_s()
-        self.owner.finish_by(clock.now_s() + timeout_s)
         notice_s = self.settings.leave_notice_ms / 1000
+        self._late_s = clock.now_s() + notice_s
+        self._finish_in(timeout_s)
         with anyio.move_on_after(timeout_s) as self._stop_scope:
             await anyio.sleep(OWNER_ACCEPT_SHARE * notice_s)
             self.owner.stop_accepting()
@@ -454,11 +457,17 @@
         The sender of a second stop signal expects the full timeout from then.
         """
         if self._stop_scope is not None:
-            self._stop_scope.deadline = (
-                anyio.current_time() + self._stop_timeout_s()
-            )
+            timeout_s = self._stop_timeout_s()
+            self._stop_scope.deadline = anyio.current_time() + timeout_s
+            self._finish_in(timeout_s)
             self._log_state("leaving", "leaving", "asked to stop again")
 
+    def _finish_in(self, timeout_s: float) -> None:
+        """Accept only requests that will likely end within the timeout."""
+        stop_s = clock.now_s() + timeout_s
+        self.owner.finish_by(stop_s)
+        self.ingress_controller.finish_by(self._late_s, stop_s)
+
     def _stop_timeout_s(self) -> float:
         """Return the seconds that requests may go on in a planned stop."""
         timeout_s = self.settings.shutdown_timeout_ms / 1000
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -103,7 +103,8 @@
         sent to, if any.
     :param metrics_address: HTTP address where metrics can be scraped, if
         any.
-    :param leave_notice_ms: how long a stopping node still accepts requests.
+    :param leave_notice_ms: how long a stopping node still accepts requests;
+        after it, only those whose deadline it will see.
     :param shutdown_timeout_ms: longest time that requests in flight may
         delay a stop.
     :param log_file: where log lines go; standard output when left out.
--- a/tests/test_ingress_controller.py
+++ b/tests/test_ingress_controller.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import msgspec.structs
+import pytest
+
 from papayastall import _decision_types as types
+from papayastall import _ingress_controller
 from papayastall import exceptions
 from tests import decision_helpers as helpers
 
@@ -135,3 +139,89 @@
     second = _only_forward(ingress.attempt_ended(0.0, outcome))
     assert second.owner == first.owner
     assert second.hints.last_resort
+
+
+LATE_S = 3.0
+STOP_S = 5.0
+RUN_S = 1.0
+
+
+@pytest.mark.parametrize(
+    ("kind", "now_s", "deadline_s", "accepted"),
+    [
+        (helpers.LOOKUP, 2.9, 99.0, True),
+        (helpers.LOOKUP, 3.1, 99.0, False),
+        (helpers.LOOKUP, 3.1, 4.9, True),
+        (helpers.BOOKING, 2.9, 99.0, True),
+        (helpers.BOOKING, 3.1, 99.0, False),
+        (helpers.BOOKING, 3.1, 4.9, True),
+        (helpers.BOOKING, 3.1, 5.1, False),
+    ],
+)
+def test_a_stopping_ingress_refuses_late_requests_that_may_outlast_it(
+    kind: types.RequestKind, now_s: float, deadline_s: float, accepted: bool
+) -> None:
+    """Requests that came late in a stop were sent on, and then broken off."""
+    ingress = helpers.ingress()
+    ingress.finish_by(LATE_S, STOP_S)
+    request = helpers.ingress_request(1, kind, deadline_s)
+    [action] = ingress.begin(now_s, request)
+    if accepted:
+        assert isinstance(action, types.ForwardAttempt)
+        return
+    assert isinstance(action, types.RefuseRequest)
+    assert action.code is exceptions.ErrorCode.LEAVING
+    assert action.ran is exceptions.RanState.NO
+    assert action.retry_after_s == STOP_S - now_s
+    assert not ingress.has_work()
+
+
+def _learn_run_time(ingress: _ingress_controller.IngressController) -> None:
+    """Let lookups and bookings be answered in ``RUN_S`` each."""
+    for number, kind in enumerate([helpers.LOOKUP, helpers.BOOKING] * 20):
+        request_id = 1000 + number
+        request = helpers.ingress_request(request_id, kind)
+        first = _only_forward(ingress.begin(0.0, request))
+        load = msgspec.structs.replace(
+            helpers.load(first.owner), latency_ms=RUN_S * 1000
+        )
+        ingress.answer_started(0.1, request_id, first.attempt, load, 200)
+        ingress.attempt_ended(
+            0.1,
+            types.AttemptOutcome(
+                request_id,
+                first.attempt,
+                types.AttemptResult.ANSWERED,
+                200,
+                None,
+                None,
+                load,
+            ),
+        )
+
+
+@pytest.mark.parametrize(
+    ("kind", "refused_s", "moves_on"),
+    [
+        (helpers.LOOKUP, 3.9, True),
+        (helpers.LOOKUP, 4.1, False),
+        (helpers.BOOKING, 2.9, True),
+        (helpers.BOOKING, 3.1, False),
+    ],
+)
+def test_a_stopping_ingress_sends_no_request_on_that_will_outlast_it(
+    kind: types.RequestKind, refused_s: float, moves_on: bool
+) -> None:
+    ingress = helpers.ingress()
+    _learn_run_time(ingress)
+    request = helpers.ingress_request(1, kind)
+    first = _only_forward(ingress.begin(1.0, request))
+    ingress.finish_by(LATE_S, STOP_S)
+    refused = _make_outcome(
+        first, types.AttemptResult.NOT_RUN, exceptions.ErrorCode.OVERLOADED
+    )
+    [action] = ingress.attempt_ended(refused_s, refused)
+    assert isinstance(action, types.ForwardAttempt) is moves_on
+    if isinstance(action, types.RefuseRequest):
+        assert action.code is exceptions.ErrorCode.LEAVING
+        assert action.ran is exceptions.RanState.NO
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,6 +4,7 @@
 
 import collections.abc as cabc
 import contextlib
+import http.client
 import itertools
 import json
 import pathlib
@@ -23,6 +24,8 @@
 """Time until an acknowledged configuration is in force on all machines."""
 GRACE_S = 6.0
 """Time from SIGTERM to SIGKILL."""
+FIRST_USE_S = 0.8
+"""Time from the start of a connection to its first request."""
 CATCH_UP_S = 4.0
 """Time for which a machine still counts as lost after its restart."""
 ADVERT_S = 0.5
@@ -336,6 +339,38 @@
     wait_until_ready(running, node)
 
 
+def test_a_stop_refuses_late_orders_that_may_outlast_it(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+) -> None:
+    """Orders that came late in a stop were sent on, and then broken off."""
+    node = running.nodes[0]
+    assert node.process is not None
+    allow_long_orders(running, 95)
+    upstreams[1].gate.clear()
+    host, _, port = running.address(node, "outbound").rpartition(":")
+    node.process.send_signal(signal.SIGTERM)
+    time.sleep(GRACE_S / 2 - FIRST_USE_S / 2)
+    connection = http.client.HTTPConnection(host, int(port), timeout=GRACE_S)
+    connection.connect()
+    time.sleep(FIRST_USE_S)
+    headers = {
+        "Host": platform_fleet.HOST,
+        "Request-Id": "late",
+        "Deadline-Ms": "6000",
+    }
+    connection.request("POST", "/orders/late", b"", headers)
+    answer = connection.getresponse()
+    upstreams[1].gate.set()
+    assert answer.status == 503
+    assert 0 < float(answer.headers["Retry-After"]) < GRACE_S / 2
+    assert answer.headers["Connection"] == "close"
+    assert "late" not in upstreams[1].runs
+    assert node.process.wait(WAIT_TIMEOUT_S) == 0
+    running.start_machine(node)
+    wait_until_ready(running, node)
+
+
 def test_a_second_request_to_stop_starts_its_time_anew(
     running: platform_fleet.PlatformFleet,
     upstreams: list[platform_upstream.Upstream],
