Count losses of a request one after the other, and trust answers

Cause: each lost run counted as evidence that the request crashes upstreams, although copies in flight on several upstreams are lost together when these fail for a common cause; and an answered run was ignored once two were lost.

Now the first loss makes a request a suspect, and only trials count after it: runs that began when it was a suspect, known by a notice or by a lost attempt of the same request, which the frame Open names (field 25) since the retry may overtake the notice. An answered run clears it, blocked or not. A block lasts 60 s and grows by four with each further lost trial. A request that does crash its upstreams still costs two (test_suspects.py, test_failures_state.py).

Failing before: test_suspects.py -k copies_lost. test_entries_expire notes its second loss as a trial's, since plain losses don't block; it also checks now that the entry is gone.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -556,6 +556,7 @@
         last_resort=action.hints.last_resort,
         wants_proof=action.hints.wants_proof,
         is_repeat=action.is_repeat,
+        is_suspect=action.is_suspect,
         notices=action.notices,
         rank=request.rank,
         objective_ms=_objective_left_ms(exchange),
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -182,6 +182,7 @@
         in seconds.
     :param is_repeat: another attempt may have reached an upstream.
     :param notices: of upstreams of the service, as the ingress knows them.
+    :param is_suspect: an upstream was lost with an earlier attempt.
     """
 
     request_id: int
@@ -197,6 +198,7 @@
     objective_s: float | None = None
     is_repeat: bool = False
     notices: tuple[UpstreamNotice, ...] = ()
+    is_suspect: bool = False
 
 
 class OwnerLoad(msgspec.Struct, frozen=True):
@@ -312,6 +314,7 @@
     :param is_repeat: see :class:`OwnerRequest`.
     :param notices: of upstreams of the service, for an owner whose process
         is new to them.
+    :param is_suspect: see :class:`OwnerRequest`.
     """
 
     request_id: int
@@ -322,6 +325,7 @@
     cause: exceptions.ErrorCode | None = None
     is_repeat: bool = False
     notices: tuple[UpstreamNotice, ...] = ()
+    is_suspect: bool = False
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
@@ -342,12 +346,15 @@
     """Tell every node that a request may crash upstreams, or is cleared.
 
     :param upstream: the upstream that was lost with it, as ``ip:port``.
-    :param cleared: a later run of the same request was answered.
+    :param cleared: a run of the same request was answered.
+    :param is_trial: the request was known as a suspect when it was sent to
+        the upstream.
     """
 
     fingerprint: int
     upstream: str
     cleared: bool
+    is_trial: bool = False
 
 
 OwnerAction = (
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -99,6 +99,7 @@
     :param is_repeat: whether an earlier attempt may have reached an
         upstream.
     :param notices: of upstreams of the service, as the ingress knows them.
+    :param is_suspect: whether an upstream was lost with an earlier attempt.
     """
 
     request_id: int
@@ -125,6 +126,7 @@
     wants_proof: bool = False
     is_repeat: bool = False
     notices: tuple[_decision_types.UpstreamNotice, ...] = ()
+    is_suspect: bool = False
 
 
 class BodyChunk(msgspec.Struct):
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -177,6 +177,7 @@
         )
         actions: _Actions = []
         if outcome.result is types.AttemptResult.ANSWERED:
+            self._suspects.clear(pending.request.fingerprint)
             if pending.chosen is None:
                 actions = self.answer_started(
                     now_s,
@@ -326,6 +327,7 @@
             pending.last_code,
             is_repeat,
             _service_view.list_notices(now_s, service, attempt.owner),
+            is_suspect=pending.losses > 0,
         )
 
     def _select(
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -17,7 +17,6 @@
 from papayastall import _retry
 from papayastall import _service_policy
 from papayastall import _suspect_gate
-from papayastall import _suspects
 from papayastall import _upstream_notices
 from papayastall import _upstream_registry
 from papayastall import exceptions
@@ -123,15 +122,9 @@
             return [self._refuse(request, _Code.DEADLINE_EXCEEDED)]
         if not _placement.has_time(now_s, service, request, self._stop_s):
             return [self._refuse(request, _Code.LEAVING)]
-        losses = self._gate.registry.losses(now_s, request.fingerprint)
-        if losses >= _suspects.MAX_UPSTREAMS_LOST:
-            refusal = _refusals.refuse_crashing(
-                request.request_id, exceptions.RanState.NO
-            )
-            return [refusal]
-        if losses:
-            return self._place_suspect(now_s, request)
-        return self._place(now_s, request)
+        if request.is_suspect:
+            self._gate.note_lost_before(now_s, request)
+        return self._place_unless_blocked(now_s, request)
 
     def finished(
         self,
@@ -530,6 +523,19 @@
             code = _Code.DEADLINE_EXCEEDED
         return self._refuse(request, code)
 
+    def _place_unless_blocked(
+        self, now_s: float, request: types.OwnerRequest
+    ) -> list[types.OwnerAction]:
+        registry = self._gate.registry
+        if registry.is_blocked(now_s, request.fingerprint):
+            refusal = _refusals.refuse_crashing(
+                request.request_id, exceptions.RanState.NO
+            )
+            return [refusal]
+        if registry.losses(now_s, request.fingerprint):
+            return self._place_suspect(now_s, request)
+        return self._place(now_s, request)
+
     def _place_suspect(
         self, now_s: float, request: types.OwnerRequest
     ) -> list[types.OwnerAction]:
--- a/src/papayastall/_suspect_codec.py
+++ b/src/papayastall/_suspect_codec.py
@@ -17,6 +17,7 @@
             fingerprint=notice.fingerprint,
             upstream=notice.upstream,
             cleared=notice.cleared,
+            is_trial=notice.is_trial,
         )
     )
 
@@ -28,5 +29,8 @@
     """
     value = _thrift.decode(wire.Suspect, body)
     return _decision_types.SuspectNotice(
-        value.fingerprint or 0, value.upstream or "", bool(value.cleared)
+        value.fingerprint or 0,
+        value.upstream or "",
+        bool(value.cleared),
+        bool(value.is_trial),
     )
--- a/src/papayastall/_suspect_gate.py
+++ b/src/papayastall/_suspect_gate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec.structs
+
 from papayastall import _decision_types as types
 from papayastall import _owner_state as state
 from papayastall import _suspects
@@ -30,7 +32,9 @@
         """Add a request that has to wait; return whether there was room."""
         if len(self._parked) >= _MAX_PARKED_REQUESTS:
             return False
-        self._parked[request.request_id] = request
+        # Its earlier loss has been noted, and may be cleared meanwhile.
+        waiting = msgspec.structs.replace(request, is_suspect=False)
+        self._parked[request.request_id] = waiting
         return True
 
     def forget(self, request_id: int) -> None:
@@ -43,6 +47,19 @@
         self._parked.clear()
         return requests
 
+    def note_lost_before(
+        self, now_s: float, request: types.OwnerRequest
+    ) -> None:
+        """Record that an upstream was lost with an earlier attempt.
+
+        Its owner's notice may arrive after the request.
+        """
+        if not self.registry.losses(now_s, request.fingerprint):
+            self.registry.note(
+                now_s,
+                types.SuspectNotice(request.fingerprint, "", cleared=False),
+            )
+
     def note_end(
         self, now_s: float, run: state.RunningRequest, outcome: types.Outcome
     ) -> types.SuspectNotice | None:
@@ -51,15 +68,23 @@
         Returns ``None`` if the outcome says nothing new about the request.
         """
         fingerprint = run.request.fingerprint
+        is_known = self.registry.losses(now_s, fingerprint) > 0
         match outcome:
             case types.Outcome.BROKEN:
-                cleared = False
+                notice = types.SuspectNotice(
+                    fingerprint,
+                    run.upstream,
+                    cleared=False,
+                    # An answer to a copy may have cleared the request.
+                    is_trial=run.is_suspect and is_known,
+                )
             case types.Outcome.ANSWERED | types.Outcome.FAILED:
-                if not self.registry.losses(now_s, fingerprint):
+                if not is_known:
                     return None
-                cleared = True
+                notice = types.SuspectNotice(
+                    fingerprint, run.upstream, cleared=True
+                )
             case _:
                 return None
-        notice = types.SuspectNotice(fingerprint, run.upstream, cleared)
         self.registry.note(now_s, notice)
         return notice
--- a/src/papayastall/_suspects.py
+++ b/src/papayastall/_suspects.py
@@ -1,26 +1,55 @@
 """Requests that may crash the upstreams that run them.
 
 A request that was in flight on an upstream when that upstream was lost is a
-suspect. A suspect runs once more, alone; if that loses a second upstream, the
-request is refused until its entry expires. One answered run clears a suspect.
+suspect. A suspect runs once more, alone, as a trial. If the trial loses its
+upstream as well, the request is refused for a while, and then tried again.
+An answered run shows that a request crashes nothing, and clears it.
+
+Only trials count beside the first loss: copies of one request that were in
+flight on several upstreams are lost together when these fail for a common
+cause.
 """
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from papayastall import _decision_types as types
 
-__all__ = ["SUSPECT_TTL_S", "SuspectRegistry"]
+__all__ = [
+    "FIRST_BLOCK_S",
+    "MAX_UPSTREAMS_LOST",
+    "SUSPECT_TTL_S",
+    "SuspectRegistry",
+]
 
 SUSPECT_TTL_S = 3600.0
+FIRST_BLOCK_S = 60.0
+BLOCK_GROWTH_FACTOR = 4.0
+"""Each further trial that loses its upstream lengthens the block by this
+factor, up to the lifetime of an entry."""
 MAX_SUSPECTS = 10_000
 MAX_UPSTREAMS_LOST = 2
+"""A request is refused after that many losses: the first one, and trials."""
 
 
 class _Suspect(msgspec.Struct):
-    upstreams: set[str]
+    """A suspected request.
+
+    :param trials_lost: upstreams that were lost with a trial.
+    :param blocked_until_s: until then the request must not run.
+    """
+
     expires_s: float
+    trials_lost: set[str] = msgspec.field(default_factory=set)
+    blocked_until_s: float = -math.inf
+
+    @property
+    def losses(self) -> int:
+        """Number of upstreams lost one after the other."""
+        return 1 + len(self.trials_lost)
 
 
 class SuspectRegistry:
@@ -37,34 +66,45 @@
     def note(self, now_s: float, notice: types.SuspectNotice) -> None:
         """Record a notice of this node or another one."""
         if notice.cleared:
-            self._clear(notice.fingerprint)
+            self.clear(notice.fingerprint)
             return
-        suspect = self._suspects.get(notice.fingerprint)
-        if suspect is None or suspect.expires_s <= now_s:
-            suspect = _Suspect(set(), 0.0)
+        suspect = self._find(now_s, notice.fingerprint)
+        if suspect is None:
             self._make_room()
+            suspect = _Suspect(now_s + SUSPECT_TTL_S)
             self._suspects[notice.fingerprint] = suspect
-        suspect.upstreams.add(notice.upstream)
         suspect.expires_s = now_s + SUSPECT_TTL_S
+        if not notice.is_trial or notice.upstream in suspect.trials_lost:
+            return
+        suspect.trials_lost.add(notice.upstream)
+        further_losses = suspect.losses - MAX_UPSTREAMS_LOST
+        if further_losses >= 0:
+            block_s = FIRST_BLOCK_S * BLOCK_GROWTH_FACTOR**further_losses
+            suspect.blocked_until_s = now_s + min(block_s, SUSPECT_TTL_S)
+
+    def clear(self, fingerprint: int) -> None:
+        """Record that a run of the request was answered."""
+        self._suspects.pop(fingerprint, None)
 
     def losses(self, now_s: float, fingerprint: int) -> int:
-        """Return how many upstreams were lost with this request."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
-            return 0
-        if suspect.expires_s <= now_s:
-            del self._suspects[fingerprint]
-            return 0
-        return len(suspect.upstreams)
+        """Return how many upstreams were lost with this request.
+
+        Upstreams that were lost at the same time count once.
+        """
+        suspect = self._find(now_s, fingerprint)
+        return 0 if suspect is None else suspect.losses
 
     def is_blocked(self, now_s: float, fingerprint: int) -> bool:
-        """Return whether the request must not run again."""
-        return self.losses(now_s, fingerprint) >= MAX_UPSTREAMS_LOST
+        """Return whether the request must not run now."""
+        suspect = self._find(now_s, fingerprint)
+        return suspect is not None and now_s < suspect.blocked_until_s
 
-    def _clear(self, fingerprint: int) -> None:
+    def _find(self, now_s: float, fingerprint: int) -> _Suspect | None:
         suspect = self._suspects.get(fingerprint)
-        if suspect is not None and len(suspect.upstreams) < MAX_UPSTREAMS_LOST:
+        if suspect is not None and suspect.expires_s <= now_s:
             del self._suspects[fingerprint]
+            return None
+        return suspect
 
     def _make_room(self) -> None:
         while len(self._suspects) >= MAX_SUSPECTS:
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -233,6 +233,7 @@
             objective_s=frame.objective_ms / 1000 or None,
             is_repeat=frame.is_repeat,
             notices=frame.notices,
+            is_suspect=frame.is_suspect,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -58,6 +58,7 @@
   22: bool wants_proof,
   23: bool is_repeat,
   24: list<UpstreamNotice> notices,
+  25: bool is_suspect,
 }
 
 struct BodyChunk {
@@ -142,6 +143,7 @@
   1: i64 fingerprint,
   2: string upstream,
   3: bool cleared,
+  4: bool is_trial,
 }
 
 struct OperatorCall {
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,6 +8,8 @@
 
 import random
 
+import msgspec.structs
+
 from papayastall import _decision_types as types
 from papayastall import _ingress_controller
 from papayastall import _owner_controller
@@ -72,6 +74,17 @@
         )
         return request_id
 
+    def fail_upstreams(self, names: list[str]) -> None:
+        """End all running requests; those at these owners' upstreams fail.
+
+        The notices of the losses arrive first.
+        """
+        running = sorted(
+            self.running,
+            key=lambda local_id: self.running[local_id] not in names,
+        )
+        self._end_running(running, set(names))
+
     def finish_all(self) -> None:
         """End all running requests.
 
@@ -84,19 +97,20 @@
                 for local_id in running
                 if self.attempts[local_id][2] == POISON_FINGERPRINT
             }
-            for local_id in running:
-                name = self.running.pop(local_id)
-                outcome = types.Outcome.ANSWERED
-                if name in crashed:
-                    outcome = types.Outcome.BROKEN
-                ingress, number, _, _ = self.attempts[local_id]
-                actions = self.owners[name].finished(
-                    self.now_s, local_id, outcome
-                )
-                if outcome is types.Outcome.ANSWERED:
-                    self._answer(local_id)
-                self._perform_owner(name, actions)
-            self.lost += sorted(crashed)
+            self._end_running(running, crashed)
+
+    def _end_running(self, running: list[int], crashed: set[str]) -> None:
+        for local_id in running:
+            name = self.running.pop(local_id)
+            outcome = types.Outcome.ANSWERED
+            if name in crashed:
+                outcome = types.Outcome.BROKEN
+            ingress, number, _, _ = self.attempts[local_id]
+            actions = self.owners[name].finished(self.now_s, local_id, outcome)
+            if outcome is types.Outcome.ANSWERED:
+                self._answer(local_id)
+            self._perform_owner(name, actions)
+        self.lost += sorted(crashed)
 
     running: dict[int, str]
 
@@ -225,9 +239,93 @@
     assert [action.request_id for action in dispatched] == [2]
 
 
+def note_loss(
+    registry: _suspects.SuspectRegistry,
+    now_s: float,
+    upstream: str,
+    is_trial: bool,
+) -> None:
+    notice = types.SuspectNotice(7, upstream, False, is_trial)
+    registry.note(now_s, notice)
+
+
 def test_entries_expire() -> None:
     registry = _suspects.SuspectRegistry()
-    for upstream in ("a", "b"):
-        registry.note(0.0, types.SuspectNotice(7, upstream, cleared=False))
+    note_loss(registry, 0.0, "a", False)
+    note_loss(registry, 0.0, "b", True)
     assert registry.is_blocked(1.0, 7)
     assert not registry.is_blocked(_suspects.SUSPECT_TTL_S + 1.0, 7)
+    assert not registry.losses(_suspects.SUSPECT_TTL_S + 1.0, 7)
+
+
+def test_a_blocked_request_is_tried_again_more_and_more_rarely() -> None:
+    registry = _suspects.SuspectRegistry()
+    note_loss(registry, 0.0, "a", False)
+    now_s = 0.0
+    blocks_s = []
+    for upstream in "bcdef":
+        note_loss(registry, now_s, upstream, True)
+        note_loss(registry, now_s + 1.0, upstream, True)
+        start_s = now_s
+        while registry.is_blocked(now_s, 7):
+            now_s += 10.0
+        blocks_s.append(now_s - start_s)
+    assert blocks_s == [60.0, 240.0, 960.0, 3600.0, 3600.0]
+
+
+def test_copies_lost_with_several_upstreams_at_once_are_not_refused() -> None:
+    """A lookup that many callers share was refused after two losses.
+
+    Its copies were in flight on two upstreams that failed at the same time.
+    """
+    fleet = _make_fleet()
+    shared = 7
+    for _ in range(NODES):
+        fleet.send(0, shared, helpers.LOOKUP)
+    owners = sorted(set(fleet.running.values()))
+    assert len(owners) > 2
+    fleet.fail_upstreams(owners[:2])
+    for index in list(range(NODES)) * 2:
+        request_id = fleet.send(index, shared, helpers.LOOKUP)
+        fleet.finish_all()
+        assert fleet.received[request_id] is None
+
+
+def test_an_answered_copy_lifts_the_block() -> None:
+    fleet = _make_fleet()
+    shared = 7
+    first = fleet.send(0, shared, helpers.LOOKUP)
+    notices = [
+        types.SuspectNotice(shared, "up-a", False),
+        types.SuspectNotice(shared, "up-b", False, is_trial=True),
+    ]
+    for notice in notices:
+        for owner in fleet.owners.values():
+            owner.suspect(fleet.now_s, notice)
+        for ingress in fleet.ingresses:
+            ingress.suspect(fleet.now_s, notice)
+    refused = fleet.send(1, shared, helpers.LOOKUP)
+    refusal = fleet.received[refused]
+    assert refusal is not None
+    assert refusal.code is exceptions.ErrorCode.CRASHING_REQUEST
+    fleet.finish_all()
+    assert fleet.received[first] is None
+    for index in range(NODES):
+        request_id = fleet.send(index, shared, helpers.LOOKUP)
+        fleet.finish_all()
+        assert fleet.received[request_id] is None
+
+
+def test_a_retry_that_overtakes_the_notice_counts_as_a_trial() -> None:
+    """The retry of a lost request arrives before the notice of its loss."""
+    owner = helpers.owner(upstreams=2)
+    request = msgspec.structs.replace(
+        helpers.owner_request(1, fingerprint=7), is_suspect=True
+    )
+    owner.submit(0.0, request)
+    actions = owner.finished(0.1, 1, types.Outcome.BROKEN)
+    [notice] = [a for a in actions if isinstance(a, types.SuspectNotice)]
+    assert notice.is_trial
+    [refusal] = owner.submit(0.2, helpers.owner_request(2, fingerprint=7))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.CRASHING_REQUEST
