Limit ranks and times of routes to what frames carry

Cause: the frame Open carries rank, objective and remaining time in 32 bits; encoding it failed in the task that opens the link, which ends the process, or answered the request with 500 while the link was open. Refusing the change was ruled out, as replicas of two builds would apply the same log to different tables.

--- a/src/papayastall/_route_resolution.py
+++ b/src/papayastall/_route_resolution.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "DEFAULT_MAX_ATTEMPTS",
+    "MAX_FRAME_INTEGER",
     "NO_ROUTE_CODES",
     "NOT_READY_RETRY_AFTER_S",
     "ResolvedRoute",
@@ -23,6 +24,9 @@
 """For a route whose operators set no limit; in effect unlimited."""
 NOT_READY_RETRY_AFTER_S = 0.5
 """A node learns the configuration within a second of its start."""
+MAX_FRAME_INTEGER = 2**31 - 1
+"""Frames carry ranks and times in 32 bits. Larger ones of a configuration,
+which has no upper limit, count as this: the least urgent rank, 24 days."""
 
 _Kind = _decision_types.RequestKind
 _Code = exceptions.ErrorCode
@@ -87,7 +91,7 @@
         service=document.name,
         route=route.name if route else UNKNOWN_ROUTE,
         kind=route.kind if route else _Kind.NON_IDEMPOTENT,
-        timeout_ms=timeout_ms,
+        timeout_ms=min(timeout_ms, MAX_FRAME_INTEGER),
         max_body_bytes=document.limits.max_body_bytes,
         team_header=document.team_header.lower().encode(),
         key_use=route.idempotency_key if route else accepted,
@@ -115,9 +119,9 @@
         service=lookup.choose_service(route),
         route=route.name,
         kind=route.kind,
-        timeout_ms=route.timeout_ms,
+        timeout_ms=min(route.timeout_ms, MAX_FRAME_INTEGER),
         max_body_bytes=lookup.table.limits.max_body_bytes,
         max_attempts=route.max_attempts,
-        rank=route.rank,
-        objective_ms=route.objective_ms,
+        rank=min(route.rank, MAX_FRAME_INTEGER),
+        objective_ms=min(route.objective_ms, MAX_FRAME_INTEGER),
     )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,14 +5,20 @@
 import random
 import typing as t
 
+import pytest
+
 from papayastall import _attempts
 from papayastall import _decision_types
 from papayastall import _exchange
 from papayastall import _frames
 from papayastall import _ingress_controller
+from papayastall import _route_lookup
+from papayastall import _route_resolution
+from papayastall import blackboard as blackboards
 from papayastall import clock
 from papayastall import exceptions
 from papayastall import metrics
+from tests import route_helpers
 
 OWNERS = ["127.0.0.1:1", "127.0.0.1:2"]
 
@@ -49,6 +55,9 @@
 
 def start_lookup(
     max_attempts: int = 1_000,
+    timeout_ms: int = 10_000,
+    rank: int = 0,
+    objective_ms: int | None = None,
 ) -> tuple[t.Any, FakeLinks, _exchange.Exchange]:
     links = FakeLinks()
     controller = _ingress_controller.IngressController(
@@ -70,9 +79,11 @@
         "status",
         "",
         _decision_types.RequestKind.LOOKUP,
-        now_s + 10.0,
+        now_s + timeout_ms / 1000,
         1,
         max_attempts,
+        rank,
+        None if objective_ms is None else objective_ms / 1000,
     )
     exchange = _exchange.Exchange(request, b"GET", b"/", [], b"")
     sender.open(exchange)
@@ -106,3 +117,32 @@
     sender._receive_chunk(owner, 1, last)
     assert exchange.chosen is not None
     assert exchange.chosen.complete
+
+
+@pytest.mark.parametrize("field", ["rank", "objective_ms", "timeout_ms"])
+@pytest.mark.parametrize("bits", [31, 32, 53, 63, 64])
+@pytest.mark.parametrize("change", [-1, 0])
+def test_a_request_on_a_route_with_a_large_number_is_sent(
+    field: str, bits: int, change: int
+) -> None:
+    """A rank of 32 bits or more ended the process that sent the request."""
+    value = (1 << bits) + change
+    route = route_helpers.make_route("r", **{field: value})
+    table = route_helpers.make_table(1, route)
+    board = blackboards.Blackboard("127.0.0.1:9", "a")
+    lookup = _route_lookup.RouteLookup(table)
+    board.routing = blackboards.TableRouting(lookup)
+    found = _route_resolution.resolve(
+        board, "GET", route.host, route.path_prefix
+    )
+    _, links, _ = start_lookup(
+        timeout_ms=found.timeout_ms,
+        rank=found.rank,
+        objective_ms=found.objective_ms,
+    )
+    [(_, frame)] = links.sent
+    data = _frames.encode(frame, 1)
+    size = _frames.HEADER.size
+    header = _frames.decode_header(data[:size])
+    assert _frames.decode_body(header, data[size:]) == frame
+    assert getattr(found, field) == min(value, 2**31 - 1)
