Keep the shares of a split whose weights add up beyond a float

Such weights are divided by the largest one; all others are used as before.

Failing before: test_route_table.py -k weights_beyond.

--- a/src/papayastall/_route_lookup.py
+++ b/src/papayastall/_route_lookup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from papayastall import route_table
@@ -14,9 +16,12 @@
 
     It is a smooth weighted round robin: each service gets its share of any
     short run of requests, not only on average.
+
+    :param scale: divisor of the weights that makes their sum finite.
     """
 
     shares: tuple[route_table.ServiceShare, ...]
+    scale: float
     current_weights: list[float]
 
     def choose(self) -> str:
@@ -24,14 +29,21 @@
         total = 0.0
         best = 0
         for number, share in enumerate(self.shares):
-            self.current_weights[number] += share.weight
-            total += share.weight
+            weight = share.weight / self.scale
+            self.current_weights[number] += weight
+            total += weight
             if self.current_weights[number] > self.current_weights[best]:
                 best = number
         self.current_weights[best] -= total
         return self.shares[best].service
 
 
+def _make_split(shares: tuple[route_table.ServiceShare, ...]) -> _Split:
+    weights = [float(share.weight) for share in shares]
+    scale = 1.0 if math.isfinite(sum(weights)) else max(weights)
+    return _Split(shares, scale, [0.0] * len(shares))
+
+
 class RouteLookup:
     """The routes of one table by host, longest prefix first.
 
@@ -52,7 +64,7 @@
             self._by_host.setdefault(route.host.lower(), []).append(route)
             split = previous._splits.get(route.name) if previous else None
             if split is None or split.shares != route.shares:
-                split = _Split(route.shares, [0.0] * len(route.shares))
+                split = _make_split(route.shares)
             self._splits[route.name] = split
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -184,3 +184,16 @@
         lookup = _route_lookup.RouteLookup(make_table(version, split), lookup)
     counts = collections.Counter(chosen)
     assert counts == {"one": 27, "two": 3}
+
+
+def test_a_split_with_weights_beyond_a_float_keeps_its_shares() -> None:
+    """The sum of such weights is infinite; one part got all requests."""
+    shares = (Share("one", 1.5e308), Share("two", 0.5e308))
+    lookup = _route_lookup.RouteLookup(
+        make_table(1, make_route("r", shares=shares))
+    )
+    [route] = lookup.table.routes
+    chosen = collections.Counter(
+        lookup.choose_service(route) for _ in range(400)
+    )
+    assert chosen == {"one": 300, "two": 100}
