--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -204,6 +204,30 @@
         adapter_config.read_table(body)
 
 
+def nest(levels: int) -> dict[str, t.Any]:
+    value: dict[str, t.Any] = {}
+    for _ in range(levels):
+        value = {"inner": value}
+    return value
+
+
+@pytest.mark.parametrize("levels", [10, 245, 252])
+def test_a_nested_configuration_is_given_back(levels: int) -> None:
+    """A change was accepted that could not be written back."""
+    body = change_config("somethingNew", nest(levels))
+    change = adapter_config.read_table(body)
+    table = route_table.apply_change(route_table.RouteTable(), change)
+    written = json.loads(adapter_config.write_table(table))
+    assert written["resources"] == json.loads(body)["resources"]
+
+
+def test_a_configuration_nested_too_deeply_is_refused() -> None:
+    """It was answered with 500, which operators take for no answer."""
+    body = change_config("somethingNew", nest(300))
+    with pytest.raises(exceptions.BadInputError, match="nested"):
+        adapter_config.read_table(body)
+
+
 class FakeNode:
     """Records the endpoints' calls to a node."""
 
