Play disks of control replicas that are full one after the other

Report of another operator: the disks of counted machines were full for a few seconds each, never two at once; long after the last had room again, changes were refused or stayed unanswered. Played on three replicas in one process, for 0.2, 1.5 and 3 s, with changes sent all the while: afterwards every replica accepts a change and has it in force within 4 s.

--- a/tests/test_control_rejoin.py
+++ b/tests/test_control_rejoin.py
@@ -29,6 +29,8 @@
 ADDRESSES = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
 TIME_LIMIT_S = 60.0
 POLL_INTERVAL_S = 0.05
+ACK_S = 4.0
+"""Time without a fault within which a valid change is acknowledged."""
 
 
 class Planes:
@@ -172,6 +174,95 @@
         self._file.close()
 
 
+def fill_disks(monkeypatch: pytest.MonkeyPatch) -> dict[str, FullDisk]:
+    """Return a disk for each address; they have room at first."""
+    disks = {address: FullDisk() for address in ADDRESSES}
+    open_real = _files.RealFileSystem.open_append
+
+    def open_append(
+        files: _files.RealFileSystem, path: str
+    ) -> _files.AppendFile:
+        address = next(a for a in ADDRESSES if f"/{a}/" in path)
+        return FullDiskFile(disks[address], open_real(files, path))
+
+    monkeypatch.setattr(_files.RealFileSystem, "open_append", open_append)
+    return disks
+
+
+async def change_until_accepted(
+    planes: Planes, sender: str, change: route_table.ReplaceTable
+) -> None:
+    """Send a change again until it is accepted, as an operator does."""
+    while True:
+        try:
+            await planes.planes[sender].config.change_routes(change)
+        except exceptions.UnreachableError:
+            await anyio.sleep(POLL_INTERVAL_S)
+        else:
+            return
+
+
+async def read_until_confirmed(planes: Planes, reader: str) -> int:
+    """Read the version in force again until a replica answers."""
+    while True:
+        try:
+            table = await planes.planes[reader].config.read_routes()
+        except exceptions.UnreachableError:
+            await anyio.sleep(POLL_INTERVAL_S)
+        else:
+            return table.version
+
+
+# Guards against a group that takes no changes any more after the disks of its
+# replicas were full one after the other, never two at once.
+@pytest.mark.parametrize(
+    ("full_s", "gap_s", "rounds"),
+    [(0.2, 0.0, 4), (1.5, 0.0, 1), (3.0, 1.0, 1)],
+)
+async def test_changes_are_accepted_after_each_disk_was_full_in_turn(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    full_s: float,
+    gap_s: float,
+    rounds: int,
+) -> None:
+    disks = fill_disks(monkeypatch)
+    version = 1
+    with anyio.fail_after(TIME_LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            planes = Planes(tmp_path, tasks)
+            for address in ADDRESSES:
+                await planes.start(address)
+            leader = await planes.find_leader()
+            await change_until_accepted(planes, leader, make_change(0, 1))
+            for full in ADDRESSES * rounds:
+                disks[full].is_full = True
+                sender = next(a for a in ADDRESSES if a != full)
+                with anyio.move_on_after(full_s):
+                    while True:
+                        change = make_change(version, version + 1)
+                        await change_until_accepted(planes, sender, change)
+                        version += 1
+                        await anyio.sleep(POLL_INTERVAL_S)
+                disks[full].is_full = False
+                await anyio.sleep(gap_s)
+            with anyio.fail_after(ACK_S):
+                read_version = await read_until_confirmed(planes, sender)
+                base_version = read_version
+                for address in ADDRESSES:
+                    change = make_change(base_version, base_version + 1)
+                    await change_until_accepted(planes, address, change)
+                    base_version += 1
+                while len({planes.indexes[a][-1] for a in ADDRESSES}) > 1:
+                    await anyio.sleep(POLL_INTERVAL_S)
+            for plane in planes.planes.values():
+                await plane.close()
+            tasks.cancel_scope.cancel()
+    assert any(disk.failed_writes for disk in disks.values())
+    assert read_version >= version
+    assert planes.failures == []
+
+
 # Guards against a replica that ends its process because its disk is full:
 # the next processes would end as well, until there is room again.
 @pytest.mark.parametrize("is_leader", [False, True])
@@ -183,18 +274,7 @@
     with anyio.fail_after(TIME_LIMIT_S):
         async with anyio.create_task_group() as tasks:
             planes = Planes(tmp_path, tasks)
-            disks = {address: FullDisk() for address in ADDRESSES}
-            open_real = _files.RealFileSystem.open_append
-
-            def open_append(
-                files: _files.RealFileSystem, path: str
-            ) -> _files.AppendFile:
-                address = next(a for a in ADDRESSES if f"/{a}/" in path)
-                return FullDiskFile(disks[address], open_real(files, path))
-
-            monkeypatch.setattr(
-                _files.RealFileSystem, "open_append", open_append
-            )
+            disks = fill_disks(monkeypatch)
             for address in ADDRESSES:
                 await planes.start(address)
             leader = await planes.find_leader()
