--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -24,6 +24,8 @@
 """Time until an acknowledged configuration is in force on all machines."""
 GRACE_S = 6.0
 """Time from SIGTERM to SIGKILL."""
+INTERPRETER_START_S = 0.1
+"""Time until the first line of a script runs."""
 FIRST_USE_S = 0.8
 """Time from the start of a connection to its first request."""
 CATCH_UP_S = 4.0
@@ -302,6 +304,47 @@
     wait_until_ready(running, node)
 
 
+@pytest.mark.parametrize("text", ["", "{", '{"serves": 1}', "[]"])
+def test_a_settings_file_that_is_not_readable_changes_nothing(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+    text: str,
+) -> None:
+    """SIGHUP ended the process, and heartbeats were refused."""
+    node = running.nodes[0]
+    assert node.process is not None
+    path = running.folder / f"{node.name}.json"
+    before = path.read_text()
+    path.write_text(text)
+    try:
+        node.process.send_signal(signal.SIGHUP)
+        time.sleep(ADVERT_S)
+        assert node.process.poll() is None
+        answer = running.send_heartbeat(node, "i-0", sequence=9)
+        assert answer.status == 200
+    finally:
+        path.write_text(before)
+    node.process.send_signal(signal.SIGHUP)
+    wait_for_answer(running, running.nodes[1], "/visits/x")
+
+
+def test_sighup_during_the_start_ends_no_process(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+) -> None:
+    """The platform changes the settings while a process is starting."""
+    node = running.nodes[0]
+    running.stop_machine(node, signal.SIGKILL)
+    running.start_machine(node)
+    assert node.process is not None
+    time.sleep(INTERPRETER_START_S)
+    for _ in range(100):
+        node.process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+        assert node.process.poll() is None
+    wait_until_ready(running, node)
+
+
 def allow_long_orders(
     running: platform_fleet.PlatformFleet, version: int
 ) -> None:
