Take route changes of up to 12,000 routes at once

An operator saw: a valid configuration of 1,400 routes is refused with 400, which ends the call.

Cause: a command of the replicated log held 256 KiB, and a route takes some 390 bytes in it, its parsed fields beside the operator's text. From 128 KiB on the text is deflated, to a ninth; the limit is 512 KiB, half of a frame. Such a command has version 2, so that a replica of an earlier build stops at it rather than apply it as an empty text.

After: 1,400 and 7,500 routes are acknowledged within 4 s, in force within 2 s more, and read back.

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -253,11 +253,13 @@
         """
         started_s = clock.now_s()
         text = route_table.encode_change(change)
-        command = commands.ChangeRoutes(route_table.digest_change(text), text)
+        command = commands.pack_routes_change(
+            route_table.digest_change(text), text
+        )
         result = await self._group_client.call(
             _peering.Channel.CONTROL,
             commands.CONTROL_GROUP,
-            commands.Command(change_routes=command),
+            command,
             CHANGE_TIMEOUT_S,
         )
         routes = result.routes
--- a/src/papayastall/_control_calls.py
+++ b/src/papayastall/_control_calls.py
@@ -110,7 +110,7 @@
         return self._host.leader(group)
 
     def _is_valid(self, call: commands.GroupCall) -> bool:
-        if call.command.version > commands.COMMAND_VERSION:
+        if call.command.version > commands.DEFLATED_COMMAND_VERSION:
             return False
         if not 0 <= call.group < len(self._states):
             return False
--- a/src/papayastall/_control_commands.py
+++ b/src/papayastall/_control_commands.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import enum
+import zlib
 
 import msgspec
 
+from papayastall import _inflating
 from papayastall import _thrift
 from papayastall import _thrift_codec
 from papayastall import exceptions
@@ -20,6 +22,7 @@
     "ApplyDocuments",
     "AskPermit",
     "COMMAND_VERSION",
+    "DEFLATED_COMMAND_VERSION",
     "CONTROL_GROUP",
     "ChangeRoutes",
     "Claim",
@@ -52,9 +55,16 @@
     "UpstreamReportState",
     "codec",
     "decode_entry",
+    "pack_routes_change",
 ]
 
 COMMAND_VERSION = 1
+DEFLATED_COMMAND_VERSION = 2
+"""Version of commands with a deflated text, which version 1 can't read; the
+latest one."""
+MIN_DEFLATED_BYTES = 128 * 1024
+MAX_INFLATED_BYTES = 16 * 1024 * 1024
+DEFLATE_LEVEL = 1
 OMITTED_ANSWER_SIZE_BYTES = 1 << 31
 """``size_bytes`` of an answer sent without its headers and body.
 
@@ -176,11 +186,26 @@
     """Command to change the route table.
 
     :param digest: identifies a change that is sent again.
-    :param text: see :func:`papayastall.route_table.encode_change`.
+    :param text: see :func:`papayastall.route_table.encode_change`; "" if it
+        is deflated.
+    :param deflated_text: a long text, deflated.
     """
 
     digest: str
     text: str
+    deflated_text: bytes = b""
+
+    def read_text(self) -> str:
+        """Return the text, inflated if need be.
+
+        :raises ValueError: the deflated text is damaged or too long.
+        """
+        if not self.deflated_text:
+            return self.text
+        inflated = _inflating.inflate_whole(
+            self.deflated_text, MAX_INFLATED_BYTES
+        )
+        return inflated.decode()
 
 
 class UpstreamReport(msgspec.Struct, frozen=True):
@@ -293,6 +318,18 @@
     slots: int
 
 
+def pack_routes_change(digest: str, text: str) -> Command:
+    """Return the command of a change, deflated if its text is long."""
+    encoded = text.encode()
+    if len(encoded) < MIN_DEFLATED_BYTES:
+        return Command(change_routes=ChangeRoutes(digest, text))
+    deflated = zlib.compress(encoded, DEFLATE_LEVEL)
+    return Command(
+        version=DEFLATED_COMMAND_VERSION,
+        change_routes=ChangeRoutes(digest, "", deflated),
+    )
+
+
 class LogEntry(msgspec.Struct, frozen=True):
     """A command with the observations that the leader adds to it.
 
@@ -421,7 +458,7 @@
     """
     entry = codec.decode(LogEntry, data)
     version = max(entry.version, entry.command.version)
-    if version > COMMAND_VERSION:
+    if version > DEFLATED_COMMAND_VERSION:
         raise exceptions.ProtocolError(
             exceptions.ErrorCode.BAD_FRAME,
             f"command of version {version}; upgrade this replica",
--- a/src/papayastall/_replica.py
+++ b/src/papayastall/_replica.py
@@ -38,7 +38,7 @@
 
 MIN_WAIT_S = 0.001
 """Shortest wait for messages, also when a timer has already expired."""
-MAX_COMMAND_BYTES = 256 * 1024
+MAX_COMMAND_BYTES = 512 * 1024
 MAX_INBOX_BYTES = 8 * 1024 * 1024
 
 
--- a/src/papayastall/_route_state.py
+++ b/src/papayastall/_route_state.py
@@ -45,7 +45,7 @@
             state = _State.ALREADY_APPLIED
             return commands.RoutesResult(state, known.index), None
     try:
-        change = route_table.decode_change(command.text)
+        change = route_table.decode_change(_read_text(command))
         table = route_table.apply_change(current_table(documents), change)
     except exceptions.ConflictError as error:
         return _refuse(_State.CONFLICT, documents, error), None
@@ -62,6 +62,17 @@
     return commands.RoutesResult(_State.APPLIED, index), config_change
 
 
+def _read_text(command: commands.ChangeRoutes) -> str:
+    try:
+        return command.read_text()
+    except ValueError as error:
+        raise exceptions.ProtocolError(
+            exceptions.ErrorCode.BAD_FRAME,
+            f"the change can't be inflated: {error}; send it again",
+            step="decode-routes",
+        ) from error
+
+
 def _refuse(
     state: commands.RoutesState,
     documents: _document_state.DocumentTable,
--- a/src/papayastall/control.thrift
+++ b/src/papayastall/control.thrift
@@ -17,6 +17,7 @@
 struct ChangeRoutes {
   1: string digest,
   2: string text,
+  3: binary deflated_text,
 }
 
 struct UpstreamReport {
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -20,7 +20,13 @@
 
 from tests import fleet
 
-__all__ = ["Answer", "Machine", "PlatformFleet", "make_config"]
+__all__ = [
+    "Answer",
+    "Machine",
+    "PlatformFleet",
+    "make_config",
+    "make_route",
+]
 
 ROOT = pathlib.Path(__file__).parent.parent
 ZONES = ("z-a", "z-b", "z-c")
@@ -94,16 +100,36 @@
     }
 
 
+def make_route(name: str, prefix: str, service: str) -> dict[str, t.Any]:
+    """Return a resource with a route for lookups."""
+    spec = {
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeoutMs": 4000,
+        "latencySloMs": 800,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+    return {"type": "routes", "metadata": {"name": name}, "spec": spec}
+
+
 class PlatformFleet:
-    """Three control machines, and one machine for each upstream.
+    """Some control machines, and one machine for each upstream.
 
     :param services: services of the upstreams.
     :param net: second part of the loopback addresses; fleets that run at
         the same time need different ones.
+    :param control_count: number of control machines, 3 or more.
     """
 
     def __init__(
-        self, folder: pathlib.Path, services: t.Sequence[str], net: int
+        self,
+        folder: pathlib.Path,
+        services: t.Sequence[str],
+        net: int,
+        control_count: int = 3,
     ) -> None:
         self.folder = folder
         names = ("outbound", "ready", "control", "app", "link")
@@ -113,7 +139,7 @@
         self.ports = dict(zip(names, ports, strict=True))
         self.control = [
             Machine(f"core-{n}", f"127.{net}.1.{n + 1}", ZONES[n % 3], "")
-            for n in range(3)
+            for n in range(control_count)
         ]
         self.nodes = [
             Machine(f"node-{n}", f"127.{net}.2.{n + 1}", ZONES[n % 3], service)
@@ -183,7 +209,9 @@
             "region": "r",
             "listenAddrs": addresses,
             "internalPorts": [self.ports["link"], self.ports["link"]],
-            "seeds": [self.address(seed, "control") for seed in self.control],
+            "seeds": [
+                self.address(seed, "control") for seed in self.control[:3]
+            ],
             "bootstrap": bootstrap,
             "dataDir": str(data) if is_control else None,
             "heartbeatIntervalMs": 1500,
@@ -200,11 +228,12 @@
         path: str,
         body: object = None,
         headers: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Answer:
         """Send one request and return its answer."""
         host, _, port = address.rpartition(":")
         connection = http.client.HTTPConnection(
-            host, int(port), timeout=CALL_TIMEOUT_S
+            host, int(port), timeout=timeout_s
         )
         data = None if body is None else json.dumps(body).encode()
         try:
@@ -219,11 +248,16 @@
             connection.close()
 
     def configure(
-        self, machine: Machine, method: str, body: object = None
+        self,
+        machine: Machine,
+        method: str,
+        body: object = None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Answer:
         """Send a configuration call to a control machine."""
         address = self.address(machine, "control")
-        return self.call(address, method, "/papayastall/config", body)
+        path = "/papayastall/config"
+        return self.call(address, method, path, body, timeout_s=timeout_s)
 
     def send_heartbeat(
         self, machine: Machine, instance: str, **fields: t.Any
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -20,6 +20,8 @@
 
 WAIT_TIMEOUT_S = 30.0
 DEPLOY_FILE = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
+ACK_S = 4.0
+"""Time in which a valid configuration is acknowledged."""
 CONFIG_APPLY_S = 2.0
 """Time until an acknowledged configuration is in force on all machines."""
 GRACE_S = 6.0
@@ -438,3 +440,39 @@
     assert node.process.wait(WAIT_TIMEOUT_S) == 0
     running.start_machine(node)
     wait_until_ready(running, node)
+
+
+@pytest.mark.parametrize(("count", "version"), [(1400, 200), (7500, 210)])
+def test_a_configuration_of_many_routes_is_accepted(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+    count: int,
+    version: int,
+) -> None:
+    """A change over 256 KiB, some 600 routes, was refused with 400."""
+    config = platform_fleet.make_config(
+        version,
+        read_version(running, running.control[0]),
+        visits=4000,
+        orders=4000,
+    )
+    routes = [
+        platform_fleet.make_route(f"n-{number}", f"/new/{number}/", "visits")
+        for number in range(count)
+    ]
+    config["resources"] += routes
+    started_s = time.monotonic()
+    running.wait(
+        lambda: (
+            running.configure(running.control[0], "PUT", config).status == 200
+        ),
+        "the configuration is accepted",
+        ACK_S,
+    )
+    assert time.monotonic() - started_s < ACK_S
+    time.sleep(CONFIG_APPLY_S)
+    for node in running.nodes:
+        answer = running.send_request(node, f"/new/{count - 1}/x")
+        assert answer.status == 200
+    read = running.configure(running.control[2], "GET")
+    assert routes[-1] in json.loads(read.body)["resources"]
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -197,3 +197,36 @@
         lookup.choose_service(route) for _ in range(400)
     )
     assert chosen == {"one": 300, "two": 100}
+
+
+def make_long_change() -> route_table.ReplaceTable:
+    routes = [make_route(f"r{number}") for number in range(2_000)]
+    return replace(0, make_table(1, *routes))
+
+
+def test_a_long_change_is_packed_and_applied() -> None:
+    change = make_long_change()
+    text = route_table.encode_change(change)
+    digest = route_table.digest_change(text)
+    command = commands.pack_routes_change(digest, text)
+    assert command.version == commands.DEFLATED_COMMAND_VERSION
+    data = commands.codec.encode(commands.LogEntry(1, 0, command))
+    assert len(data) < len(text) / 4
+    packed = commands.decode_entry(data).command.change_routes
+    assert packed is not None
+    documents = _document_state.DocumentTable()
+    result, _ = _route_state.change_routes(documents, 1, packed)
+    assert result.state is State.APPLIED
+    assert _route_state.current_table(documents) == change.table
+
+
+@pytest.mark.parametrize("cut", [1, 1000])
+def test_a_damaged_long_change_is_refused(cut: int) -> None:
+    text = route_table.encode_change(make_long_change())
+    packed = commands.pack_routes_change("digest", text).change_routes
+    assert packed is not None
+    damaged = commands.ChangeRoutes("digest", "", packed.deflated_text[:-cut])
+    documents = _document_state.DocumentTable()
+    result, change = _route_state.change_routes(documents, 1, damaged)
+    assert result.state is State.INVALID
+    assert change is None
