Count each process of an upstream once among a request's losses

Cause: the first loss was not remembered by name, so that a trial that the same upstream broke off counted as a second one; and a retry that came back to the owner of the loss was marked as a trial by the ingress. An entry now keeps the names of all upstreams that broke off a run, with their start times, as one that comes back under its name was lost; the mark is set for other owners only.

Failing before: test_suspects.py -k "breaks_off_again and aaaa" and test_ingress_controller.py -k marked_for_other; test_suspects.py -k under_its_name passed before and guards the change.

--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -182,7 +182,8 @@
         in seconds.
     :param is_repeat: another attempt may have reached an upstream.
     :param notices: of upstreams of the service, as the ingress knows them.
-    :param is_suspect: an upstream was lost with an earlier attempt.
+    :param is_suspect: an upstream of another owner was lost with an earlier
+        attempt.
     """
 
     request_id: int
@@ -345,7 +346,7 @@
 class SuspectNotice(msgspec.Struct, frozen=True):
     """Tell every node that a request may crash upstreams, or is cleared.
 
-    :param upstream: the upstream that was lost with it, as ``ip:port``.
+    :param upstream: the process of an upstream that was lost with it.
     :param cleared: a run of the same request was answered.
     :param is_trial: the request was known as a suspect when it was sent to
         the upstream.
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -99,7 +99,8 @@
     :param is_repeat: whether an earlier attempt may have reached an
         upstream.
     :param notices: of upstreams of the service, as the ingress knows them.
-    :param is_suspect: whether an upstream was lost with an earlier attempt.
+    :param is_suspect: whether an upstream of another owner was lost with an
+        earlier attempt.
     """
 
     request_id: int
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -327,7 +327,8 @@
             pending.last_code,
             is_repeat,
             _service_view.list_notices(now_s, service, attempt.owner),
-            is_suspect=pending.losses > 0,
+            # The same upstream may break off a run twice without a crash.
+            is_suspect=bool(pending.lost_owners - {attempt.owner}),
         )
 
     def _select(
@@ -378,6 +379,7 @@
         pending.has_unknown_outcome = True
         if outcome.code is _Code.UPSTREAM_FAILED:
             pending.losses += 1
+            pending.lost_owners.add(attempt.owner)
 
     def _after_failure(
         self,
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -33,6 +33,7 @@
 
     :param has_unknown_outcome: an attempt without an answer may have run it.
     :param losses: attempts that ended with the loss of an upstream.
+    :param lost_owners: the owners of these upstreams.
     :param was_shed: an attempt reached an upstream, which refused it.
     :param unproven: refusals by owners without an upstream that recent work
         has shown to be healthy.
@@ -45,6 +46,7 @@
     refusals: int = 0
     has_unknown_outcome: bool = False
     losses: int = 0
+    lost_owners: set[str] = msgspec.field(default_factory=set)
     unproven: int = 0
     was_shed: bool = False
     chosen: int | None = None
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -159,7 +159,7 @@
         actions = _owner_evidence.note_end(
             now_s, service, upstream, run, outcome
         )
-        notice = self._gate.note_end(now_s, run, outcome)
+        notice = self._gate.note_end(now_s, run, outcome, upstream.started_ms)
         if notice is not None:
             actions += [notice, *self._retry_parked(now_s)]
         refusal = _refusals.refuse_ended(
--- a/src/papayastall/_suspect_gate.py
+++ b/src/papayastall/_suspect_gate.py
@@ -61,19 +61,28 @@
             )
 
     def note_end(
-        self, now_s: float, run: state.RunningRequest, outcome: types.Outcome
+        self,
+        now_s: float,
+        run: state.RunningRequest,
+        outcome: types.Outcome,
+        started_ms: int,
     ) -> types.SuspectNotice | None:
         """Record how a request ended; return a notice for the other nodes.
 
         Returns ``None`` if the outcome says nothing new about the request.
+
+        :param started_ms: Unix time of the start of its upstream; 0 if
+            unknown.
         """
         fingerprint = run.request.fingerprint
+        # An upstream may come back under its name.
+        process = f"{run.upstream}@{started_ms}"
         is_known = self.registry.losses(now_s, fingerprint) > 0
         match outcome:
             case types.Outcome.BROKEN:
                 notice = types.SuspectNotice(
                     fingerprint,
-                    run.upstream,
+                    process,
                     cleared=False,
                     # An answer to a copy may have cleared the request.
                     is_trial=run.is_suspect and is_known,
@@ -82,7 +91,7 @@
                 if not is_known:
                     return None
                 notice = types.SuspectNotice(
-                    fingerprint, run.upstream, cleared=True
+                    fingerprint, process, cleared=True
                 )
             case _:
                 return None
--- a/src/papayastall/_suspects.py
+++ b/src/papayastall/_suspects.py
@@ -38,19 +38,17 @@
 class _Suspect(msgspec.Struct):
     """A suspected request.
 
-    :param trials_lost: upstreams that were lost with a trial.
+    :param upstreams: that broke off a run of it. One that does so again is
+        still there, so the request has not crashed it.
+    :param losses: number of upstreams lost one after the other.
     :param blocked_until_s: until then the request must not run.
     """
 
     expires_s: float
-    trials_lost: set[str] = msgspec.field(default_factory=set)
+    upstreams: set[str] = msgspec.field(default_factory=set)
+    losses: int = 1
     blocked_until_s: float = -math.inf
 
-    @property
-    def losses(self) -> int:
-        """Number of upstreams lost one after the other."""
-        return 1 + len(self.trials_lost)
-
 
 class SuspectRegistry:
     """Suspected requests known to one node, by fingerprint."""
@@ -74,9 +72,11 @@
             suspect = _Suspect(now_s + SUSPECT_TTL_S)
             self._suspects[notice.fingerprint] = suspect
         suspect.expires_s = now_s + SUSPECT_TTL_S
-        if not notice.is_trial or notice.upstream in suspect.trials_lost:
+        is_other = notice.upstream not in suspect.upstreams
+        suspect.upstreams.add(notice.upstream)
+        if not notice.is_trial or not is_other:
             return
-        suspect.trials_lost.add(notice.upstream)
+        suspect.losses += 1
         further_losses = suspect.losses - MAX_UPSTREAMS_LOST
         if further_losses >= 0:
             block_s = FIRST_BLOCK_S * BLOCK_GROWTH_FACTOR**further_losses
--- a/tests/test_ingress_controller.py
+++ b/tests/test_ingress_controller.py
@@ -225,3 +225,24 @@
     if isinstance(action, types.RefuseRequest):
         assert action.code is exceptions.ErrorCode.LEAVING
         assert action.ran is exceptions.RanState.NO
+
+
+def test_an_attempt_after_a_loss_is_marked_for_other_owners_only() -> None:
+    """An upstream that broke off a lookup twice counted as two losses."""
+    ingress = helpers.ingress(owners=2)
+    first = _only_forward(ingress.begin(0.0, helpers.ingress_request(1)))
+    assert not first.is_suspect
+    lost = _make_outcome(
+        first,
+        types.AttemptResult.UNKNOWN,
+        exceptions.ErrorCode.UPSTREAM_FAILED,
+    )
+    second = _only_forward(ingress.attempt_ended(0.1, lost))
+    assert second.owner != first.owner
+    assert second.is_suspect
+    refused = _make_outcome(
+        second, types.AttemptResult.NOT_RUN, exceptions.ErrorCode.LEAVING
+    )
+    third = _only_forward(ingress.attempt_ended(0.2, refused))
+    assert third.owner == first.owner
+    assert not third.is_suspect
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,6 +9,7 @@
 import random
 
 import msgspec.structs
+import pytest
 
 from papayastall import _decision_types as types
 from papayastall import _ingress_controller
@@ -329,3 +330,32 @@
     [refusal] = owner.submit(0.2, helpers.owner_request(2, fingerprint=7))
     assert isinstance(refusal, types.RefuseRequest)
     assert refusal.code is exceptions.ErrorCode.CRASHING_REQUEST
+
+
+@pytest.mark.parametrize(
+    ("instances", "is_refused"),
+    [("aaaa", False), ("ab", True), ("aab", True)],
+)
+def test_an_upstream_that_breaks_off_again_was_not_crashed(
+    instances: str, is_refused: bool
+) -> None:
+    """A sound upstream broke off answers, and the lookup was refused."""
+    registry = _suspects.SuspectRegistry()
+    for number, upstream in enumerate(instances):
+        note_loss(registry, float(number), upstream, number > 0)
+    assert registry.is_blocked(5.0, 7) is is_refused
+
+
+def test_an_upstream_that_starts_again_under_its_name_was_crashed() -> None:
+    owner = helpers.owner(upstreams=0)
+    for started_ms in (1, 2):
+        announcement = msgspec.structs.replace(
+            helpers.announcement(), instance="i-1", started_ms=started_ms
+        )
+        owner.announce(0.0, announcement)
+        request = helpers.owner_request(started_ms, fingerprint=7)
+        owner.submit(1.0, request)
+        owner.finished(2.0, started_ms, types.Outcome.BROKEN)
+    [refusal] = owner.submit(3.0, helpers.owner_request(3, fingerprint=7))
+    assert isinstance(refusal, types.RefuseRequest)
+    assert refusal.code is exceptions.ErrorCode.CRASHING_REQUEST
