Use an older upstream from its second announcement after a restart

Cause: the order of announcements is kept in the memory of the owner's process, and a new process took the first announcement for the latest one. An upstream that was started before the process is now used from its second announcement, of a higher sequence and an eighth of a lease or more after the first: a late one has no successor. Leaving counts at once, and so does an upstream that is younger than the process.

Failing before: test_platform_processes.py -k late_heartbeat (200 instead of 503). New: test_owner_controller.py -k second_heartbeat and three more. The fixtures of the platform tests name start times after those of the nodes, as the stubs do start after them.

--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -37,16 +37,21 @@
     :param owner: link address of this node as ``ip:port``.
     :param failure_domain: failure domain of this node, for its adverts.
     :param rng: source of all random choices.
+    :param boot_ms: Unix time of the start of this process, in milliseconds.
     """
 
     def __init__(
-        self, owner: str, failure_domain: str, rng: random.Random
+        self,
+        owner: str,
+        failure_domain: str,
+        rng: random.Random,
+        boot_ms: int = 0,
     ) -> None:
         self._owner = owner
         self._failure_domain = failure_domain
         self._rng = rng
         self._services: dict[str, state.ServiceState] = {}
-        self._registry = _upstream_registry.UpstreamRegistry()
+        self._registry = _upstream_registry.UpstreamRegistry(boot_ms)
         self._running: dict[int, state.RunningRequest] = {}
         self._queued: set[int] = set()
         self._gate = _suspect_gate.SuspectGate()
--- a/src/papayastall/_upstream_registry.py
+++ b/src/papayastall/_upstream_registry.py
@@ -5,6 +5,8 @@
 import collections.abc as cabc
 import math
 
+import msgspec
+
 from papayastall import _decision_types as types
 from papayastall import _gray_filter
 from papayastall import _health
@@ -27,6 +29,20 @@
 announcements of a withdrawn instance are outdated."""
 
 
+_MIN_CONFIRMATION_LEASE_SHARE = 0.125
+"""Least time between the two announcements that confirm an upstream, as a
+share of its lease: announcements that were held up arrive together."""
+
+
+class _Unconfirmed(msgspec.Struct, frozen=True):
+    """An announcement that may have been sent before a deregistration."""
+
+    instance: str
+    started_ms: int
+    sequence: int
+    heard_s: float
+
+
 def _make_evidence(
     model: _service_policy.EvidenceModel,
 ) -> state.AnyEvidence:
@@ -75,14 +91,31 @@
 
 
 class UpstreamRegistry:
-    """Upstreams by name and by service, kept up to date by announcements."""
+    """Upstreams by name and by service, kept up to date by announcements.
+
+    An upstream that was started before this process may have deregistered at
+    an earlier one, which is not known here. It is used from its second
+    announcement on: one that is late has no successor.
 
-    __slots__ = ("_by_name", "_by_service", "_latest")
+    :param boot_ms: Unix time of the start of this process, in milliseconds.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "_boot_ms",
+        "_by_name",
+        "_by_service",
+        "_confirmed_ms",
+        "_latest",
+        "_unconfirmed",
+    )
+
+    def __init__(self, boot_ms: int = 0) -> None:
+        self._boot_ms = boot_ms
         self._by_name: dict[str, state.Upstream] = {}
         self._by_service: dict[str, list[state.Upstream]] = {}
         self._latest: dict[str, tuple[int, int]] = {}
+        self._unconfirmed: dict[str, _Unconfirmed] = {}
+        self._confirmed_ms: dict[str, int] = {}
 
     def find(self, name: str) -> state.Upstream | None:
         """Return an upstream, or ``None`` if it is not known."""
@@ -128,6 +161,8 @@
         self._check(announcement)
         if self._is_outdated(announcement):
             return
+        if not self._is_confirmed(now_s, announcement):
+            return
         self._drain_earlier_instances(now_s, announcement)
         known = self._by_name.get(announcement.name)
         if known is None:
@@ -158,6 +193,36 @@
         self._latest[announcement.upstream] = this
         return False
 
+    def _is_confirmed(
+        self, now_s: float, announcement: types.UpstreamAnnouncement
+    ) -> bool:
+        """Return whether the upstream may be used by its announcements."""
+        started_ms = announcement.started_ms
+        address = announcement.upstream
+        if not started_ms or started_ms >= self._boot_ms:
+            return True
+        if self._confirmed_ms.get(address) == started_ms:
+            return True
+        if announcement.state is types.UpstreamState.LEAVING:
+            return True
+        first = self._unconfirmed.get(address)
+        if first is None or first.started_ms != started_ms:
+            self._unconfirmed[address] = _Unconfirmed(
+                announcement.instance,
+                started_ms,
+                announcement.sequence,
+                now_s,
+            )
+            return False
+        pause_s = _MIN_CONFIRMATION_LEASE_SHARE * announcement.lease_s
+        if announcement.sequence <= first.sequence:
+            return False
+        if now_s - first.heard_s < pause_s:
+            return False
+        del self._unconfirmed[address]
+        self._confirmed_ms[address] = started_ms
+        return True
+
     def _drain_earlier_instances(
         self, now_s: float, announcement: types.UpstreamAnnouncement
     ) -> None:
@@ -196,6 +261,11 @@
         :returns: the service of the upstream; ``None`` if the instance is
             not known or a newer one has been announced.
         """
+        for address, first in self._unconfirmed.items():
+            if first.instance == instance and (
+                started_ms is None or started_ms >= first.started_ms
+            ):
+                self._latest[address] = (first.started_ms, _WITHDRAWN_SEQUENCE)
         for upstream in self._by_name.values():
             address, known_instance = types.split_name(upstream.name)
             if known_instance != instance:
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -272,7 +272,7 @@
     def _build_request_path(self) -> None:
         address = self.settings.link_address
         self.owner_controller = _owner_controller.OwnerController(
-            address, self.settings.failure_domain, self._rng
+            address, self.settings.failure_domain, self._rng, self.boot_ms
         )
         self.owner = owner.Owner(
             self.links,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -122,6 +122,8 @@
     :param net: second part of the loopback addresses; fleets that run at
         the same time need different ones.
     :param control_count: number of control machines, 3 or more.
+    :ivar born_ms: Unix time of the start of the upstreams in milliseconds, as
+        their heartbeats say.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
         control_count: int = 3,
     ) -> None:
         self.folder = folder
+        self.born_ms = int(time.time() * 1000)
         names = ("outbound", "ready", "control", "app", "link")
         ports: set[int] = set()
         while len(ports) < len(names):
@@ -272,7 +275,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born_ms,
             **fields,
         }
         path = f"/papayastall/instances/{instance}"
--- a/tests/test_owner_controller.py
+++ b/tests/test_owner_controller.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec.structs
 import pytest
 
 from papayastall import _decision_types as types
+from papayastall import _owner_controller
 from papayastall import _owner_state
 from papayastall import exceptions
 from tests import decision_helpers as helpers
@@ -114,3 +117,78 @@
     assert isinstance(refusal, types.RefuseRequest)
     assert refusal.code is exceptions.ErrorCode.OVERLOADED
     assert refusal.ran is exceptions.RanState.NO
+
+
+BOOT_MS = 1_000_000
+LEASE_S = 6.0
+
+
+def heartbeat(
+    sequence: int,
+    started_ms: int = BOOT_MS - 1,
+    state: types.UpstreamState = types.UpstreamState.READY,
+) -> types.UpstreamAnnouncement:
+    return msgspec.structs.replace(
+        helpers.announcement(state=state, lease_s=LEASE_S),
+        instance="i-1",
+        started_ms=started_ms,
+        sequence=sequence,
+    )
+
+
+def restarted_owner() -> _owner_controller.OwnerController:
+    """Return the owner of a process that has just started."""
+    return _owner_controller.OwnerController(
+        helpers.OWNER, "domain-1", random.Random(1), BOOT_MS
+    )
+
+
+# Guards against the use of an upstream that deregistered before a restart of
+# its node, on the word of a heartbeat that arrives late.
+@pytest.mark.parametrize(
+    ("arrivals", "is_used"),
+    [
+        ([(0.0, 9)], False),
+        ([(0.0, 9), (1.5, 9)], False),
+        ([(0.0, 9), (1.5, 8)], False),
+        ([(0.0, 9), (0.1, 10)], False),
+        ([(0.0, 9), (1.5, 10)], True),
+        ([(0.0, 9), (0.1, 10), (1.5, 11)], True),
+    ],
+)
+def test_an_older_upstream_is_used_from_its_second_heartbeat(
+    arrivals: list[tuple[float, int]], is_used: bool
+) -> None:
+    owner = restarted_owner()
+    now_s = 0.0
+    for now_s, sequence in arrivals:
+        owner.announce(now_s, heartbeat(sequence))
+    assert bool(owner.adverts(now_s)) is is_used
+    [action] = owner.submit(now_s, helpers.owner_request(1))
+    assert isinstance(action, types.Dispatch) is is_used
+
+
+def test_an_upstream_younger_than_the_process_is_used_at_once() -> None:
+    owner = restarted_owner()
+    owner.announce(0.0, heartbeat(1, BOOT_MS))
+    assert owner.adverts(0.0)
+
+
+def test_an_unconfirmed_upstream_that_deregisters_is_not_used() -> None:
+    owner = restarted_owner()
+    owner.announce(0.0, heartbeat(9))
+    owner.withdraw(1.0, "i-1", BOOT_MS - 1)
+    owner.announce(2.0, heartbeat(10))
+    owner.announce(4.0, heartbeat(11))
+    assert not owner.adverts(4.0)
+
+
+def test_a_confirmed_upstream_needs_no_second_heartbeat_again() -> None:
+    """Its lease ended while its heartbeats were lost."""
+    owner = restarted_owner()
+    for now_s, sequence in ((0.0, 9), (1.5, 10)):
+        owner.announce(now_s, heartbeat(sequence))
+    owner.tick(1.5 + LEASE_S + 10.0)
+    assert not owner.adverts(20.0)
+    owner.announce(20.0, heartbeat(24))
+    assert owner.adverts(20.0)
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -15,6 +15,7 @@
 import itertools
 import pathlib
 import threading
+import time
 
 import pytest
 
@@ -59,6 +60,7 @@
         self.heartbeat_thread = threading.Thread(target=self.send_heartbeats)
         self.faulty = {"lookup": upstreams[0], "booking": upstreams[2]}
         self._numbers = itertools.count()
+        self._born_ms = int(time.time() * 1000)
 
     def send_heartbeats(self) -> None:
         """Announce all upstreams periodically until the site is closed."""
@@ -80,7 +82,7 @@
             instance,
             maxConcurrency=7,
             sequence=10 + next(self._numbers),
-            born=1_700_000_000_000 + int(instance.removeprefix("i-")),
+            born=self._born_ms + int(instance.removeprefix("i-")),
         )
         # The heartbeat of a former instance may arrive after that of its
         # successor, and may then be refused.
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -28,7 +28,7 @@
 """In a window an upstream gets at most the factor times what the limit
 allows, and these requests more."""
 SEQUENCES = itertools.count(4)
-BORN = [1_700_000_000_000]
+BORN = [0]
 """When the present upstreams were started, in Unix milliseconds."""
 DRAIN_S = 2.0
 """Time from an answer that says "leaving" to the last new request."""
@@ -111,7 +111,6 @@
 def upstreams(
     fleet: platform_fleet.PlatformFleet,
 ) -> cabc.Iterator[list[platform_upstream.Upstream]]:
-    BORN[0] += 1
     stubs = [
         platform_upstream.Upstream(fleet.address(machine, "app"), f"i-{n}")
         for n, machine in enumerate(fleet.nodes)
@@ -124,6 +123,7 @@
             f"{machine.name} is ready",
             WAIT_TIMEOUT_S,
         )
+    BORN[0] = int(time.time() * 1000)
     send_heartbeats(fleet)
     for path in ("/visits/x", "/orders/x"):
         fleet.wait(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -22,6 +22,8 @@
 DEPLOY_FILE = pathlib.Path(__file__).parent.parent / "deploy" / "system.toml"
 ACK_S = 4.0
 """Time in which a valid configuration is acknowledged."""
+HEARTBEAT_S = 1.5
+"""Interval of the heartbeats of an upstream."""
 CONFIG_APPLY_S = 2.0
 """Time until an acknowledged configuration is in force on all machines."""
 GRACE_S = 6.0
@@ -96,8 +98,10 @@
         "the first configuration is accepted",
         WAIT_TIMEOUT_S,
     )
-    for stub, machine in zip(stubs, running.nodes, strict=True):
+    for machine in running.nodes:
         wait_until_ready(running, machine)
+    running.born_ms = int(time.time() * 1000)
+    for stub, machine in zip(stubs, running.nodes, strict=True):
         assert running.send_heartbeat(machine, stub.instance).status == 200
     for machine in running.nodes:
         for service in ("visits", "orders"):
@@ -476,3 +480,27 @@
         assert answer.status == 200
     read = running.configure(running.control[2], "GET")
     assert routes[-1] in json.loads(read.body)["resources"]
+
+
+def test_a_late_heartbeat_after_a_restart_brings_no_upstream_back(
+    running: platform_fleet.PlatformFleet,
+    upstreams: list[platform_upstream.Upstream],
+) -> None:
+    """A deregistered upstream got requests again, for one lease."""
+    visits, other = running.nodes
+    path = "/papayastall/instances/i-0"
+    address = running.address(visits, "control")
+    body = {"born": running.born_ms}
+    assert running.call(address, "DELETE", path, body).status == 200
+    running.stop_machine(visits, signal.SIGKILL)
+    running.start_machine(visits)
+    wait_until_ready(running, visits)
+    running.send_heartbeat(visits, "i-0", sequence=30)
+    time.sleep(ADVERT_S)
+    count = len(upstreams[0].requests)
+    for machine in running.nodes:
+        assert running.send_request(machine, "/visits/x").status == 503
+    assert len(upstreams[0].requests) == count
+    time.sleep(HEARTBEAT_S)
+    assert running.send_heartbeat(visits, "i-0", sequence=31).status == 200
+    wait_for_answer(running, other, "/visits/x")
