Ask for the confirmation of a config once a second after a while

A node whose config is not confirmed asked all control replicas and 16 members each quarter of a second, 108 calls a second with 11 replicas; where the whole fleet is in that state, the answers cost the time that an election needs.

After 5 s, and once all members were asked, it asks once a second. Fetches that put a config in force are as quick as before. Failing before: test_config.py -k one_round. Whether the fleet recovers under that load now was not measured.

--- a/src/papayastall/_config.py
+++ b/src/papayastall/_config.py
@@ -57,6 +57,11 @@
 LATEST_VALIDITY_S = 1.0
 """Time for which the word of control's leader is relied on; shorter than
 the time that nodes may take to have a new config."""
+FAST_CONFIRM_S = 5.0
+SLOW_CONFIRM_INTERVAL_S = 1.0
+"""Interval of questions after ``FAST_CONFIRM_S``, once all members were asked:
+where a whole fleet has no confirmed config, the questions of its nodes would
+keep their processors busy, and so its control replicas from an election."""
 CONTROL_ONLY_S = 2.0
 """Time during which only control replicas are asked for a confirmation."""
 MEMBERS_SETTLE_S = 3.0
@@ -194,6 +199,7 @@
         self._confirmation_number += 1
         self._confirm_started_s = now_s
         self._confirm_sent_s: float | None = None
+        self._confirm_round = 0
         self._confirming_members: set[str] = set()
         self._leader_index: int | None = None
 
@@ -541,7 +547,8 @@
 
     def _ask_confirmation(self, now_s: float) -> list[Fetch]:
         sent_s = self._confirm_sent_s
-        if sent_s is not None and now_s - sent_s < CONFIRM_INTERVAL_S:
+        interval_s = self._confirm_interval_s(now_s)
+        if sent_s is not None and now_s - sent_s < interval_s:
             return []
         self._confirm_sent_s = now_s
         self._check_confirmed(now_s)
@@ -553,6 +560,13 @@
             for peer in peers
         ]
 
+    def _confirm_interval_s(self, now_s: float) -> float:
+        asked = self._confirm_round * MAX_MEMBERS_PER_ROUND
+        is_fast = now_s - self._confirm_started_s < FAST_CONFIRM_S
+        if is_fast or asked < len(self._members):
+            return CONFIRM_INTERVAL_S
+        return SLOW_CONFIRM_INTERVAL_S
+
     def _choose_members(self) -> list[str]:
         """Return the members to ask next, in rotation."""
         others = sorted(
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -463,3 +463,22 @@
         state_helpers.check_random_examples(
             check_fleet, st.integers(0, 1000), steps
         )
+
+
+# Guards against a fleet without control whose questions keep all processors
+# busy, so that its replicas elect no leader any more.
+def test_a_node_without_control_asks_one_round_a_second() -> None:
+    control = tuple(f"c{number}" for number in range(11))
+    members = [*control, *(f"n{number}" for number in range(88))]
+    controller = _config.ConfigController("n0", control, 0.0)
+    asked: list[tuple[float, str]] = []
+    for step in range(240):
+        now_s = step * 0.25
+        for fetch in controller.tick(now_s, members):
+            assert fetch.confirmation
+            asked.append((now_s, fetch.peer))
+            controller.failed(now_s, fetch)
+    early = {peer for now_s, peer in asked if now_s < 6.0}
+    assert early == set(members) - {"n0"}
+    late = [peer for now_s, peer in asked if 30.0 <= now_s < 50.0]
+    assert len(late) <= 20 * (len(control) + _config.MAX_MEMBERS_PER_ROUND)
