Return each free address once to a test

It remembers the ports that it has returned. Failing before: test_free_address.py. After: it and test_failures_state.py pass.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -486,14 +486,21 @@
     return response.status, response.content
 
 
+_returned_ports: set[int] = set()
+
+
 def free_address(kind: int = socket.SOCK_STREAM) -> str:
     """Return a loopback address at which nothing listens.
 
     Its port is below the ephemeral ports, so that no outgoing connection
-    takes it before the process that is to listen there.
+    takes it before the process that is to listen there, and is returned once
+    only.
     """
     while True:
         port = random.randrange(10_000, FIRST_EPHEMERAL_PORT)
+        if port in _returned_ports:
+            continue
+        _returned_ports.add(port)
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
                 probe.bind(("127.0.0.1", port))
