Teams with keys in the route table, and kinds with large bodies

Operators of both new deployments got 400 for their first configuration ("'download' is none of safe, unsafe"; the next refusal would have been for teams), so that nothing was served there.

Routes say which bodies may be large and whether a caller must show a key; tables hold teams with keys, rank and quota. A request that shows the one key of a team belongs to it and takes its rank. Keys, and names that callers send in the headers of the fleet, never reach an upstream; errors do not quote keys, which are looked up by a keyed digest. An unknown key is answered with 401 only by a node whose table is the latest one. Hooks for a lease on the keys and for quotas are called before a request is forwarded; nothing fills them in yet. Texts of tables without teams, as on the disks of earlier releases, are read.

--- a/src/papayastall/_route_lookup.py
+++ b/src/papayastall/_route_lookup.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
+import secrets
 
 import msgspec
 
@@ -45,11 +47,12 @@
 
 
 class RouteLookup:
-    """The routes of one table by host, longest prefix first.
+    """The routes of one table by host, longest prefix first, and its teams.
 
     :param table: the table in force.
     :param previous: the lookup that this one replaces; splits with the same
         shares keep their position in the rotation.
+    :ivar teams: the teams of the table by name.
     """
 
     def __init__(
@@ -68,6 +71,13 @@
             self._splits[route.name] = split
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
+        self.teams = {team.name: team for team in table.teams}
+        self._digest_secret = secrets.token_bytes(16)
+        self._teams_by_digest = {
+            self._digest(key.encode()): team
+            for team in table.teams
+            for key in team.keys
+        }
 
     def find(self, host: str, path: str) -> route_table.Route | None:
         """Return the route with the longest matching prefix, if any.
@@ -80,6 +90,19 @@
                 return route
         return None
 
+    def find_team(self, key: bytes) -> route_table.Team | None:
+        """Return the team that a key identifies, if any.
+
+        The key is looked up by a keyed digest, so that the time that this
+        takes tells nothing of the keys in force.
+        """
+        return self._teams_by_digest.get(self._digest(key))
+
+    def _digest(self, key: bytes) -> bytes:
+        return hashlib.blake2b(
+            key, key=self._digest_secret, digest_size=16
+        ).digest()
+
     def choose_service(self, route: route_table.Route) -> str:
         """Return the service that runs the next request of a route."""
         return self._splits[route.name].choose()
--- a/src/papayastall/_route_resolution.py
+++ b/src/papayastall/_route_resolution.py
@@ -9,11 +9,12 @@
 from papayastall import blackboard as blackboards
 from papayastall import documents
 from papayastall import exceptions
+from papayastall import route_table
 
 __all__ = [
     "DEFAULT_MAX_ATTEMPTS",
     "MAX_FRAME_INTEGER",
-    "NO_ROUTE_CODES",
+    "UNCERTAIN_CODES",
     "NOT_READY_RETRY_AFTER_S",
     "ResolvedRoute",
     "resolve",
@@ -31,8 +32,11 @@
 _Kind = _decision_types.RequestKind
 _Code = exceptions.ErrorCode
 
-NO_ROUTE_CODES = frozenset((_Code.UNKNOWN_ROUTE, _Code.UNKNOWN_SERVICE))
-"""Codes of requests for which the configuration has no route or service."""
+UNCERTAIN_CODES = frozenset(
+    (_Code.UNKNOWN_ROUTE, _Code.UNKNOWN_SERVICE, _Code.UNKNOWN_KEY)
+)
+"""Codes of requests for which the configuration of this node has no route,
+service or key, while a later one may have it."""
 
 
 class ResolvedRoute(msgspec.Struct, frozen=True):
@@ -42,6 +46,10 @@
     :param objective_ms: time within which an answer counts in full.
     :param team_header: name, in lower case, of the header that names the
         caller's team; empty for none.
+    :param team: the team whose key the caller showed; "" without a key.
+    :param hides_keys: whether the caller's headers with a key or the name of
+        a team are kept from the upstream.
+    :param payload: which bodies may be large.
     """
 
     service: str
@@ -54,21 +62,29 @@
     objective_ms: int | None = None
     team_header: bytes = b""
     key_use: documents.IdempotencyKeyUse = documents.IdempotencyKeyUse.IGNORED
+    team: str = ""
+    hides_keys: bool = False
+    payload: route_table.Payload = route_table.Payload.ORDINARY
 
 
 def resolve(
-    blackboard: blackboards.Blackboard, method: str, host: str, path: str
+    blackboard: blackboards.Blackboard,
+    method: str,
+    host: str,
+    path: str,
+    key: bytes | None = None,
 ) -> ResolvedRoute:
     """Return the service, route and limits of a request.
 
-    :raises papayastall.exceptions.RefusedError: there is no service or
-        route for it, or this node does not know the routes yet.
+    :param key: the key that the caller showed, if it showed exactly one.
+    :raises papayastall.exceptions.RefusedError: there is no service, route
+        or team for it, or this node does not know the routes yet.
     """
     match blackboard.routing:
         case blackboards.DocumentRouting():
             return _resolve_by_document(blackboard, method, path)
         case blackboards.TableRouting(lookup):
-            return _resolve_by_table(lookup, host, path)
+            return _resolve_by_table(lookup, host, path, key)
 
 
 def _resolve_by_document(
@@ -99,7 +115,10 @@
 
 
 def _resolve_by_table(
-    lookup: _route_lookup.RouteLookup | None, host: str, path: str
+    lookup: _route_lookup.RouteLookup | None,
+    host: str,
+    path: str,
+    key: bytes | None,
 ) -> ResolvedRoute:
     if lookup is None:
         raise exceptions.RefusedError(
@@ -115,6 +134,10 @@
             f"no route for {host}{path} in version {lookup.table.version}",
             step="route",
         )
+    team = _find_team(lookup, route, key)
+    rank = route.rank
+    if team is not None and team.rank is not None:
+        rank = team.rank
     return ResolvedRoute(
         service=lookup.choose_service(route),
         route=route.name,
@@ -122,6 +145,27 @@
         timeout_ms=min(route.timeout_ms, MAX_FRAME_INTEGER),
         max_body_bytes=lookup.table.limits.max_body_bytes,
         max_attempts=route.max_attempts,
-        rank=min(route.rank, MAX_FRAME_INTEGER),
+        rank=min(rank, MAX_FRAME_INTEGER),
         objective_ms=min(route.objective_ms, MAX_FRAME_INTEGER),
+        team="" if team is None else team.name,
+        hides_keys=bool(lookup.teams),
+        payload=route.payload,
     )
+
+
+def _find_team(
+    lookup: _route_lookup.RouteLookup,
+    route: route_table.Route,
+    key: bytes | None,
+) -> route_table.Team | None:
+    """Return the team of a request that needs a key; ``None`` for others."""
+    if not lookup.teams or not route.requires_key:
+        return None
+    team = lookup.find_team(key) if key is not None else None
+    if team is None:
+        raise exceptions.RefusedError(
+            _Code.UNKNOWN_KEY,
+            "this request needs the key of a team, in one header",
+            step="authenticate",
+        )
+    return team
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -61,6 +61,9 @@
     UNPROVEN = "unproven"
     REPEATS_SPENT = "repeats-spent"
     UPSTREAM_FULL = "upstream-full"
+    UNKNOWN_KEY = "unknown-key"
+    KEYS_UNCONFIRMED = "keys-unconfirmed"
+    QUOTA_EXCEEDED = "quota-exceeded"
 
 
 class RanState(enum.Enum):
--- a/src/papayastall/http_names.py
+++ b/src/papayastall/http_names.py
@@ -24,6 +24,9 @@
     :param instance: the only process instance of an upstream that may run
         the request; any other instance answers 421.
     :param caller_service: service on the VM from which a request was sent.
+    :param key: the key by which a caller shows its team; never sent to an
+        upstream by a table that has teams.
+    :param team: name of that team, sent to the upstream.
     :param limit: set by an upstream in need: the requests a second that it
         takes from all nodes together.
     :param leaving: set by an upstream that takes no new requests, unless its
@@ -39,6 +42,8 @@
     request_id: bytes = b""
     instance: bytes = b""
     caller_service: bytes = b""
+    key: bytes = b"papayastall-key"
+    team: bytes = b"papayastall-team"
     limit: bytes = b"papayastall-limit-per-s"
     leaving: bytes = b"papayastall-leaving"
     owner: bytes = b"papayastall-owner"
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -30,7 +30,14 @@
 from papayastall import logs
 from papayastall import metrics
 
-__all__ = ["Ingress", "KeyClaimer", "RecordedAnswer", "scope_key"]
+__all__ = [
+    "Ingress",
+    "KeyClaimer",
+    "KeyLease",
+    "RecordedAnswer",
+    "TeamQuotas",
+    "scope_key",
+]
 
 BODY_TIMEOUT_S = 10.0
 MAX_TEAM_NAME_CHARS = 64
@@ -74,6 +81,39 @@
         """Release the key of a request that did not run."""
 
 
+class KeyLease(t.Protocol):
+    """Interface for checking that no key may have been removed unnoticed."""
+
+    def check(self) -> None:
+        """Return if the keys in force here may be accepted at this moment.
+
+        :raises papayastall.exceptions.RefusedError: a change that removed a
+            key may have been acknowledged too long ago.
+        """
+
+
+class TeamQuotas(t.Protocol):
+    """Interface for counting requests against the quotas of teams."""
+
+    async def admit(self, team: str, deadline_s: float) -> None:
+        """Count a request, which is about to be forwarded.
+
+        :param deadline_s: time by which the request must be answered.
+        :raises papayastall.exceptions.RefusedError: the quota is used up,
+            or this node can't tell.
+        """
+
+
+class _NoKeyLease:
+    def check(self) -> None:
+        return
+
+
+class _NoQuotas:
+    async def admit(self, team: str, deadline_s: float) -> None:
+        return
+
+
 def scope_key(service: str, team: str, key: str) -> str:
     """Return an idempotency key that is scoped to a service and a team.
 
@@ -102,6 +142,8 @@
         of requests that are refused before they are forwarded.
     :param is_latest: returns whether no later configuration than the one in
         force here has been accepted, as far as control can be asked.
+    :param key_lease: checked for each request that shows a key.
+    :param quotas: of the teams whose keys callers show.
     :ivar open_requests: number of requests being handled.
     """
 
@@ -119,6 +161,8 @@
         local_service: str = "",
         explain_config: cabc.Callable[[], dict[str, float]] = dict,
         is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _assume_latest,
+        key_lease: KeyLease = _NoKeyLease(),
+        quotas: TeamQuotas = _NoQuotas(),
     ) -> None:
         self._names = names
         self._local_service = local_service
@@ -130,6 +174,8 @@
         self._record_sample = record_sample
         self._explain_config = explain_config
         self._is_latest = is_latest
+        self._key_lease = key_lease
+        self._quotas = quotas
         self._request_ids = itertools.count(1)
         self.open_requests = 0
 
@@ -198,6 +244,8 @@
         if not self._is_ready():
             raise _not_ready("the configuration here is not confirmed")
         target = await self._resolve(scope)
+        if target.team:
+            self._key_lease.check()
         timeout_ms = self._read_timeout_ms(scope, target)
         body = await _read_body(scope, receive, target.max_body_bytes)
         method = scope["method"].encode()
@@ -218,11 +266,13 @@
             rank=target.rank,
             objective_s=_ms_to_s(target.objective_ms),
         )
+        if target.team:
+            await self._quotas.admit(target.team, request.deadline_s)
         return _exchange.Exchange(
             request,
             method,
             full_path,
-            self._make_headers(scope),
+            self._make_headers(scope, target),
             body,
             key_use=target.key_use,
             name=self._read_request_id(scope),
@@ -232,18 +282,18 @@
     async def _resolve(self, scope: Scope) -> _route_resolution.ResolvedRoute:
         """Return the route of a request.
 
-        That there is none is answered only by a node whose configuration is
-        the latest one: the route may just have been added.
+        That there is none, or no such key, is answered only by a node whose
+        configuration is the latest one: it may just have been added.
         """
         try:
             return self._find_route(scope)
         except exceptions.RefusedError as error:
-            if error.code not in _route_resolution.NO_ROUTE_CODES:
+            if error.code not in _route_resolution.UNCERTAIN_CODES:
                 raise
         if not await self._is_latest():
             raise _not_ready(
-                "there is no such route in the configuration of this node, "
-                "which may not be the latest"
+                "there is no such route or key in the configuration of this "
+                "node, which may not be the latest"
             )
         return self._find_route(scope)
 
@@ -251,9 +301,19 @@
         path = scope["raw_path"].decode("latin-1")
         host = (_find_header(scope, b"host") or b"").decode("latin-1")
         return _route_resolution.resolve(
-            self._blackboard, scope["method"], host, path
+            self._blackboard,
+            scope["method"],
+            host,
+            path,
+            self._read_key(scope),
         )
 
+    def _read_key(self, scope: Scope) -> bytes | None:
+        """Return the key that the caller shows; ``None`` unless it is one."""
+        name = self._names.key
+        keys = [value for key, value in scope["headers"] if key == name]
+        return t.cast(bytes, keys[0]) if name and len(keys) == 1 else None
+
     def _read_request_id(self, scope: Scope) -> str:
         """Return the caller's request id; "" if it sent none."""
         if not self._names.request_id:
@@ -261,17 +321,27 @@
         value = _find_header(scope, self._names.request_id) or b""
         return value.decode("latin-1")[:MAX_REQUEST_ID_CHARS]
 
-    def _make_headers(self, scope: Scope) -> Headers:
+    def _make_headers(
+        self, scope: Scope, target: _route_resolution.ResolvedRoute
+    ) -> Headers:
         """Return the headers to forward to an upstream.
 
-        Any caller-service header of the caller is replaced.
+        Headers of the caller that only the fleet may set are replaced.
         """
-        name = self._names.caller_service
-        if not name:
-            return list(scope["headers"])
-        headers = [pair for pair in scope["headers"] if pair[0] != name]
-        headers.append((name, self._local_service.encode()))
-        return headers
+        names = self._names
+        added: Headers = []
+        replaced = {names.caller_service}
+        if names.caller_service:
+            service = self._local_service.encode()
+            added.append((names.caller_service, service))
+        if target.hides_keys:
+            replaced |= {names.key, names.team}
+            if target.team and names.team:
+                added.append((names.team, target.team.encode()))
+        headers = [
+            pair for pair in scope["headers"] if pair[0] not in replaced
+        ]
+        return headers + added
 
     def _read_timeout_ms(
         self, scope: Scope, target: _route_resolution.ResolvedRoute
@@ -556,6 +626,8 @@
 
 
 def _read_team(scope: Scope, target: _route_resolution.ResolvedRoute) -> str:
+    if target.team:
+        return target.team
     if not target.team_header:
         return ""
     text = _find_header(scope, target.team_header)
--- a/src/papayastall/route_table.py
+++ b/src/papayastall/route_table.py
@@ -10,6 +10,8 @@
 
 import collections
 import collections.abc as cabc
+import enum
+import math
 import typing as t
 
 import msgspec
@@ -21,12 +23,14 @@
 __all__ = [
     "CallerLimits",
     "PatchTable",
+    "Payload",
     "ReplaceTable",
     "Route",
     "RouteTable",
     "ServiceEntry",
     "ServiceShare",
     "TableChange",
+    "Team",
     "apply_change",
     "decode_change",
     "decode_table",
@@ -39,6 +43,17 @@
 
 _Code = exceptions.ErrorCode
 
+_LATER_FIELDS = frozenset({"teams", "removed_teams"})
+"""Fields that texts of earlier releases, kept on disks, do not have."""
+
+
+class Payload(enum.Enum):
+    """Which bodies of a route's requests may be large."""
+
+    ORDINARY = "ordinary"
+    LARGE_REQUEST = "large-request"
+    LARGE_ANSWER = "large-answer"
+
 
 class ServiceShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One service's share of the requests of a route.
@@ -59,6 +74,9 @@
         counts in full.
     :param max_attempts: upstreams that one request may be sent to.
     :param rank: urgency; 0 is the most urgent.
+    :param payload: which bodies may be large.
+    :param requires_key: whether a caller must show the key of a team, in a
+        table that has teams.
     :param source: the operator's own text of the route; returned on reads
         and used for nothing else.
     """
@@ -73,6 +91,8 @@
     rank: int
     shares: tuple[ServiceShare, ...]
     source: str = ""
+    payload: Payload = Payload.ORDINARY
+    requires_key: bool = True
 
 
 class ServiceEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -90,6 +110,29 @@
     source: str = ""
 
 
+class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A team of callers, known by the keys that they show.
+
+    :param keys: secrets, each of which identifies the team.
+    :param rank: urgency of its requests in place of that of their routes;
+        ``None`` to use the rank of the route.
+    :param rate_per_s: requests a second that the team may send, over all
+        nodes; 0 without a limit.
+    :param burst: requests beyond that rate that it may send at once.
+    :param source: see :class:`Route`.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    source: str = ""
+
+    def __repr__(self) -> str:
+        return f"Team({self.name!r}, {len(self.keys)} keys)"
+
+
 class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Size and time limits on callers' requests and connections.
 
@@ -104,12 +147,17 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All routes in force; ``version`` increases with every change."""
+    """All routes in force; ``version`` increases with every change.
+
+    :param teams: the teams whose keys are accepted; without any, no request
+        needs a key.
+    """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceEntry, ...] = ()
     limits: CallerLimits = CallerLimits()
+    teams: tuple[Team, ...] = ()
 
 
 class ReplaceTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -129,6 +177,8 @@
     limits: CallerLimits | None = None
     removed_routes: tuple[str, ...] = ()
     removed_services: tuple[str, ...] = ()
+    teams: tuple[Team, ...] = ()
+    removed_teams: tuple[str, ...] = ()
 
 
 TableChange = ReplaceTable | PatchTable
@@ -175,10 +225,11 @@
             table.services, change.services, change.removed_services
         ),
         change.limits or table.limits,
+        _merge_by_name(table.teams, change.teams, change.removed_teams),
     )
 
 
-_Item = t.TypeVar("_Item", Route, ServiceEntry)
+_Item = t.TypeVar("_Item", Route, ServiceEntry, Team)
 
 
 def _merge_by_name(
@@ -195,7 +246,11 @@
 
 def _find_problems(table: RouteTable) -> cabc.Iterator[str]:
     services = {service.name for service in table.services}
-    items: tuple[Route | ServiceEntry, ...] = (*table.routes, *table.services)
+    items: tuple[Route | ServiceEntry | Team, ...] = (
+        *table.routes,
+        *table.services,
+        *table.teams,
+    )
     for name, count in collections.Counter(
         (type(item), item.name) for item in items
     ).items():
@@ -210,6 +265,30 @@
     for route in table.routes:
         for problem in _find_route_problems(route, services):
             yield f"route {route.name!r}: {problem}"
+    yield from _find_team_problems(table.teams)
+
+
+def _find_team_problems(teams: tuple[Team, ...]) -> cabc.Iterator[str]:
+    owners: dict[str, str] = {}
+    for team in teams:
+        for key in set(team.keys):
+            if not key:
+                yield f"team {team.name!r}: a key is empty"
+            # The text names the teams only: a key is a secret.
+            if owners.setdefault(key, team.name) != team.name:
+                yield (
+                    f"teams {owners[key]!r} and {team.name!r} share a key; "
+                    "give each its own"
+                )
+        for name, value in (
+            ("rate", team.rate_per_s),
+            ("burst", team.burst),
+        ):
+            if not math.isfinite(value) or value < 0:
+                yield (
+                    f"team {team.name!r}: the {name} must be a finite "
+                    "number of 0 or more"
+                )
 
 
 def _find_route_problems(
@@ -276,12 +355,18 @@
 
 
 def _convert(raw: dict[str, t.Any], kind: type[T]) -> T:
-    """Convert a mapping that must hold every field of ``kind``.
+    """Convert a mapping that must hold the fields of ``kind``.
+
+    Fields of a later release than the text's may be missing.
 
     The defaults of fields apply where code makes a table or a change, not
     to an encoded text.
     """
-    missing = [name for name in kind.__struct_fields__ if name not in raw]
+    missing = [
+        name
+        for name in kind.__struct_fields__
+        if name not in raw and name not in _LATER_FIELDS
+    ]
     if missing:
         raise msgspec.ValidationError(f"{missing[0]} is missing")
     return msgspec.convert(raw, kind)
--- a/src/papayastall/settings.py
+++ b/src/papayastall/settings.py
@@ -99,6 +99,17 @@
     :param retry_slack: extra attempts of the whole fleet in any window,
         beyond the ratio.
     :param retry_window_s: length of these windows, seconds.
+    :param key_revocation_ms: time after the acknowledgement of a change that
+        removes a key within which every node must stop accepting it, also a
+        node that is cut off; without it, cut-off nodes go on.
+    :param quota_window_s: length of the windows over which quotas of teams
+        are counted, seconds.
+    :param quota_over_ratio: share of a quota by which a window may pass it.
+    :param quota_slack: requests by which a window may pass a quota besides.
+    :param memory_limit_mb: memory that the process may use; that of the VM
+        if left out.
+    :param descriptor_limit: descriptors that the process may open; that of
+        the operating system if left out.
     :param statsd_address: UDP address of the StatsD server that metrics are
         sent to, if any.
     :param metrics_address: HTTP address where metrics can be scraped, if
@@ -125,6 +136,12 @@
     retry_ratio: float = 0.1
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
+    key_revocation_ms: _checking.Milliseconds | None = None
+    quota_window_s: float = 5.0
+    quota_over_ratio: float = 0.1
+    quota_slack: float = 20.0
+    memory_limit_mb: int | None = None
+    descriptor_limit: int | None = None
     link_listen_address: _checking.Address | None = None
     data_folder: pathlib.Path | None = None
     claim_groups: int = 4
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -107,6 +107,40 @@
     assert node.shutdown_timeout_ms < 6000
     assert machine.ready_address == "10.1.0.8:8302"
     assert machine.lease_s == 6.0
+    assert node.key_revocation_ms is None
+    assert node.memory_limit_mb is None
+
+
+@pytest.mark.parametrize(
+    ("strict", "revocation_ms"), [("true", 5000), ("false", None)]
+)
+def test_bounds_of_teams_and_limits_of_a_machine(
+    tmp_path: pathlib.Path, strict: str, revocation_ms: int | None
+) -> None:
+    path = write_settings(
+        tmp_path,
+        bounds=[f"strictRevoke={strict}", "revokeMs=5000", "quotaSlack=20"],
+        limits={"memoryMb": 200, "maxFds": 4100, "linkMbps": 4.15},
+    )
+    node = adapter_settings.load(path).node
+    assert node.key_revocation_ms == revocation_ms
+    assert node.quota_slack == 20.0
+    assert (node.memory_limit_mb, node.descriptor_limit) == (200, 4100)
+
+
+@pytest.mark.parametrize(
+    ("kind", "request_kind", "payload"),
+    [
+        ("upload", "non-idempotent", "large-request"),
+        ("download", "lookup", "large-answer"),
+        ("safe", "lookup", "ordinary"),
+    ],
+)
+def test_kinds_of_routes(kind: str, request_kind: str, payload: str) -> None:
+    change = adapter_config.read_table(change_config("kind", kind))
+    (route,) = change.table.routes
+    assert route.kind.value == request_kind
+    assert route.payload.value == payload
 
 
 @pytest.mark.parametrize(("machines", "voters"), [(1, 5), (2, 7)])
