Frames for the cost of requests and the state of owners

Loads can carry the work left at an owner, the odds that its best upstream leaves requests unanswered, and the retries that it still accepts; requests carry the run time that the ingress expects. A table that declares routes with large bodies makes its services' policies "varied".

--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -210,6 +210,12 @@
         in milliseconds; ``None`` while unknown.
     :param notices: of its upstreams that have named a limit or said that
         they are leaving.
+    :param work_s: expected run time left of all that runs and waits there,
+        in seconds; ``None`` where it is not estimated.
+    :param gray_odds: log-odds in nats that its best upstream leaves requests
+        unanswered now; ``None`` where they are not reported.
+    :param repeats_left: retries and hedges that it still accepts; ``None``
+        where they are not reported.
     """
 
     owner: str
@@ -220,6 +226,9 @@
     queued: int
     latency_ms: float | None
     notices: tuple[UpstreamNotice, ...] = ()
+    work_s: float | None = None
+    gray_odds: float | None = None
+    repeats_left: float | None = None
 
 
 class OwnerAdvert(msgspec.Struct, frozen=True):
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -101,6 +101,8 @@
     :param notices: of upstreams of the service, as the ingress knows them.
     :param is_suspect: whether an upstream of another owner was lost with an
         earlier attempt.
+    :param expected_ms: run time that the ingress expects of this request; 0
+        if unknown.
     """
 
     request_id: int
@@ -128,6 +130,7 @@
     is_repeat: bool = False
     notices: tuple[_decision_types.UpstreamNotice, ...] = ()
     is_suspect: bool = False
+    expected_ms: float = 0.0
 
 
 class BodyChunk(msgspec.Struct):
@@ -442,6 +445,9 @@
         queued=load.queued,
         latency_ms=load.latency_ms,
         notices=_encode_notices(load.notices) or None,
+        work_s=load.work_s,
+        gray_odds=load.gray_odds,
+        repeats_left=load.repeats_left,
     )
 
 
@@ -494,6 +500,9 @@
         queued=load.queued or 0,
         latency_ms=load.latency_ms,
         notices=_decode_notices(load.notices),
+        work_s=load.work_s,
+        gray_odds=load.gray_odds,
+        repeats_left=load.repeats_left,
     )
 
 
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -170,6 +170,8 @@
         where the whole fleet shares one budget; ``None`` where each ingress
         has its own.
     :param failure_domain: of this node; breaks ties in routing.
+    :param is_varied: whether requests cost very different amounts of work;
+        switches on the decisions that depend on their expected cost.
     """
 
     floor_slots: int = 0
@@ -182,6 +184,7 @@
     failure_domain: str = ""
     health: HealthTuning | None = None
     routing: RoutingTuning = RoutingTuning()
+    is_varied: bool = False
 
     def thresholds(self) -> HealthTuning:
         """Return the health thresholds in force."""
@@ -219,7 +222,10 @@
 
 
 def for_table(
-    failure_domain: str, owner_retry_budget: _retry.BudgetLimits
+    failure_domain: str,
+    owner_retry_budget: _retry.BudgetLimits,
+    *,
+    is_varied: bool = False,
 ) -> ServicePolicy:
     """Return the policy of a service in the route table without a document.
 
@@ -229,6 +235,8 @@
 
     :param failure_domain: of this node.
     :param owner_retry_budget: an owner's part of the fleet's budget.
+    :param is_varied: whether requests of the table cost very different
+        amounts of work, as some have large bodies.
     """
     return ServicePolicy(
         health_priority=documents.HealthPriority.GRAY,
@@ -236,4 +244,5 @@
         owner_retry_budget=owner_retry_budget,
         failure_domain=failure_domain,
         routing=_TABLE_ROUTING,
+        is_varied=is_varied,
     )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -591,6 +591,7 @@
                     self.settings.retry_window_s,
                     owners,
                 ),
+                is_varied=table.has_large_payloads,
             )
             self._configure(service, policy)
 
--- a/src/papayastall/route_table.py
+++ b/src/papayastall/route_table.py
@@ -159,6 +159,13 @@
     limits: CallerLimits = CallerLimits()
     teams: tuple[Team, ...] = ()
 
+    @property
+    def has_large_payloads(self) -> bool:
+        """Whether any route's requests or answers may be large."""
+        return any(
+            route.payload is not Payload.ORDINARY for route in self.routes
+        )
+
 
 class ReplaceTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A change that replaces the whole table of ``base_version``."""
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -23,6 +23,9 @@
   6: i32 queued,
   7: double latency_ms,
   8: list<UpstreamNotice> notices,
+  9: double work_s,
+  10: double gray_odds,
+  11: double repeats_left,
 }
 
 struct Hello {
@@ -59,6 +62,7 @@
   23: bool is_repeat,
   24: list<UpstreamNotice> notices,
   25: bool is_suspect,
+  26: double expected_ms,
 }
 
 struct BodyChunk {
