Take no answer with an invalid status or version from an upstream

Callers got what an upstream in trouble sent as 001, 099, 600 or 999, and "HTTP/0.9 200" as 200. With 000 the request waited for its deadline: the status doubled as the mark of a head that has not arrived. The parser accepts any status of three digits and any version.

A status outside 100 to 599, 101, or another version than 1.0 and 1.1 now breaks the answer: the outcome is unknown at once, the connection is closed, it counts as a broken run of the upstream, and a lookup is tried elsewhere within the budget.

The faults ZERO_STATUS and HIGH_STATUS of tests/test_platform_faults.py play it through real processes; not run on this commit yet.

--- a/src/papayastall/_upstream_connection.py
+++ b/src/papayastall/_upstream_connection.py
@@ -32,6 +32,11 @@
 """Keep-alive timeout of upstreams that do not announce one."""
 MAX_UNREAD_BYTES = 256 << 10
 """Unread bytes of a body above which the connection is not read further."""
+ANSWER_VERSIONS = ("1.0", "1.1")
+INFORMATIONAL_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
+SWITCHING_PROTOCOLS = 101
+"""No answer to any request here, as none asks for another protocol."""
 MAX_FRAMING_BYTES = 64 << 10
 """Bytes in a row that are no part of a body: heads, trailers, chunk sizes."""
 
@@ -97,6 +102,7 @@
         self._answer: UpstreamAnswer | None = None
         self._has_head = False
         self._has_extra_bytes = False
+        self._is_invalid = False
         self._ends_with_connection = False
         self._is_head_request = False
         self._framing_bytes = 0
@@ -141,7 +147,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break()
             return
-        if self._framing_bytes > MAX_FRAMING_BYTES:
+        if self._is_invalid or self._framing_bytes > MAX_FRAMING_BYTES:
             self._break()
         elif self._unread_bytes > MAX_UNREAD_BYTES:
             self._pause_reading()
@@ -160,7 +166,11 @@
         if answer is None or answer.complete:
             return
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        if not self._is_valid(status):
+            # ``data_received`` breaks the answer once the parser returns.
+            self._is_invalid = True
+            return
+        if status in INFORMATIONAL_STATUSES:
             answer.headers.clear()
             return
         answer.status = status
@@ -176,6 +186,17 @@
         if self._is_head_request:
             self._complete(answer)
 
+    def _is_valid(self, status: int) -> bool:
+        """Return whether an answer of HTTP/1.x may begin like this.
+
+        The parser accepts any status of three digits and any version.
+        """
+        if self._is_invalid or status == SWITCHING_PROTOCOLS:
+            return False
+        if self._parser.get_http_version() not in ANSWER_VERSIONS:
+            return False
+        return status in INFORMATIONAL_STATUSES or status in FINAL_STATUSES
+
     def on_body(self, data: bytes) -> None:
         self._framing_bytes = 0
         if self._answer is not None and not self._answer.complete:
@@ -233,6 +254,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer = answer = UpstreamAnswer()
         self._has_head = False
+        self._is_invalid = False
         self._framing_bytes = 0
         self._is_head_request = is_head_request
         self._transport.write(data)
--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -31,6 +31,8 @@
     LATE = "sends another request's answer first"
     CUT = "closes half way through its answer"
     GARBAGE = "sends data that is no HTTP answer"
+    ZERO_STATUS = "answers with status 000"
+    HIGH_STATUS = "answers with status 600"
     RESET = "runs it and closes without an answer"
     HANG = "runs it and never answers"
     ERROR = "answers with status 500"
@@ -161,6 +163,9 @@
             case Fault.GARBAGE:
                 self.wfile.write(b"\x00\x01 no answer\r\n\r\n")
                 return False
+            case Fault.ZERO_STATUS | Fault.HIGH_STATUS:
+                code = "000" if fault is Fault.ZERO_STATUS else "600"
+                self._send(code, request_id, length, body)
             case Fault.ERROR:
                 self._send(500, request_id, {"Content-Length": "0"}, b"")
             case Fault.REFUSES | Fault.OTHER_INSTANCE:
@@ -198,7 +203,7 @@
 
     def _send(
         self,
-        status: int,
+        status: int | str,
         request_id: str,
         headers: t.Mapping[str, str],
         body: bytes,
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -32,7 +32,14 @@
 PATHS = {"lookup": "/visits/x", "booking": "/orders/x"}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request did not run."""
-RETRYABLE_FAULTS = (Fault.GARBAGE, Fault.CUT, Fault.RESET, Fault.ERROR)
+RETRYABLE_FAULTS = (
+    Fault.GARBAGE,
+    Fault.ZERO_STATUS,
+    Fault.HIGH_STATUS,
+    Fault.CUT,
+    Fault.RESET,
+    Fault.ERROR,
+)
 VALID_FORMS = (
     Fault.NONE,
     Fault.CHUNKED,
@@ -213,6 +220,7 @@
         if answer.status == 200:
             assert answer.body == platform_upstream.make_body(request_id)
             assert answer.headers["response-stamp"] in site.instances
+        assert 100 <= answer.status <= 599
         if answer.status in NOT_RUN_STATUSES:
             assert site.runs(request_id) == 0
         if kind == "booking":
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -453,6 +453,51 @@
     assert upstream.connections > 1
 
 
+# Guards against a valid answer in the same segment that hides the invalid one.
+async def test_an_answer_behind_an_invalid_one_is_not_used() -> None:
+    invalid = b"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n"
+    outcomes, _ = await run_all([invalid + ANSWER, ANSWER])
+    assert outcomes == [Outcome.BROKEN, Outcome.ANSWERED]
+
+
+# Guards against bytes that are no answer of HTTP/1.x being passed on, and
+# against a request that waits for its deadline although they came.
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 x",
+        b"HTTP/1.1 001 x",
+        b"HTTP/1.1 099 x",
+        b"HTTP/1.1 600 x",
+        b"HTTP/1.1 999 x",
+        b"HTTP/1.1 20 x",
+        b"HTTP/1.1 2000 x",
+        b"HTTP/1.1 0200 x",
+        b"HTTP/1.1 101 x",
+        b"HTTP/0.9 200 x",
+        b"HTTP/1.2 200 x",
+        b"HTTP/2.0 200 x",
+    ],
+)
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_an_invalid_status_line_is_no_answer(
+    line: bytes, idempotent: bool
+) -> None:
+    invalid = line + b"\r\nContent-Length: 2\r\n\r\nno"
+    async with run_upstream([invalid, ANSWER]) as upstream:
+        client = _upstream_client.UpstreamClient()
+        request = make_request(upstream, idempotent)
+        sink = RecordingSink()
+        with anyio.fail_after(TIMEOUT_S / 2):
+            outcome = await client.run(request, TIMEOUT_S, sink)
+        assert (outcome, sink.status) == (Outcome.BROKEN, 0)
+        assert upstream.requests == 1
+        outcome = await client.run(request, TIMEOUT_S, RecordingSink())
+        assert outcome is Outcome.ANSWERED
+        assert upstream.connections == 2
+        await client.close()
+
+
 BLOCK = b"x" * (64 << 10)
 MAX_SENT_BLOCKS = 1024
 MAX_TAKEN_BYTES = 16 << 20
