Suspect a request only if its upstream is gone

A broken connection counted as the loss of the upstream; a new announcement of it counted as another one.

The owner connects to an upstream that broke off a run 20 ms later, for 0.1 s at most; if the upstream accepts, nothing is suspected. The broken run stays evidence against the upstream.

--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -137,6 +137,8 @@
         request_id: int,
         outcome: types.Outcome,
         retry_after_s: float | None = None,
+        *,
+        is_alive: bool = False,
     ) -> list[types.OwnerAction]:
         """Record how a dispatched request ended.
 
@@ -146,6 +148,8 @@
 
         :param retry_after_s: the upstream's own retry delay, if it shed the
             request.
+        :param is_alive: whether the upstream was still there after it had
+            broken off the run, so that the request has not crashed it.
         """
         run = self._running.pop(request_id, None)
         if run is None:
@@ -164,7 +168,11 @@
         actions = _owner_evidence.note_end(
             now_s, service, upstream, run, outcome
         )
-        notice = self._gate.note_end(now_s, run, outcome, upstream.started_ms)
+        notice = None
+        if not is_alive:
+            notice = self._gate.note_end(
+                now_s, run, outcome, upstream.started_ms
+            )
         if notice is not None:
             actions += [notice, *self._retry_parked(now_s)]
         refusal = _refusals.refuse_ended(
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -30,6 +30,11 @@
 incomplete one can still be replaced by another attempt or an error."""
 MAX_NOT_RUN_BODY_BYTES = 64 << 10
 """An answer that says "not run" with a larger body is not trusted."""
+ALIVE_CHECK_DELAY_S = 0.02
+"""Time for a process that crashes to close its listener after its other
+connections."""
+ALIVE_CHECK_TIMEOUT_S = 0.1
+"""An upstream on the same VM accepts a connection within about 1 ms."""
 IDLE_CLOSE_DETECTION_S = 0.02
 """If the upstream had closed an idle connection, the request on it fails
 within a round trip, as both are on the same VM. A connection that ends later
@@ -135,6 +140,23 @@
         for connection in self._idle.pop(upstream, []):
             connection.close()
 
+    async def is_alive(self, upstream: str) -> bool:
+        """Return whether an upstream that broke off a run still listens.
+
+        :param upstream: its address, ``ip:port``.
+        """
+        await anyio.sleep(ALIVE_CHECK_DELAY_S)
+        with anyio.move_on_after(ALIVE_CHECK_TIMEOUT_S):
+            try:
+                connection = await _upstream_connection.open_connection(
+                    upstream
+                )
+            except _upstream_connection.NotConnected:
+                return False
+            connection.close()
+            return True
+        return False
+
     async def run(
         self, request: UpstreamRequest, timeout_s: float, sink: AnswerSink
     ) -> _decision_types.Outcome:
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -386,8 +386,11 @@
         is_complete = outcome in (Outcome.ANSWERED, Outcome.FAILED)
         if run.open.claim_token and self._claims is not None:
             await self._record(sink, run, outcome, self._claims)
+        is_alive = outcome is Outcome.BROKEN and await self._client.is_alive(
+            address
+        )
         actions = self.controller.finished(
-            clock.now_s(), run.local_id, outcome
+            clock.now_s(), run.local_id, outcome, is_alive=is_alive
         )
         if is_complete:
             run.ended_s = clock.now_s()
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -359,3 +359,21 @@
     [refusal] = owner.submit(3.0, helpers.owner_request(3, fingerprint=7))
     assert isinstance(refusal, types.RefuseRequest)
     assert refusal.code is exceptions.ErrorCode.CRASHING_REQUEST
+
+
+# Guards against a shared lookup that is refused for a minute because gray
+# upstreams reset its connections: such upstreams have not crashed.
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_only_upstreams_that_are_gone_make_a_suspect(is_alive: bool) -> None:
+    owner = helpers.owner(upstreams=0)
+    for started_ms in (1, 2):
+        announcement = msgspec.structs.replace(
+            helpers.announcement(), instance="i-1", started_ms=started_ms
+        )
+        owner.announce(0.0, announcement)
+        owner.submit(1.0, helpers.owner_request(started_ms, fingerprint=7))
+        owner.finished(
+            2.0, started_ms, types.Outcome.BROKEN, is_alive=is_alive
+        )
+    [action] = owner.submit(3.0, helpers.owner_request(3, fingerprint=7))
+    assert isinstance(action, types.Dispatch) is is_alive
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -594,3 +594,11 @@
         tasks.cancel_scope.cancel()
     assert upstream.sent_bytes <= MAX_TAKEN_BYTES
     assert found is outcome
+
+
+async def test_an_upstream_that_closed_its_listener_is_not_alive() -> None:
+    client = _upstream_client.UpstreamClient()
+    async with run_upstream([]) as upstream:
+        assert await client.is_alive(upstream.address)
+        await upstream.close()
+        assert not await client.is_alive(upstream.address)
