Lease on the keys at nodes with key_revocation_ms

Cause: nothing implemented ingress.KeyLease. With key_revocation_ms set, a node renews a lease over its own channel (10), refuses requests with a key by 503 keys-unconfirmed without one, logs its end and its return, counts the refusals and shows its age. Replies of the lease also answer whether the table is the latest for unknown keys: one peer is asked, four times a second at most, in place of control's leader or of all replicas.

tests/test_metrics.py reads the source of packages too: the metrics of a package would otherwise count as unused. tests/test_docs.py fails before and after on hard-load.md, which names a command that does not exist yet.

python -m pytest tests/test_key_lease_service.py tests/test_metrics.py: 14 passed; test_teams, test_config*, test_logs, test_ingress, test_settings, test_adapter: passed.

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -55,6 +55,9 @@
 """Several round trips to control's leader; a caller may wait for this long
 until it is told that there is no route for its request."""
 LATEST_CHECK_INTERVAL_S = 0.25
+REFRESH_AGE_S = 0.8
+"""Age of knowledge that is refreshed; below ``LATEST_VALIDITY_S`` of the
+controller, so that it holds until the answer."""
 LATEST_WAIT_S = 0.4
 """Time in which most nodes have a new config in force."""
 WAIT_POLL_INTERVAL_S = 0.2
@@ -155,6 +158,8 @@
         self._leader: str | None = None
         self._latest_check: anyio.Event | None = None
         self._latest_checked_s = float("-inf")
+        self._refresh: cabc.Callable[[float], cabc.Awaitable[None]] | None
+        self._refresh = None
         self._tasks: anyio.abc.TaskGroup | None = None
         self._controller = _config.ConfigController(
             node, control, clock.now_s(), peering.is_connected
@@ -188,10 +193,34 @@
         """Set the addresses of the control replicas to ask."""
         self._controller.set_control(addresses)
 
+    def list_control(self) -> list[str]:
+        """Return the addresses of the other control replicas."""
+        return self._controller.list_control()
+
     def use_host(self, host: _control_calls.GroupHost) -> None:
         """Use the control replica of this node to confirm its config."""
         self._host = host
 
+    def use_refresh(
+        self, refresh: cabc.Callable[[float], cabc.Awaitable[None]]
+    ) -> None:
+        """Ask for the latest index by a function instead of the leader.
+
+        :param refresh: takes the time after which the index must have been
+            the latest; calls :meth:`note_latest` and returns after a while.
+        """
+        self._refresh = refresh
+
+    def note_latest(self, asked_s: float, index: int) -> None:
+        """Record that an index was the latest one at a time."""
+        self._controller.note_latest(clock.now_s(), asked_s, index)
+
+    async def find_index_as_leader(self) -> int | None:
+        """Return the latest index if the local replica leads control."""
+        if await self._leads_control():
+            return self._controller.index
+        return None
+
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the task that keeps the config up to date."""
         self._tasks = tasks
@@ -394,6 +423,9 @@
         Callers that need it at the same time share one check, and a check
         that failed is not repeated at once.
         """
+        if self._refresh is not None:
+            await self._refresh(clock.now_s() - REFRESH_AGE_S)
+            return
         check = self._latest_check
         if check is not None:
             await check.wait()
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -142,7 +142,8 @@
         of requests that are refused before they are forwarded.
     :param is_latest: returns whether no later configuration than the one in
         force here has been accepted, as far as control can be asked.
-    :param key_lease: checked for each request that shows a key.
+    :param key_lease: checked for each request that shows a key; with
+        ``None``, keys in force here are always accepted.
     :param quotas: of the teams whose keys callers show.
     :ivar open_requests: number of requests being handled.
     """
@@ -161,7 +162,7 @@
         local_service: str = "",
         explain_config: cabc.Callable[[], dict[str, float]] = dict,
         is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _assume_latest,
-        key_lease: KeyLease = _NoKeyLease(),
+        key_lease: KeyLease | None = None,
         quotas: TeamQuotas = _NoQuotas(),
     ) -> None:
         self._names = names
@@ -174,7 +175,7 @@
         self._record_sample = record_sample
         self._explain_config = explain_config
         self._is_latest = is_latest
-        self._key_lease = key_lease
+        self._key_lease = key_lease or _NoKeyLease()
         self._quotas = quotas
         self._request_ids = itertools.count(1)
         self.open_requests = 0
--- a/src/papayastall/logs.py
+++ b/src/papayastall/logs.py
@@ -68,6 +68,8 @@
     """The data folder failed, was found damaged or has recovered."""
     SUSPECT = "suspect"
     """A request that crashes upstreams is refused, or is allowed again."""
+    KEYS = "keys"
+    """The lease on the keys of callers ended or was regained."""
 
 
 class RequestEvent(enum.Enum):
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -123,6 +123,11 @@
         "fetches",
         "of documents that a member did not answer",
     )
+    KEYS_UNCONFIRMED = Description(
+        "keys_unconfirmed",
+        "requests",
+        "with a key refused as this node had no lease on the keys",
+    )
     ELECTIONS = Description("elections", "elections", "started by this node")
     FSYNCS = Description("fsyncs", "calls", "of fsync on the data folder")
     METRICS_DROPPED = Description(
@@ -145,6 +150,11 @@
         "datagrams",
         "with another key or a wrong form since the start",
     )
+    KEY_LEASE_AGE = Description(
+        "key_lease_age_ms",
+        "ms",
+        "since the configuration in force was surely the latest; -1 if never",
+    )
     LOOP_DELAY = Description(
         "loop_delay_ms", "ms", "by which the event loop is late"
     )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -49,6 +49,7 @@
 from papayastall import documents
 from papayastall import exceptions
 from papayastall import exposition
+from papayastall import freshness
 from papayastall import histograms
 from papayastall import http_names
 from papayastall import ingress
@@ -185,6 +186,7 @@
         self._build_links()
         self._build_membership()
         self._build_control()
+        self.key_lease = self._make_key_lease()
         self._build_request_path()
         self._build_servers()
 
@@ -269,6 +271,39 @@
             self.counters,
         )
 
+    def _make_key_lease(self) -> freshness.KeyLease | None:
+        """Return the lease on the keys, if removed ones must end in time."""
+        if self.settings.key_revocation_ms is None:
+            return None
+        return freshness.KeyLease(
+            self.settings.link_address,
+            self.settings.key_revocation_ms / 1000,
+            self.links,
+            self.control.config,
+            freshness.LeaseHooks(
+                self.control.find_leader, self._describe_fleet
+            ),
+            self._rng,
+            self.counters,
+        )
+
+    def _describe_fleet(self) -> freshness.Topology:
+        own = self.settings.link_address
+        others = set(self.list_others())
+        control = self.control.config.list_control()
+        domain = sorted(
+            member.address
+            for member in self.membership.members()
+            if member.address in others
+            and member.failure_domain == self.settings.failure_domain
+        )
+        return freshness.Topology(
+            control=tuple(peer for peer in control if peer != own),
+            domain=tuple(domain),
+            members=len(others) + 1,
+            is_replica=self.control.host is not None,
+        )
+
     def _build_request_path(self) -> None:
         address = self.settings.link_address
         self.owner_controller = _owner_controller.OwnerController(
@@ -302,6 +337,7 @@
             local_service=self.settings.local_service,
             explain_config=self.control.config.explain,
             is_latest=self.control.config.is_latest,
+            key_lease=self.key_lease,
         )
 
     def _build_servers(self) -> None:
@@ -369,6 +405,8 @@
         if self._group_folder is not None:
             await self._group_folder.prepare()
         await self.control.start(tasks)
+        if self.key_lease is not None:
+            await self.key_lease.start(tasks)
         if self.settings.control_group is not None:
             tasks.start_soon(self._update_control)
         tasks.start_soon(self._advertise)
@@ -404,7 +442,7 @@
     def _read_gauges(self) -> dict[metrics.Gauge, float]:
         in_flight = self.ingress.open_requests + self.owner.running()
         gossip = self.gossiper.counters
-        return {
+        gauges: dict[metrics.Gauge, float] = {
             metrics.Gauge.IN_FLIGHT: in_flight,
             metrics.Gauge.LINKS: self.links.open_count,
             metrics.Gauge.MEMBERS_ALIVE: len(self.membership.members()),
@@ -412,6 +450,9 @@
             metrics.Gauge.GOSSIP_SENT: gossip.sent_bytes,
             metrics.Gauge.GOSSIP_REFUSED: gossip.bad_key + gossip.bad_format,
         }
+        if self.key_lease is not None:
+            gauges[metrics.Gauge.KEY_LEASE_AGE] = self.key_lease.age_ms()
+        return gauges
 
     async def close(self) -> None:
         """Carry out the planned stop of this node.
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -57,7 +57,7 @@
 def test_every_metric_is_used_by_the_program() -> None:
     source = "".join(
         path.read_text()
-        for path in pathlib.Path(metrics.__file__).parent.glob("*.py")
+        for path in pathlib.Path(metrics.__file__).parent.rglob("*.py")
         if path.name != "metrics.py"
     )
     for metric in (*metrics.Counter, *metrics.Gauge):
