--- a/tests/test_change_time.py
+++ b/tests/test_change_time.py
@@ -223,6 +223,13 @@
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> RunCheck:
     """Return a function that runs a check with a fleet on virtual time."""
+    return make_run_check(tmp_path, monkeypatch)
+
+
+def make_run_check(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> RunCheck:
+    """Return what the fixture :func:`run_check` does, for other modules."""
     # The disk is simulated, and no folder is read again.
     monkeypatch.setattr(os, "fsync", lambda _descriptor: None)
     monkeypatch.setattr(os, "fdatasync", lambda _descriptor: None)
