Measure the messages of the lease on the keys; no queries by the leader

Cause: the leader of control asked other replicas, though it knew that its configuration was the latest.

--- a/src/papayastall/freshness/_controller.py
+++ b/src/papayastall/freshness/_controller.py
@@ -166,6 +166,9 @@
         interval = INTERVALS[self._sources.role]
         is_old = age_s >= interval.old_s * self._scale
         self._due_s = now_s + self._interval_s(now_s, age_s, interval)
+        if age_s < interval.normal_s * self._scale / 2:
+            # This node leads control, or has just asked for a caller.
+            return []
         queries = self._ask(now_s, alternative=False)
         if is_old:
             # A peer may be cut off from control on one way only.
--- a/tests/lease_fleet.py
+++ b/tests/lease_fleet.py
@@ -101,6 +101,7 @@
     :ivar refused: number of checks at which each node refused keys.
     :ivar violations: nodes that accepted a key too late, and when.
     :ivar queries: number of queries to each node so far.
+    :ivar sent: number of queries of each node so far.
     """
 
     def __init__(
@@ -124,6 +125,7 @@
         self.refused: collections.Counter[int] = collections.Counter()
         self.violations: list[tuple[float, int]] = []
         self.queries: collections.Counter[int] = collections.Counter()
+        self.sent: collections.Counter[int] = collections.Counter()
         self._acknowledged: list[tuple[float, int]] = []
         self._overdue_index = 0
         self._events: list[tuple[float, int, cabc.Callable[[], None]]] = []
@@ -202,6 +204,7 @@
         peer = self._by_address[query.peer]
         generation = node.generation
         self.queries[peer.number] += 1
+        self.sent[node.number] += 1
         open_queries = {query.number}
 
         def give_up() -> None:
