--- a/tests/test_key_lease_service.py
+++ b/tests/test_key_lease_service.py
@@ -13,6 +13,7 @@
 import anyio
 import pytest
 
+from papayastall import _config_service
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import freshness
@@ -189,6 +190,51 @@
     assert queries / FLOOD_S < 4.0
 
 
+# Guards against a flood of unknown keys that asks control's leader, or all
+# replicas while there is none, and against 401 without recent knowledge.
+def test_a_config_is_the_latest_only_by_the_knowledge_of_the_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(pair: Pair) -> None:
+        asked: list[str] = []
+
+        async def note_call(peer: str, _body: bytes) -> bytes:
+            asked.append(peer)
+            return b""
+
+        peering = pair.network.nodes[LEADER]
+        peering.handle_calls(_peering.Channel.CONFIG, note_call)
+        config = _config_service.ConfigService(
+            NODE,
+            pair.network.nodes[NODE],
+            t.cast(t.Any, None),
+            (LEADER,),
+            lambda: [LEADER],
+            lambda index, changed: None,
+            random.Random(1),
+        )
+        known: list[tuple[float, int]] = []
+
+        async def refresh(known_s: float) -> None:
+            for latest_s, index in known:
+                config.note_latest(latest_s, index)
+
+        config.use_refresh(refresh)
+        await anyio.sleep(10.0)
+        assert not await config.is_latest()
+        known.append((anyio.current_time() - 1.5, 0))
+        assert not await config.is_latest()
+        known.append((anyio.current_time() - 0.5, 0))
+        assert await config.is_latest()
+        known.append((anyio.current_time() - 0.4, 1))
+        await anyio.sleep(0.6)
+        known.append((anyio.current_time() - 0.1, 1))
+        assert not await config.is_latest()
+        assert asked == []
+
+    run_pair(check, monkeypatch)
+
+
 @pytest.mark.parametrize("body", [b"", b"\x02", b"\x01" * 40])
 def test_messages_of_another_form_are_refused(body: bytes) -> None:
     with pytest.raises(exceptions.ProtocolError):
