Fewer queries for the lease on the keys

Cause: at 2,100 nodes a relay sent 8.0 KB/s, over the 7 KB/s that a node may spend on control. Nodes ask every 0.9 s, and a relay serves 16 nodes.

--- a/src/papayastall/freshness/_controller.py
+++ b/src/papayastall/freshness/_controller.py
@@ -65,7 +65,7 @@
 INTERVALS = {
     _sources.Role.REPLICA: Interval(0.4, 0.1, 1.0),
     _sources.Role.RELAY: Interval(0.4, 0.15, 1.4),
-    _sources.Role.NODE: Interval(0.7, 0.2, 1.9),
+    _sources.Role.NODE: Interval(0.9, 0.2, 2.0),
 }
 OLD_REPLY_S = 1.4
 """Age in a reply above which another peer may know more; above the greatest
--- a/src/papayastall/freshness/_sources.py
+++ b/src/papayastall/freshness/_sources.py
@@ -12,7 +12,8 @@
 
 MAX_NODES_PER_REPLICA = 32
 """Nodes for each control replica above which not all nodes ask control."""
-MAX_NODES_PER_RELAY = 32
+MAX_NODES_PER_RELAY = 16
+"""With 32, a relay sends 8 KB/s; a node may spend 7 KB/s on control."""
 MIN_RELAYS_PER_DOMAIN = 2
 AVOID_S = 2.0
 """Time for which a peer is not asked that did not answer, or that knew less
