--- a/src/papayastall/freshness/_service.py
+++ b/src/papayastall/freshness/_service.py
@@ -25,7 +25,8 @@
 __all__ = ["ConfigSource", "KeyLease", "LeaseHooks"]
 
 TICK_INTERVAL_S = 0.1
-TOPOLOGY_INTERVAL_S = 1.0
+TOPOLOGY_INTERVAL_S = 2.0
+"""A view of 2,100 members takes 2 ms."""
 REPLY_TIMEOUT_S = 2.0
 """Long, as a late reply counts as well."""
 REFRESH_TIMEOUT_S = 0.3
