Test the lease on the keys with busy processes

Guards against nodes that take their sources for silent while replies wait to be read. Between two ticks a node's phase without a lease is recorded in one place.

--- a/src/papayastall/freshness/_controller.py
+++ b/src/papayastall/freshness/_controller.py
@@ -165,6 +165,10 @@
         age_s = min(self.age_s(now_s, index), self._newest_age_s(now_s))
         interval = INTERVALS[self._sources.role]
         is_old = age_s >= interval.old_s * self._scale
+        if age_s < self.lease_s:
+            self._without_since_s = None
+        elif self._without_since_s is None:
+            self._without_since_s = now_s
         self._due_s = now_s + self._interval_s(now_s, age_s, interval)
         if age_s < interval.normal_s * self._scale / 2:
             # This node leads control, or has just asked for a caller.
@@ -186,10 +190,6 @@
     def _interval_s(
         self, now_s: float, age_s: float, interval: Interval
     ) -> float:
-        if age_s < self.lease_s:
-            self._without_since_s = None
-        elif self._without_since_s is None:
-            self._without_since_s = now_s
         interval_s = interval.normal_s
         if self._is_long_without(now_s):
             interval_s = SLOW_RETRY_S
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -229,6 +229,21 @@
     assert not fleet.refused
 
 
+# Guards against nodes whose processors are busy, so that replies wait to be
+# read, and that take their sources for silent.
+def test_busy_processes_end_no_lease_and_keep_their_sources() -> None:
+    fleet = make_fleet(1)
+    fleet.queries.clear()
+    for _ in range(60):
+        for node in fleet.rng.sample(fleet.nodes, 56):
+            if node is not fleet.leader:
+                fleet.suspend(node, fleet.rng.uniform(0.1, 0.45))
+        fleet.run(0.5)
+    assert not fleet.refused
+    control = sum(fleet.queries[node.number] for node in fleet.replicas)
+    assert control > 0.9 * sum(fleet.queries.values())
+
+
 # Guards against a whole fleet whose queries keep control from an election.
 def test_without_a_leader_nodes_ask_seldom() -> None:
     fleet = make_fleet(1)
