Count requests against quotas of teams over all nodes

Cause: the rates and bursts of teams were stored but not enforced.

Change: the package papayastall.quotas. A node that reaches no holder lets one request of a team run in a long period and answers 503 quota-undecided otherwise. Planned stops and lost seats hand the buckets over. node.py starts it with a route table; claims are sent only while a team has a rate.

test_metrics now reads sub-packages too, and expects TEAM in the names of counters by team.

--- a/src/papayastall/_membership.py
+++ b/src/papayastall/_membership.py
@@ -265,6 +265,18 @@
         """Return the live members, including this node."""
         return [self._table.members[address] for address in self._table.live]
 
+    def known_domains(self) -> dict[str, str]:
+        """Return the failure domains of all members but those that left.
+
+        Members that are dead, or only cut off, are known for hours.
+        """
+        left = types.MemberState.LEFT
+        return {
+            member.address: member.failure_domain
+            for member in self._table.members.values()
+            if member.state is not left
+        }
+
     def member(self, address: str) -> types.Member | None:
         """Return a member, also one that is dead or has left."""
         return self._table.members.get(address)
--- a/src/papayastall/_peering.py
+++ b/src/papayastall/_peering.py
@@ -23,6 +23,7 @@
     PERMIT = 6
     HISTOGRAM = 7
     OPERATOR = 8
+    QUOTA = 9
 
 
 CastHandler = cabc.Callable[[str, bytes], cabc.Coroutine[t.Any, t.Any, None]]
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -64,6 +64,7 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
     QUOTA_EXCEEDED = "quota-exceeded"
+    QUOTA_UNDECIDED = "quota-undecided"
 
 
 class RanState(enum.Enum):
--- a/src/papayastall/exposition.py
+++ b/src/papayastall/exposition.py
@@ -105,13 +105,12 @@
             counter: metrics_core.CounterMetricFamily(
                 f"{metrics.NAME_PREFIX}_{counter.value.name}",
                 f"{counter.value.unit} {counter.value.meaning}",
-                labels=["service"] if counter.value.by_service else [],
+                labels=_list_labels(counter.value),
             )
             for counter in metrics.Counter
         }
         for (counter, service), total in self._counters.totals().items():
-            by_service = counter.value.by_service
-            labels = [service or ""] if by_service else []
+            labels = [service or ""] if _list_labels(counter.value) else []
             families[counter].add_metric(labels, total)
         yield from families.values()
 
@@ -143,6 +142,12 @@
         return family
 
 
+def _list_labels(about: metrics.Description) -> list[str]:
+    if about.by_team:
+        return ["team"]
+    return ["service"] if about.by_service else []
+
+
 def _to_buckets(histogram: t.Any) -> tuple[list[tuple[str, float]], float]:
     """Return the cumulative buckets of an HDR histogram and its sum in s."""
     counts = [0] * (len(_BUCKET_BOUNDS_S) + 1)
--- a/src/papayastall/logs.py
+++ b/src/papayastall/logs.py
@@ -66,6 +66,8 @@
     """The leader or the members of a control group."""
     STORAGE = "storage"
     """The data folder failed, was found damaged or has recovered."""
+    QUOTA = "quota"
+    """The holder of teams' quotas, or whether one can be reached."""
     SUSPECT = "suspect"
     """A request that crashes upstreams is refused, or is allowed again."""
 
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -36,12 +36,15 @@
     """Name, unit and meaning of a metric.
 
     :param by_service: whether it is counted separately for each service.
+    :param by_team: the same for each team; the team is then given in place
+        of the service.
     """
 
     name: str
     unit: str
     meaning: str
     by_service: bool = False
+    by_team: bool = False
 
 
 class Counter(enum.Enum):
@@ -111,6 +114,27 @@
         "refused since they crash upstreams",
         True,
     )
+    QUOTA_REFUSALS = Description(
+        "quota_refusals", "requests", "over their team's quota", by_team=True
+    )
+    QUOTA_UNDECIDED = Description(
+        "quota_undecided",
+        "requests",
+        "refused since no holder of their team's quota was reached",
+        by_team=True,
+    )
+    QUOTA_OWN = Description(
+        "quota_own",
+        "requests",
+        "let run although no holder of their team's quota was reached",
+        by_team=True,
+    )
+    QUOTA_ASKS = Description(
+        "quota_asks", "messages", "to holders of teams' quotas"
+    )
+    QUOTA_TAKEOVERS = Description(
+        "quota_takeovers", "slots", "of quotas that this node began to hold"
+    )
     LINK_OPENS = Description("link_opens", "links", "opened to other nodes")
     LINK_FAILURES = Description(
         "link_failures", "links", "lost or found silent"
@@ -145,6 +169,9 @@
         "datagrams",
         "with another key or a wrong form since the start",
     )
+    QUOTA_SLOTS = Description(
+        "quota_slots", "slots", "of teams' quotas that this node holds"
+    )
     LOOP_DELAY = Description(
         "loop_delay_ms", "ms", "by which the event loop is late"
     )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -55,6 +55,7 @@
 from papayastall import logs
 from papayastall import metrics
 from papayastall import owner
+from papayastall import quotas
 from papayastall import route_table
 from papayastall import settings
 
@@ -289,6 +290,19 @@
         self.attempts = _attempts.AttemptSender(
             self.links, self.ingress_controller, self._rng, self.counters
         )
+        self.quotas = quotas.Quotas(
+            address,
+            self.links,
+            quotas.Bounds(
+                self.settings.quota_window_s,
+                self.settings.quota_over_ratio,
+                self.settings.quota_slack,
+            ),
+            self.membership.known_domains,
+            self.counters,
+            self.boot_ms,
+            is_founder=self._is_only_seed(),
+        )
         self.ingress = ingress.Ingress(
             self.blackboard,
             self.control.config.is_ready,
@@ -302,8 +316,14 @@
             local_service=self.settings.local_service,
             explain_config=self.control.config.explain,
             is_latest=self.control.config.is_latest,
+            quotas=self.quotas,
         )
 
+    def _is_only_seed(self) -> bool:
+        """Return whether the fleet may consist of this node alone."""
+        own = str(self.settings.gossip_address)
+        return all(str(seed) == own for seed in self.settings.seeds)
+
     def _build_servers(self) -> None:
         self.links.handle_calls(
             _peering.Channel.SUSPECT, self._receive_suspect
@@ -372,6 +392,8 @@
         if self.settings.control_group is not None:
             tasks.start_soon(self._update_control)
         tasks.start_soon(self._advertise)
+        if self._routes_by_table:
+            tasks.start_soon(self.quotas.run)
         tasks.start_soon(self._make_monitor().run)
         for server in self.servers:
             await server.start(tasks)
@@ -409,6 +431,7 @@
             metrics.Gauge.LINKS: self.links.open_count,
             metrics.Gauge.MEMBERS_ALIVE: len(self.membership.members()),
             metrics.Gauge.CONFIG_INDEX: self.blackboard.config_index,
+            metrics.Gauge.QUOTA_SLOTS: self.quotas.count_held(),
             metrics.Gauge.GOSSIP_SENT: gossip.sent_bytes,
             metrics.Gauge.GOSSIP_REFUSED: gossip.bad_key + gossip.bad_format,
         }
@@ -429,6 +452,7 @@
         with anyio.move_on_after(timeout_s) as self._stop_scope:
             await anyio.sleep(OWNER_ACCEPT_SHARE * notice_s)
             self.owner.stop_accepting()
+            self.quotas.stop()
             self.gossiper.send(self.membership.start_leaving(clock.now_s()))
             await anyio.sleep((1.0 - OWNER_ACCEPT_SHARE) * notice_s)
             # Callers that ignore "Connection: close" would otherwise keep
@@ -567,6 +591,15 @@
         assert previous is None or previous.table.version < table.version
         routing.lookup = _route_lookup.RouteLookup(table, previous)
         self._configure_table(table)
+        self.quotas.set_limits(
+            {
+                team.name: quotas.Limits(
+                    team.rate_per_s, team.burst, table.version
+                )
+                for team in table.teams
+                if team.rate_per_s > 0.0
+            }
+        )
         if self.caller_server is not None:
             limits = self.caller_server.limits
             limits.max_header_bytes = table.limits.max_header_bytes
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -118,3 +118,12 @@
     status, text = scrape(make_endpoint(counters), "/other")
     assert status == 400
     assert exposition.METRICS_PATH in text
+
+
+def test_counters_of_teams_have_the_label_team(
+    counters: metrics.Metrics,
+) -> None:
+    counters.count(metrics.Counter.QUOTA_REFUSALS, 2, service="team-a")
+    _, text = scrape(make_endpoint(counters))
+    labels = (("team", "team-a"),)
+    assert read(text)["papayastall_quota_refusals_total", labels] == 2.0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -49,6 +49,8 @@
     for metric in (*metrics.Counter, *metrics.Gauge):
         about = metric.value
         name = f"{about.name}.SERVICE" if about.by_service else about.name
+        if about.by_team:
+            name = f"{about.name}.TEAM"
         if isinstance(metric, metrics.Gauge):
             name = f"{about.name}.NODE"
         assert f"| `{name}` | {about.unit} | {about.meaning} |" in page
@@ -57,7 +59,7 @@
 def test_every_metric_is_used_by_the_program() -> None:
     source = "".join(
         path.read_text()
-        for path in pathlib.Path(metrics.__file__).parent.glob("*.py")
+        for path in pathlib.Path(metrics.__file__).parent.rglob("*.py")
         if path.name != "metrics.py"
     )
     for metric in (*metrics.Counter, *metrics.Gauge):
