--- a/src/papayastall/quotas/_client.py
+++ b/src/papayastall/quotas/_client.py
@@ -35,6 +35,9 @@
 UNDECIDED_RETRY_AFTER_S = 1.0
 """A lost holder is replaced within three seconds."""
 IDLE_S = 60.0
+JOIN_S = 10.0
+"""Time after the start in which a node lets nothing run without a token: it
+may not know all members yet, and so not how small its part is."""
 MAX_WAITING = 5_000
 """Requests of a team that may wait at once; bounds memory and messages."""
 _Code = exceptions.ErrorCode
@@ -129,6 +132,12 @@
     period: int = -1
     used_s: float = 0.0
 
+    def use_limits(self, limits: _messages.Limits) -> None:
+        """Use the limits in force; other ones may have other tokens."""
+        if limits != self.limits:
+            self.limits = limits
+            self.denied_until_s = -math.inf
+
     def drop_expired(self, now_s: float) -> None:
         """Move tokens that have expired to the unused ones."""
         while self.stock and now_s >= self.stock[0][0]:
@@ -158,6 +167,7 @@
 
     Methods return what to do, in order.
 
+    :param started_s: when this process started.
     :param phase: returns a number from 0 to 1 for a team, which differs
         between nodes at random.
     """
@@ -165,8 +175,10 @@
     def __init__(
         self,
         bounds: _bounds.Bounds,
+        started_s: float,
         phase: cabc.Callable[[str], float],
     ) -> None:
+        self._started_s = started_s
         self._bounds = bounds
         self._phase = phase
         self._teams: dict[str, _Team] = {}
@@ -193,7 +205,7 @@
         team = self._teams.get(team_name)
         if team is None:
             team = self._teams[team_name] = _Team(team_name, limits)
-        team.limits = limits
+        team.use_limits(limits)
         team.note_demand(now_s)
         if team.take(now_s):
             return [Admit(request_id, team_name)]
@@ -428,7 +440,7 @@
         self, now_s: float, team: _Team, request_id: int
     ) -> ClientAction:
         period_s = self._bounds.own_period_s(team.limits, self._nodes)
-        if period_s is not None:
+        if period_s is not None and now_s >= self._started_s + JOIN_S:
             place_s = now_s + self._phase(team.name) * period_s
             period = int(place_s // period_s)
             begun_s = place_s - period * period_s
--- a/src/papayastall/quotas/_controller.py
+++ b/src/papayastall/quotas/_controller.py
@@ -38,7 +38,7 @@
         self._address = address
         self.leases = _leases.Leases(address, started_s, is_founder)
         self._holder = _holder.Holder(bounds)
-        self._client = _client.Client(bounds, phase)
+        self._client = _client.Client(bounds, started_s, phase)
         self.cancel = self._client.cancel
         self.answered = self._client.answered
 
@@ -49,6 +49,12 @@
         self.leases.set_members(now_s, members)
         self._client.set_seats(self.leases.seats, len(members))
 
+    def set_limits(
+        self, now_s: float, limits: cabc.Mapping[str, _messages.Limits]
+    ) -> None:
+        """Use the quotas of a later table in the buckets held here."""
+        self._holder.set_limits(now_s, limits)
+
     def admit(
         self, now_s: float, team: str, limits: _messages.Limits, number: int
     ) -> list[Action]:
--- a/src/papayastall/quotas/_holder.py
+++ b/src/papayastall/quotas/_holder.py
@@ -107,6 +107,15 @@
     def __len__(self) -> int:
         return len(self._buckets)
 
+    def set_limits(
+        self, now_s: float, limits: cabc.Mapping[str, _messages.Limits]
+    ) -> None:
+        """Use the limits of a later table from now on."""
+        for team, bucket in self._buckets.items():
+            if team in limits:
+                bucket.refill(now_s)
+                bucket.use_limits(limits[team])
+
     def ask(
         self,
         now_s: float,
--- a/src/papayastall/quotas/_service.py
+++ b/src/papayastall/quotas/_service.py
@@ -24,6 +24,8 @@
 __all__ = ["Quotas"]
 
 TICK_INTERVAL_S = 0.1
+IDLE_TICK_INTERVAL_S = 0.3
+"""The same at nodes without a seat, which only return tokens."""
 MEMBERS_INTERVAL_S = 0.5
 MAX_COUNTED_TEAMS = 64
 OTHER_TEAMS = "other"
@@ -89,6 +91,7 @@
             self._free_until_s = clock.now_s() + self._bounds.window_s
         self._has_table = True
         self._limits = limits
+        self._controller.set_limits(clock.now_s(), limits)
         if limits:
             self._started.set()
 
@@ -121,6 +124,8 @@
             del self._waiters[request_id]
             if waiter.decision is None:
                 self._controller.cancel(team, request_id)
+        if waiter.decision is None:
+            self._count(metrics.Counter.QUOTA_UNDECIDED, team)
         self._raise_refusal(team, waiter.decision)
 
     async def run(self) -> None:
@@ -135,7 +140,10 @@
                     self._controller.set_members(now_s, self._list_members())
                 if self._limits:
                     self._perform(self._controller.tick(now_s))
-                    await anyio.sleep(TICK_INTERVAL_S)
+                    is_seat = self._controller.leases.is_seat()
+                    await anyio.sleep(
+                        TICK_INTERVAL_S if is_seat else IDLE_TICK_INTERVAL_S
+                    )
                 else:
                     await self._wait_for_quotas()
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -20,6 +20,7 @@
 from papayastall.quotas import _seats
 
 TICK_S = 0.1
+IDLE_TICK_S = 0.3
 BOUNDS = _bounds.Bounds()
 
 
@@ -36,12 +37,17 @@
 
 
 class Node(msgspec.Struct):
-    """One process: its controller and its faults."""
+    """One process: its controller and its faults.
+
+    :param is_ready: whether it has joined; before, it has no configuration
+        and takes no requests.
+    """
 
     address: str
     domain: str
     controller: _controller.Controller
     life: int
+    is_ready: bool = False
     paused_until_s: float = 0.0
     limits: dict[str, _messages.Limits] = msgspec.field(default_factory=dict)
 
@@ -113,10 +119,12 @@
 
     def learn(self, node: Node, members: dict[str, str]) -> None:
         """Let a node know other members from now on."""
-        self._at(
-            node,
-            lambda: node.controller.set_members(self.now_s, dict(members)),
-        )
+
+        def set_members() -> None:
+            node.is_ready = True
+            node.controller.set_members(self.now_s, dict(members))
+
+        self._at(node, set_members)
 
     def set_limits(
         self, team: str, rate_per_s: float, burst: float, version: int
@@ -127,9 +135,13 @@
         for node in self.nodes.values():
             self.after(
                 self.rng.uniform(0.0, 0.5),
-                functools.partial(node.limits.update, {team: limits}),
+                functools.partial(self._limit, node, {team: limits}),
             )
 
+    def _limit(self, node: Node, limits: dict[str, _messages.Limits]) -> None:
+        node.limits.update(limits)
+        node.controller.set_limits(self.now_s, limits)
+
     def stop(self, address: str) -> None:
         """Begin the planned stop of a node."""
         node = self.nodes[address]
@@ -165,7 +177,7 @@
 
     def _send(self, team: str, address: str) -> None:
         node = self.nodes[address]
-        if not node.life:
+        if not node.life or not node.is_ready:
             return
         request = Request(team, address, self.now_s)
         self.requests.append(request)
@@ -210,7 +222,9 @@
         def tick() -> None:
             if node.limits:
                 self._perform(node, node.controller.tick(self.now_s))
-            self.after(TICK_S, lambda: self._tick(node))
+            is_seat = node.controller.leases.is_seat()
+            tick_s = TICK_S if is_seat else IDLE_TICK_S
+            self.after(tick_s, lambda: self._tick(node))
 
         self._at(node, tick)
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -116,6 +116,34 @@
     assert len(late) <= (5 * 9.5 + 5) * 1.1 + 20
 
 
+def test_a_raised_quota_ends_refusals_at_once() -> None:
+    """With 0.01 a second, the next token was told to be 100 s away."""
+    fleet = make_fleet(3, _messages.Limits(0.01, 1.0, 1))
+    fleet.run(130.0)
+    for number in range(4):
+        fleet.send(TEAM, "10.0.0.1:7400", 130.1 + number)
+    fleet.run(135.0)
+    fleet.set_limits(TEAM, 83.0, 83.0, 2)
+    for number in range(20):
+        fleet.send(TEAM, "10.0.0.1:7400", 136.0 + number / 20)
+    fleet.run(140.0)
+    assert fleet.count_codes(TEAM, 130.0) == {"ran": 21, EXCEEDED: 3}
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_nodes_that_all_restart_stay_within_the_bound(seed: int) -> None:
+    """For some seconds no node holds a team, and all let none run."""
+    fleet = make_fleet(seed=seed)
+    fleet.send_evenly(TEAM, 250.0, TRAFFIC_S, 45.0)
+    fleet.run(20.0)
+    for address in fleet.members:
+        fleet.kill(address)
+        fleet.start(address)
+    fleet.run(50.0)
+    fleet.check_bound(TEAM, LIMITS)
+    assert set(fleet.count_codes(TEAM, 35.0)) == {"ran", EXCEEDED}
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_killed_holder_is_replaced_without_a_second_budget(
     seed: int,
@@ -130,8 +158,7 @@
     fleet.start(holder)
     fleet.run(55.0)
     fleet.check_bound(TEAM, LIMITS)
-    # The node that restarted knows no other member for a second.
-    assert set(fleet.count_codes(TEAM, 24.5)) == {"ran", EXCEEDED}
+    assert set(fleet.count_codes(TEAM, 23.5)) == {"ran", EXCEEDED}
 
 
 def test_a_holder_that_was_paused_grants_nothing_after_it() -> None:
