--- a/src/papayastall/quotas/_service.py
+++ b/src/papayastall/quotas/_service.py
@@ -277,7 +277,7 @@
                     f"team {team!r} has used its quota, summed over all "
                     "nodes; send less, or come back later",
                     step="quota",
-                    retry_after_s=decision.retry_after_s,
+                    retry_after_s=_round_up(decision.retry_after_s),
                 )
         self._note_undecided(True)
         raise exceptions.RefusedError(
@@ -326,3 +326,8 @@
         text = f"{self._address} {self._boot_ms} {team}"
         digest: int = xxhash.xxh3_64_intdigest(text.encode())
         return digest / 2.0**64
+
+
+def _round_up(time_s: float) -> float:
+    """Return a time that answers, which have hundredths, don't shorten."""
+    return math.ceil(time_s * 100.0 - 1e-6) / 100.0
--- a/tests/test_quota_service.py
+++ b/tests/test_quota_service.py
@@ -46,7 +46,9 @@
         try:
             await self.quotas[address].admit(team, clock.now_s() + 1.0)
         except exceptions.RefusedError as error:
+            # A shorter time, as the header states it, would be too early.
             assert error.retry_after_s is not None
+            assert float(f"{error.retry_after_s:.2f}") > 0.0
             return error.code.value
         return ""
 
@@ -62,10 +64,10 @@
     monkeypatch.setattr(_leases, "CLAIM_INTERVAL_S", 0.05)
     async with anyio.create_task_group() as tasks:
         nodes = Nodes(fake_peering.Network(tasks))
-        for node in nodes.quotas.values():
+        for quota in nodes.quotas.values():
             if has_limits:
-                node.set_limits(LIMITS)
-            tasks.start_soon(node.run)
+                quota.set_limits(LIMITS)
+            tasks.start_soon(quota.run)
         await anyio.sleep(2.0 if has_limits else 0.2)
         yield nodes
         tasks.cancel_scope.cancel()
@@ -87,7 +89,7 @@
             ]
             assert 5 <= codes.count("") <= 6
             assert codes.count("quota-exceeded") == 12 - codes.count("")
-            held = [node.count_held() for node in nodes.quotas.values()]
+            held = [quota.count_held() for quota in nodes.quotas.values()]
             assert sum(held) == 32
             assert await nodes.admit("no-quota", [*MEMBERS][0]) == ""
 
@@ -142,9 +144,9 @@
 
     async def main() -> None:
         async with run_nodes(monkeypatch, has_limits=False) as nodes:
-            for node in nodes.quotas.values():
-                node.set_limits({})
-                node.set_limits(LIMITS)
+            for quota in nodes.quotas.values():
+                quota.set_limits({})
+                quota.set_limits(LIMITS)
             address = [*MEMBERS][0]
             assert await nodes.admit("team-1", address) == ""
             restarted = quotas.Quotas(
