Don't use tokens that a paused node reads late

Cause: requests that waited for an answer when their node was paused ran when it resumed, with tokens of seconds before: 83 at once in the test, beside the full quota of the others.

Change: an answer that is older than the time for which tokens may be kept is not used; its requests are refused as undecided.

Result: python -m pytest tests/test_quotas.py -k late fails before (83 ran) and passes after.

--- a/src/papayastall/quotas/_client.py
+++ b/src/papayastall/quotas/_client.py
@@ -245,6 +245,11 @@
             return []
         team = self._teams[question.team]
         slot = _seats.slot_of(team.name)
+        if now_s >= question.sent_s + _bounds.TOKEN_TTL_S:
+            # This process was paused: the tokens have expired.
+            if answer is not None:
+                team.unused += answer.spare
+            return self._give_up(now_s, team, question)
         if answer is None:
             self._avoid(now_s, question.peer)
             if self._holders.get(slot) == question.peer:
@@ -407,11 +412,9 @@
             Admit(request_id, team.name) for request_id in requests[:granted]
         ]
         kept = answer.spare + answer.granted - granted
-        until_s = question.sent_s + _bounds.TOKEN_TTL_S
-        if kept and now_s < until_s:
+        if kept:
+            until_s = question.sent_s + _bounds.TOKEN_TTL_S
             team.stock.append((until_s, kept))
-        elif kept:
-            team.unused += kept
         if granted < len(requests):
             team.denied_until_s = now_s + answer.wait_s
             team.denied = 0
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -183,6 +183,23 @@
     fleet.check_bound(TEAM, LIMITS)
 
 
+def test_an_answer_that_a_paused_node_reads_late_is_not_used() -> None:
+    """A burst waits for its tokens when the node is paused."""
+    fleet = make_fleet()
+    node = "10.0.0.7:7400"
+    for number in range(83):
+        fleet.send(TEAM, node, 20.0 + number * 1e-6)
+    fleet.run(20.0)
+    while fleet.sent["Ask"] < 2:
+        fleet.run(fleet.now_s + 1e-4)
+    fleet.pause(node, 6.0)
+    fleet.send_evenly(TEAM, 300.0, 20.01, 30.0)
+    fleet.run(35.0)
+    late = [time_s for time_s in fleet.ran(TEAM) if 26.0 < time_s < 26.01]
+    assert len(late) < 10
+    fleet.check_bound(TEAM, LIMITS)
+
+
 @pytest.mark.parametrize("seed", [0, 16])
 def test_a_partition_into_two_parts_keeps_one_budget(seed: int) -> None:
     """The part with more seats goes on; the other one can't tell.
