Ignore a handover of quotas that comes late

Cause: a seat that got a handover gave up its vote for whoever held the slots by then, and could so vote twice within a lease.

Change: a handover counts only while the vote of the seat is for its sender; the sender releases all votes but that one.

Result: test_a_late_handover_frees_no_vote; without the change the seat takes the slots of another holder.

--- a/src/papayastall/quotas/_controller.py
+++ b/src/papayastall/quotas/_controller.py
@@ -114,7 +114,7 @@
                 actions += self.leases.receive_vote(now_s, sender, message)
             case _messages.Handover():
                 self._holder.receive(now_s, message)
-                self.leases.receive_handover(now_s, message.slots)
+                self.leases.receive_handover(now_s, sender, message.slots)
                 actions += self.leases.tick(now_s)
             case _messages.Return():
                 slot = _seats.slot_of(message.team)
--- a/src/papayastall/quotas/_leases.py
+++ b/src/papayastall/quotas/_leases.py
@@ -257,12 +257,17 @@
             now_s, vote.granted & wanted, sender, sent_s + LEASE_S
         )
 
-    def receive_handover(self, now_s: float, slots: int) -> None:
-        """Claim slots at the request of their holder, which has stopped."""
+    def receive_handover(self, now_s: float, sender: str, slots: int) -> None:
+        """Claim slots at the request of their holder, which has stopped.
+
+        A request that comes late is ignored: another seat may hold them.
+        """
         for slot in _SLOTS:
-            if slots & 1 << slot:
-                self._slots[slot].handed_s = now_s
-                self._slots[slot].voted_until_s = now_s
+            state = self._slots[slot]
+            is_holder = state.holder == sender and now_s < state.voted_until_s
+            if slots & 1 << slot and is_holder:
+                state.handed_s = now_s
+                state.voted_until_s = now_s
         self._next_claim_s = now_s
 
     def handed_at_s(self, slot: int) -> float | None:
@@ -291,10 +296,16 @@
         # Votes on the way to this node must not renew what was released.
         self._claims.clear()
         self._number += 1
-        claim = _messages.Claim(self._number, 0, False, released)
-        actions: list[LeaseAction] = [
-            SendTo(peer, claim) for peer in self._other_seats()
-        ]
+        actions: list[LeaseAction] = []
+        for peer in self._other_seats():
+            # A successor takes the handover for late without its vote.
+            handed = sum(
+                1 << slot
+                for slot, successor in successors.items()
+                if successor == peer
+            )
+            claim = _messages.Claim(self._number, 0, False, released & ~handed)
+            actions.append(SendTo(peer, claim))
         lost = tuple(successors)
         if lost:
             actions.append(LeaseChange((), lost, "handed over"))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -10,6 +10,7 @@
 import pytest
 
 from papayastall import exceptions
+from papayastall.quotas import _leases
 from papayastall.quotas import _messages
 from papayastall.quotas import _seats
 from tests import quota_fleet
@@ -380,6 +381,20 @@
         fleet.check_bound(team, SMALL)
 
 
+def test_a_late_handover_frees_no_vote() -> None:
+    """The vote is for another holder by the time at which it arrives."""
+    members = {f"n{number}": "d" for number in range(3)}
+    seat = _leases.Leases("n0", 0.0)
+    seat.set_members(0.0, members)
+    seat.receive_claim(10.0, "n1", _messages.Claim(1, 1, True))
+    assert seat.receive_claim(13.0, "n2", _messages.Claim(1, 1, True))
+    seat.receive_handover(13.5, "n1", 1)
+    assert seat.handed_at_s(0) is None
+    assert not seat.receive_claim(13.6, "n1", _messages.Claim(2, 1, True))
+    seat.receive_handover(13.7, "n2", 1)
+    assert seat.handed_at_s(0) == 13.7
+
+
 def test_seats_are_spread_and_stay() -> None:
     """A lost failure domain leaves a majority; a restart changes nothing."""
     members = {f"10.0.0.{number}:1": f"d{number % 3}" for number in range(100)}
