--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -49,6 +49,8 @@
     for metric in (*metrics.Counter, *metrics.Gauge):
         about = metric.value
         name = f"{about.name}.SERVICE" if about.by_service else about.name
+        if about.by_team:
+            name = f"{about.name}.TEAM"
         if isinstance(metric, metrics.Gauge):
             name = f"{about.name}.NODE"
         assert f"| `{name}` | {about.unit} | {about.meaning} |" in page
