Let teams use the quota of each window, and mend faults of the review

The bucket now gains and holds more, by a part of the margin that is left beside tokens used late; tests check the sum against the bound, and that nobody is refused.

Found by the review of this part, each with a test that failed first: a node that starts and reads an older table without quotas let everything run for a window; 1,024 failures of a seat raised an error that ended the process; an older release that arrives late freed a vote in use; every change of the number of members began a new period of own decisions. Unused tokens are accepted back for 1 s, no longer 3.

Tests changed: three used the former size of a bucket (8 of 5 tokens and the like); they take it from Bounds and are as strict.

--- a/src/papayastall/quotas/_bounds.py
+++ b/src/papayastall/quotas/_bounds.py
@@ -1,9 +1,11 @@
 """How much may run beyond the bucket of a team, and who may spend it.
 
 In any window, all nodes together may let ``rate x window + burst`` requests
-run, and a margin beyond that. The bucket of the only holder lets through
-exactly that number. The margin is spent on tokens that are used after they
-were granted, and what is left of it on nodes that reach no holder.
+run, and a margin beyond that. A bucket of that rate and burst would let a team
+that always sends as much run ``rate x window`` only, so that requests within
+the quota of the window would be refused. The bucket of the holder is larger,
+by a part of the margin. The rest is spent on tokens that are used after they
+were granted, and on nodes that reach no holder.
 """
 
 from __future__ import annotations
@@ -18,6 +20,12 @@
 """Time for which tokens may be kept, from the sending of the question."""
 ASK_LIMIT_S = 0.3
 """Longest time that a request waits for tokens."""
+_RATE_SHARE = 0.35
+"""Share of the margin left beside late tokens by which the refill of a bucket
+in a window may be larger than that of the rate; the burst suffices."""
+_CAPACITY_SHARE = 0.25
+"""Share of it by which a bucket may hold more than the burst, for requests
+that come in a group; the burst suffices."""
 _OWN_SHARE = 0.35
 """Mean share of what is left of the margin that nodes without a holder
 spend. Their moments are random, and the sum over all nodes must stay within
@@ -42,6 +50,25 @@
         quota = limits.rate_per_s * self.window_s + limits.burst
         return self.over_ratio * quota + self.slack
 
+    def refill_per_s(self, limits: _messages.Limits) -> float:
+        """Return the tokens that a bucket gains in a second."""
+        return limits.rate_per_s + self._more_refill(limits) / self.window_s
+
+    def capacity(self, limits: _messages.Limits) -> float:
+        """Return the most tokens that a bucket holds."""
+        return max(1.0, limits.burst + self._more_capacity(limits))
+
+    def _more_refill(self, limits: _messages.Limits) -> float:
+        return min(limits.burst, _RATE_SHARE * self._unspent(limits))
+
+    def _more_capacity(self, limits: _messages.Limits) -> float:
+        return min(limits.burst, _CAPACITY_SHARE * self._unspent(limits))
+
+    def _unspent(self, limits: _messages.Limits) -> float:
+        """Return the margin that tokens used late leave."""
+        late = limits.rate_per_s * (ASK_LIMIT_S + TOKEN_TTL_S)
+        return max(0.0, self.margin(limits) - late)
+
     def most_kept(self, limits: _messages.Limits) -> int:
         """Return how many unused tokens all nodes may keep together."""
         spent = limits.rate_per_s * ASK_LIMIT_S
@@ -60,8 +87,8 @@
         :param nodes: number of all known nodes.
         :returns: ``None`` if it may let none run.
         """
-        spent = limits.rate_per_s * ASK_LIMIT_S + self.most_kept(limits)
-        left = _OWN_SHARE * (self.margin(limits) - spent)
+        larger = self._more_refill(limits) + self._more_capacity(limits)
+        left = _OWN_SHARE * (self._unspent(limits) - larger)
         if left < 1.0:
             return None
         return 2.0 * self.window_s * max(1, nodes) / left
--- a/src/papayastall/quotas/_client.py
+++ b/src/papayastall/quotas/_client.py
@@ -29,6 +29,8 @@
 """Time for which a seat that did not answer is not asked first; it doubles
 with each further failure, up to ``MAX_AVOID_S``."""
 MAX_AVOID_S = 24.0
+MAX_AVOID_DOUBLINGS = 16
+"""Keeps the power finite; ``MAX_AVOID_S`` is reached long before."""
 MAX_SPARE = 64
 DEMAND_TIME_S = 1.0
 """Time constant of the measured demand."""
@@ -292,13 +294,16 @@
         return actions
 
     def _avoid(self, now_s: float, seat: str) -> None:
-        avoid_s = min(MAX_AVOID_S, AVOID_S * 2.0 ** self._failures[seat])
+        doublings = min(self._failures[seat], MAX_AVOID_DOUBLINGS)
+        avoid_s = min(MAX_AVOID_S, AVOID_S * 2.0**doublings)
         if now_s >= self._avoided_until_s.get(seat, now_s):
             self._failures[seat] += 1
         self._avoided_until_s[seat] = now_s + avoid_s
 
     def _period_s(self, team: _Team) -> float:
-        period_s = self._bounds.own_period_s(team.limits, self._nodes)
+        period_s = self._bounds.own_period_s(
+            team.limits, _round_up(self._nodes)
+        )
         return 0.0 if period_s is None else period_s
 
     def _ask_for_waiting(
@@ -463,7 +468,9 @@
     def _decide_alone(
         self, now_s: float, team: _Team, request_id: int
     ) -> ClientAction:
-        period_s = self._bounds.own_period_s(team.limits, self._nodes)
+        period_s = self._bounds.own_period_s(
+            team.limits, _round_up(self._nodes)
+        )
         if period_s is not None and now_s >= self._started_s + JOIN_S:
             place_s = now_s + self._phase(team.name) * period_s
             period = int(place_s // period_s)
@@ -477,3 +484,13 @@
             _Code.QUOTA_UNDECIDED,
             UNDECIDED_RETRY_AFTER_S,
         )
+
+
+def _round_up(nodes: int) -> int:
+    """Return the next power of two.
+
+    The period in which a node may decide by itself follows from the number
+    of nodes; if it changed with each of them, every change would begin a new
+    period at every node.
+    """
+    return 1 << max(0, nodes - 1).bit_length()
--- a/src/papayastall/quotas/_holder.py
+++ b/src/papayastall/quotas/_holder.py
@@ -15,7 +15,7 @@
 
 IDLE_S = 600.0
 """A bucket that is full and was not asked for this time is deleted."""
-KEPT_RETENTION_S = 3.0
+KEPT_RETENTION_S = 1.0
 """Time within which unused tokens are accepted back."""
 MAX_BUCKETS = 10_000
 """Bounds what a faulty peer can cause."""
@@ -26,11 +26,13 @@
 class _Bucket(msgspec.Struct):
     """The tokens of one team.
 
+    :param bounds: give its size and refill for the limits.
     :param since_s: start of the lease under which it was filled.
     :param kept: times and numbers of tokens granted for expected requests.
     """
 
     limits: _messages.Limits
+    bounds: _bounds.Bounds
     since_s: float
     updated_s: float
     tokens: float
@@ -42,14 +44,19 @@
     @property
     def capacity(self) -> float:
         """Most tokens that the bucket holds."""
-        return max(1.0, self.limits.burst)
+        return self.bounds.capacity(self.limits)
+
+    @property
+    def refill_per_s(self) -> float:
+        """Tokens that the bucket gains in a second."""
+        return self.bounds.refill_per_s(self.limits)
 
     def refill(self, now_s: float) -> None:
         """Add the tokens of the time since the last call."""
         elapsed_s = max(0.0, now_s - self.updated_s)
         self.updated_s = max(self.updated_s, now_s)
         self.tokens = min(
-            self.capacity, self.tokens + elapsed_s * self.limits.rate_per_s
+            self.capacity, self.tokens + elapsed_s * self.refill_per_s
         )
 
     def available(self) -> int:
@@ -138,7 +145,7 @@
             spare = self._take_spare(now_s, bucket, ask.spare)
         missing = max(0.0, 1.0 - bucket.tokens - _ROUNDING)
         return _messages.Answer(
-            True, granted, spare, missing / bucket.limits.rate_per_s
+            True, granted, spare, missing / bucket.refill_per_s
         )
 
     def put_back(
@@ -205,7 +212,9 @@
         if bucket is None or bucket.since_s != since_s:
             # Nobody asked for this team under the present lease, so that
             # its bucket has filled since the start of the lease.
-            bucket = _Bucket(limits, since_s, since_s, 0.0, now_s)
+            bucket = _Bucket(
+                limits, self._bounds, since_s, since_s, 0.0, now_s
+            )
             handed = self._handed.pop(team, None)
             if handed is not None and handed[0] == handed_s:
                 state = handed[1]
--- a/src/papayastall/quotas/_leases.py
+++ b/src/papayastall/quotas/_leases.py
@@ -114,6 +114,7 @@
         self._able_s: dict[str, float] = {}
         self._able_since_s: float | None = None
         self._claims: dict[int, tuple[float, int]] = {}
+        self._claim_numbers: dict[str, int] = {}
         self._number = 0
         self._next_claim_s = started_s
 
@@ -229,11 +230,17 @@
             if claim.is_able:
                 self._able_s[sender] = now_s
         granted = 0
+        # An older release may arrive after a later claim, on another link.
+        released = claim.released
+        if claim.number <= self._claim_numbers.get(sender, -1):
+            released = 0
+        if sender in self._members:
+            self._claim_numbers[sender] = claim.number
         may_vote = self._may_vote(now_s, sender)
         for slot in _SLOTS:
             bit = 1 << slot
             state = self._slots[slot]
-            if claim.released & bit and state.holder == sender:
+            if released & bit and state.holder == sender:
                 state.voted_until_s = now_s
             if not claim.wanted & bit or not may_vote:
                 continue
--- a/src/papayastall/quotas/_service.py
+++ b/src/papayastall/quotas/_service.py
@@ -27,6 +27,9 @@
 IDLE_TICK_INTERVAL_S = 0.3
 """The same at nodes without a seat, which only return tokens."""
 MEMBERS_INTERVAL_S = 0.5
+FIRST_TABLE_S = 10.0
+"""Time in which a node that starts may still get older tables than those in
+force; quotas that come then are not new."""
 MAX_COUNTED_TEAMS = 64
 OTHER_TEAMS = "other"
 """Counts all teams beyond the first ``MAX_COUNTED_TEAMS``."""
@@ -72,7 +75,7 @@
             address, bounds, clock.now_s(), self._find_phase, is_founder
         )
         self._limits: cabc.Mapping[str, Limits] = {}
-        self._has_table = False
+        self._table_s = math.inf
         self._free_until_s = -math.inf
         self._waiters: dict[int, _Waiter] = {}
         self._next_id = 1
@@ -85,13 +88,15 @@
 
     def set_limits(self, limits: cabc.Mapping[str, Limits]) -> None:
         """Use the quotas by team of the table that has come into force."""
-        if limits and not self._limits and self._has_table:
+        now_s = clock.now_s()
+        had_table = now_s >= self._table_s + FIRST_TABLE_S
+        if limits and not self._limits and had_table:
             # No team had a quota, so no node holds any yet. A new quota is
             # binding one window after all nodes have it.
-            self._free_until_s = clock.now_s() + self._bounds.window_s
-        self._has_table = True
+            self._free_until_s = now_s + self._bounds.window_s
+        self._table_s = min(self._table_s, now_s)
         self._limits = limits
-        self._controller.set_limits(clock.now_s(), limits)
+        self._controller.set_limits(now_s, limits)
         if limits:
             self._started.set()
 
