Begin leases soon after a common restart

After a restart of the whole fleet, control replicas know nothing until there is a leader. A reply without an age counted like no reply, so nodes avoided all replicas for up to 16 s and asked random members instead; requests with a key were refused for up to 3.4 s after the election.

While a node has no lease itself, such a reply now makes it avoid the peer for 0.3 s only, as for a reply with old knowledge.

The test failed for all six cases before: python -m pytest tests/test_key_lease.py -k common_restart

--- a/src/papayastall/freshness/_controller.py
+++ b/src/papayastall/freshness/_controller.py
@@ -248,7 +248,7 @@
         """
         self._close(query)
         if reply.age_s is None:
-            self._sources.avoid(now_s, query.peer)
+            self._note_ignorant(now_s, query.peer)
             return
         age_s = max(0.0, reply.age_s)
         fact = _facts.Fact(reply.index, query.sent_s - age_s)
@@ -263,6 +263,19 @@
         elif now_s - query.sent_s < HEDGE_S:
             self._sources.use(query.peer)
 
+    def _note_ignorant(self, now_s: float, peer: str) -> None:
+        """Avoid a peer that knows nothing.
+
+        While this node has no lease either, no peer may know anything, as
+        before the first leader after a common restart. Control replicas are
+        then the first to learn of a leader, so they are not avoided for long.
+        """
+        if self._newest_age_s(now_s) < self.lease_s:
+            self._sources.avoid(now_s, peer)
+            return
+        self._sources.avoid_old(now_s, peer)
+        self._hasten(now_s, now_s)
+
     def failed(self, now_s: float, query: _messages.Query) -> None:
         """Record that no reply to a query will arrive."""
         is_late = query.number in self._late
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -23,6 +23,8 @@
 FAULTS = 120
 LEADER_CHANGE_S = 2.5
 LONG_S = 12.0
+MAX_REGAIN_S = 1.5
+"""Time until all nodes have leases again once control has a leader."""
 
 
 class RandomFaults:
@@ -255,6 +257,23 @@
     assert per_replica / LONG_S < 60
 
 
+# Guards against nodes that avoid all control replicas for many seconds, since
+# these knew nothing before the first leader after a restart of the fleet.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("without_leader_s", [5.0, LONG_S])
+def test_after_a_common_restart_leases_begin_soon_after_the_election(
+    without_leader_s: float, seed: int
+) -> None:
+    fleet = make_fleet(seed)
+    fleet.lose_leader(without_leader_s, lease_s=0.0)
+    for node in fleet.nodes:
+        fleet.restore(node, node.index)
+    fleet.run(without_leader_s + MAX_REGAIN_S)
+    fleet.refused.clear()
+    fleet.run(1.0)
+    assert not fleet.refused
+
+
 def test_a_later_fact_counts_once_its_index_is_in_force() -> None:
     facts = _facts.FactTable()
     facts.note(_facts.Fact(5, 1.0))
