Refuse unknown keys at once after a refresh that failed

Without recent knowledge, each request with an unknown key or route waited 0.3 s for it, also while control could not be reached, so that a flood of such requests was held in memory.

KeyLease.refresh now returns at once for 0.25 s after a wait that brought nothing newer.

--- a/src/papayastall/freshness/_service.py
+++ b/src/papayastall/freshness/_service.py
@@ -31,6 +31,9 @@
 """Long, as a late reply counts as well."""
 REFRESH_TIMEOUT_S = 0.3
 """Several round trips; a caller with an unknown key waits for this long."""
+REFRESH_PAUSE_S = 0.25
+"""Time after a refresh that brought nothing newer in which callers don't wait
+for another one, so that a flood of unknown keys holds few requests."""
 
 
 class ConfigSource(t.Protocol):
@@ -90,6 +93,7 @@
         self._controller = _controller.LeaseController(node, revocation_s, rng)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._renewed = anyio.Event()
+        self._refresh_failed_s = float("-inf")
         self._topology_s = float("-inf")
         self._topology = _sources.Topology()
         peering.handle_calls(_peering.Channel.FRESHNESS, self._receive_query)
@@ -125,8 +129,12 @@
     async def refresh(self, known_s: float) -> None:
         """Wait for knowledge that is as new as ``known_s``, for a while.
 
-        Callers that wait at the same time share one query.
+        Callers that wait at the same time share one query. A refresh that
+        failed is not repeated at once.
         """
+        if clock.now_s() - self._refresh_failed_s < REFRESH_PAUSE_S:
+            return
+        before = self._controller.newest
         with anyio.move_on_after(REFRESH_TIMEOUT_S):
             while not self._knows_since(known_s):
                 if self._leads():
@@ -135,6 +143,9 @@
                         return
                 self._send(self._controller.demand(clock.now_s()))
                 await self._renewed.wait()
+            return
+        if self._controller.newest == before:
+            self._refresh_failed_s = clock.now_s()
 
     def _knows_since(self, known_s: float) -> bool:
         newest = self._controller.newest
--- a/tests/test_key_lease_service.py
+++ b/tests/test_key_lease_service.py
@@ -190,6 +190,32 @@
     assert queries / FLOOD_S < 4.0
 
 
+# Guards against a flood of unknown keys whose requests all wait for control
+# while it can't be reached, instead of being refused at once.
+def test_a_refresh_that_failed_is_not_repeated_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(pair: Pair) -> None:
+        await anyio.sleep(1.0)
+        pair.cut()
+        await anyio.sleep(3.0)
+        refresh = pair.configs[NODE].refresh
+        started_s = anyio.current_time()
+        await refresh(started_s - 0.8)
+        failed_s = anyio.current_time()
+        assert failed_s > started_s
+        for _ in range(FLOOD):
+            await refresh(anyio.current_time() - 0.8)
+        assert anyio.current_time() == failed_s
+        pair.network.cuts = set()
+        await anyio.sleep(3.0)
+        await refresh(anyio.current_time() - 0.1)
+        latest_s, _ = pair.configs[NODE].latest[-1]
+        assert latest_s >= anyio.current_time() - 0.1
+
+    run_pair(check, monkeypatch)
+
+
 # Guards against a flood of unknown keys that asks control's leader, or all
 # replicas while there is none, and against 401 without recent knowledge.
 def test_a_config_is_the_latest_only_by_the_knowledge_of_the_lease(
