Notice a suspension that begins while the clocks are compared

BootClock read the boot clock before the wall clock. A suspension of the machine between the two was then part of the wall offset but not of the boot offset, so it was never noticed, and leases lasted longer by its length. The wall clock is read first now. The test failed for one of its twelve moments before: python -m pytest tests/test_clock.py

--- a/src/papayastall/clock.py
+++ b/src/papayastall/clock.py
@@ -38,9 +38,11 @@
 
     def _synchronize(self) -> None:
         """Measure by how much the monotonic clock is behind the others."""
+        # The wall clock is read first: a suspension that begins meanwhile is
+        # then part of the boot offset, or is noticed at the next reading.
+        self._wall_offset_s = time.time() - time.monotonic()
         monotonic_s = time.monotonic()
         boot_offset_s = time.clock_gettime(time.CLOCK_BOOTTIME) - monotonic_s
-        self._wall_offset_s = time.time() - monotonic_s
         # The time between the two readings, which varies, is part of the
         # measured offset; a smaller offset must not set the clock back.
         self._boot_offset_s = max(self._boot_offset_s, boot_offset_s)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
+import itertools
 import time
+import typing as t
 
 import pytest
 
@@ -64,3 +67,28 @@
     boot = clock.BootClock()
     readings = [boot.now_s() for _ in range(1000)]
     assert readings == sorted(readings)
+
+
+# Guards against a clock that misses a suspension for good, as it began
+# between two readings with which the clocks were compared.
+@pytest.mark.parametrize("number", range(12))
+def test_a_suspension_between_two_readings_is_not_missed(
+    clocks: FakeClocks, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    boot = clock.BootClock()
+    readings = itertools.count()
+
+    def suspend_before(read: cabc.Callable[..., float]) -> t.Any:
+        def read_late(*arguments: int) -> float:
+            if next(readings) == number:
+                clocks.suspend(7.0)
+            return read(*arguments)
+
+        return read_late
+
+    clocks.time_s += 2.0
+    for name in ("monotonic", "time", "clock_gettime"):
+        monkeypatch.setattr(time, name, suspend_before(getattr(time, name)))
+    for _ in range(12):
+        boot.now_s()
+    assert boot.now_s() == pytest.approx(157.0)
