Renew no lease by a group of control that was founded anew

After all disks of a control group were lost, the group is founded anew and its indexes begin again. Its leader has none of the changes in force on the nodes, but its answers with a lower index, or with the index that its node had fetched from other nodes, renewed their leases; keys that the new group does not have, or that the lost one had removed, were accepted for as long as a node kept the old table.

A leader now answers with the index that its own replica has applied. A node ignores knowledge about a lower index than the one in force here if it is later than the time from which that one was in force, and asks others.

Both tests failed before: python -m pytest tests/test_key_lease.py -k lower_indexes python -m pytest tests/test_key_lease_service.py -k own_group Also passed: tests/test_key_lease*.py, tests/test_config*.py, tests/test_change_time.py

--- a/src/papayastall/_config_service.py
+++ b/src/papayastall/_config_service.py
@@ -153,6 +153,7 @@
         self._put_in_force = put_in_force
         self._rng = rng
         self._host: _control_calls.GroupHost | None = None
+        self._applied_index = 0
         self._unreadable: set[str] = set()
         self._was_ready = False
         self._leader: str | None = None
@@ -186,7 +187,8 @@
         return self._controller.list_documents()
 
     def make_listener(self) -> _control_state.ChangeListener:
-        """Return the listener for the control replica of this node."""
+        """Return the listener for a new control replica of this node."""
+        self._applied_index = 0
         return _Listener(self)
 
     def set_control(self, addresses: cabc.Sequence[str]) -> None:
@@ -216,9 +218,14 @@
         self._controller.note_latest(clock.now_s(), asked_s, index)
 
     async def find_index_as_leader(self) -> int | None:
-        """Return the latest index if the local replica leads control."""
+        """Return the latest index if the local replica leads control.
+
+        It is the index in the group that the replica leads. The one in force
+        here may have been fetched, and a group that was founded anew after
+        all replicas had lost their disks knows nothing of it.
+        """
         if await self._leads_control():
-            return self._controller.index
+            return self._applied_index
         return None
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -237,6 +244,7 @@
         self, index: int, stored: list[_config.IndexedDocument]
     ) -> None:
         """Process documents that the local control replica applied."""
+        self._applied_index = index
         self._apply_update(
             self._controller.note_applied(clock.now_s(), index, stored)
         )
--- a/src/papayastall/freshness/_controller.py
+++ b/src/papayastall/freshness/_controller.py
@@ -101,12 +101,14 @@
     def __init__(
         self, node: str, revocation_s: float, rng: random.Random
     ) -> None:
-        margin_s = max(MIN_MARGIN_S, MARGIN_RATIO * revocation_s)
-        self.lease_s = revocation_s - margin_s
+        self._margin_s = max(MIN_MARGIN_S, MARGIN_RATIO * revocation_s)
+        self.lease_s = revocation_s - self._margin_s
         self._scale = min(max(revocation_s / REFERENCE_S, 0.2), 4.0)
         self._rng = rng
         self._sources = _sources.Sources(node)
         self._facts = _facts.FactTable()
+        self._in_force = 0
+        self._in_force_s = float("-inf")
         self._open: dict[int, _messages.Query] = {}
         self._late: set[int] = set()
         self._count = 0
@@ -159,6 +161,7 @@
 
         :param index: of the configuration in force.
         """
+        self._note_in_force(now_s, index)
         is_late = self._note_late(now_s)
         if now_s < self._due_s and not is_late:
             return []
@@ -252,6 +255,9 @@
             return
         age_s = max(0.0, reply.age_s)
         fact = _facts.Fact(reply.index, query.sent_s - age_s)
+        if self._is_of_another_group(fact):
+            self._sources.avoid(now_s, query.peer)
+            return
         newest = self._facts.newest
         self._facts.note(fact)
         behind_s = 0.0 if newest is None else newest.known_s - fact.known_s
@@ -263,6 +269,20 @@
         elif now_s - query.sent_s < HEDGE_S:
             self._sources.use(query.peer)
 
+    def _note_in_force(self, now_s: float, index: int) -> None:
+        if index > self._in_force:
+            self._in_force = index
+            self._in_force_s = now_s
+
+    def _is_of_another_group(self, fact: _facts.Fact) -> bool:
+        """Return whether control had lost a change that is in force here.
+
+        Control replicas that lost all disks found a group anew, whose indexes
+        begin again. It knows nothing of the keys in force here.
+        """
+        since_s = self._in_force_s + self._margin_s
+        return fact.index < self._in_force and fact.known_s > since_s
+
     def _note_ignorant(self, now_s: float, peer: str) -> None:
         """Avoid a peer that knows nothing.
 
@@ -301,7 +321,9 @@
         :param asked_s: a time before its lease was checked.
         :param index: of the latest configuration.
         """
-        self._facts.note(_facts.Fact(index, asked_s))
+        fact = _facts.Fact(index, asked_s)
+        if not self._is_of_another_group(fact):
+            self._facts.note(fact)
 
     def reply(self, now_s: float) -> _messages.Reply:
         """Return what this node knows, for another one."""
--- a/tests/test_key_lease.py
+++ b/tests/test_key_lease.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import random
 
 import pytest
 
 from papayastall.freshness import _controller
 from papayastall.freshness import _facts
 from papayastall.freshness import _messages
+from papayastall.freshness import _sources
 from tests import lease_fleet
 
 NODES = 14
@@ -274,6 +276,28 @@
     assert not fleet.refused
 
 
+# Guards against control replicas that lost their disks and founded a group
+# anew, whose indexes begin again: they know nothing of the keys in force here.
+@pytest.mark.parametrize("age_s", [0.0, 1.0])
+def test_a_group_with_lower_indexes_than_the_one_in_force_renews_no_lease(
+    age_s: float,
+) -> None:
+    controller = _controller.LeaseController(
+        "10.0.0.1:1", lease_fleet.REVOCATION_S, random.Random(1)
+    )
+    controller.update(_sources.Topology(("10.0.0.2:1",)), None)
+    for tenth in range(100):
+        now_s = 10.0 + tenth / 10
+        in_force = 500 if tenth < 15 else 501
+        index = in_force if tenth < 20 else 3
+        for query in controller.tick(now_s, in_force):
+            reply = _messages.Reply(index, age_s)
+            controller.answered(now_s + 0.01, query, reply)
+        if 5 <= tenth < 45:
+            assert controller.is_valid(now_s, in_force)
+    assert not controller.is_valid(20.0, 501)
+
+
 def test_a_later_fact_counts_once_its_index_is_in_force() -> None:
     facts = _facts.FactTable()
     facts.note(_facts.Fact(5, 1.0))
--- a/tests/test_key_lease_service.py
+++ b/tests/test_key_lease_service.py
@@ -13,7 +13,9 @@
 import anyio
 import pytest
 
+from papayastall import _config
 from papayastall import _config_service
+from papayastall import _document_state
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import freshness
@@ -261,6 +263,43 @@
     run_pair(check, monkeypatch)
 
 
+class LeadingHost:
+    """A control replica that leads its group."""
+
+    async def read_barrier(self, _group: int, _timeout_s: float) -> None:
+        return
+
+
+# Guards against a replica that lost its disk, leads a group that was founded
+# anew and answers with the index that it fetched from other nodes.
+def test_a_leader_answers_with_the_index_of_its_own_group(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(pair: Pair) -> None:
+        config = _config_service.ConfigService(
+            NODE,
+            pair.network.nodes[NODE],
+            t.cast(t.Any, None),
+            (LEADER,),
+            lambda: [LEADER],
+            lambda index, changed: None,
+            random.Random(1),
+        )
+        config.use_host(t.cast(t.Any, LeadingHost()))
+        listener = config.make_listener()
+        fetch = config._controller.observe(0.0, LEADER, 500)[0]
+        config._controller.fetched(
+            0.0, fetch, _config.FetchedDocuments(_config.MESSAGE_VERSION, 500)
+        )
+        assert config.index == 500
+        listener.note_change(_document_state.ConfigChange(3, 0, ()))
+        assert await config.find_index_as_leader() == 3
+        listener.note_change(_document_state.ConfigChange(501, 3, ()))
+        assert await config.find_index_as_leader() == config.index == 501
+
+    run_pair(check, monkeypatch)
+
+
 @pytest.mark.parametrize("body", [b"", b"\x02", b"\x01" * 40])
 def test_messages_of_another_form_are_refused(body: bytes) -> None:
     with pytest.raises(exceptions.ProtocolError):
