--- a/tests/test_key_lease_service.py
+++ b/tests/test_key_lease_service.py
@@ -13,7 +13,9 @@
 import anyio
 import pytest
 
+from papayastall import _config
 from papayastall import _config_service
+from papayastall import _document_state
 from papayastall import _peering
 from papayastall import exceptions
 from papayastall import freshness
@@ -190,6 +192,32 @@
     assert queries / FLOOD_S < 4.0
 
 
+# Guards against a flood of unknown keys whose requests all wait for control
+# while it can't be reached, instead of being refused at once.
+def test_a_refresh_that_failed_is_not_repeated_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(pair: Pair) -> None:
+        await anyio.sleep(1.0)
+        pair.cut()
+        await anyio.sleep(3.0)
+        refresh = pair.configs[NODE].refresh
+        started_s = anyio.current_time()
+        await refresh(started_s - 0.8)
+        failed_s = anyio.current_time()
+        assert failed_s > started_s
+        for _ in range(FLOOD):
+            await refresh(anyio.current_time() - 0.8)
+        assert anyio.current_time() == failed_s
+        pair.network.cuts = set()
+        await anyio.sleep(3.0)
+        await refresh(anyio.current_time() - 0.1)
+        latest_s, _ = pair.configs[NODE].latest[-1]
+        assert latest_s >= anyio.current_time() - 0.1
+
+    run_pair(check, monkeypatch)
+
+
 # Guards against a flood of unknown keys that asks control's leader, or all
 # replicas while there is none, and against 401 without recent knowledge.
 def test_a_config_is_the_latest_only_by_the_knowledge_of_the_lease(
@@ -235,6 +263,43 @@
     run_pair(check, monkeypatch)
 
 
+class LeadingHost:
+    """A control replica that leads its group."""
+
+    async def read_barrier(self, _group: int, _timeout_s: float) -> None:
+        return
+
+
+# Guards against a replica that lost its disk, leads a group that was founded
+# anew and answers with the index that it fetched from other nodes.
+def test_a_leader_answers_with_the_index_of_its_own_group(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def check(pair: Pair) -> None:
+        config = _config_service.ConfigService(
+            NODE,
+            pair.network.nodes[NODE],
+            t.cast(t.Any, None),
+            (LEADER,),
+            lambda: [LEADER],
+            lambda index, changed: None,
+            random.Random(1),
+        )
+        config.use_host(t.cast(t.Any, LeadingHost()))
+        listener = config.make_listener()
+        fetch = config._controller.observe(0.0, LEADER, 500)[0]
+        config._controller.fetched(
+            0.0, fetch, _config.FetchedDocuments(_config.MESSAGE_VERSION, 500)
+        )
+        assert config.index == 500
+        listener.note_change(_document_state.ConfigChange(3, 0, ()))
+        assert await config.find_index_as_leader() == 3
+        listener.note_change(_document_state.ConfigChange(501, 3, ()))
+        assert await config.find_index_as_leader() == config.index == 501
+
+    run_pair(check, monkeypatch)
+
+
 @pytest.mark.parametrize("body", [b"", b"\x02", b"\x01" * 40])
 def test_messages_of_another_form_are_refused(body: bytes) -> None:
     with pytest.raises(exceptions.ProtocolError):
