Route by the expected time of a request where costs vary

Upstreams of one service differ in speed by a factor of 3 and requests in run time by a factor of 5, while owners were chosen by their count of requests. For services with is_varied, the ingress now learns the run time of each route and the speed of each owner, sends the expected run time, and chooses the owner with the least expected time: work per slot, run time at its speed, and a price for another failure domain. Owners report the expected remaining time of what runs and waits, queue short requests first within a rank, with bounds on overtaking by request and team, and admit by that work.

--- a/bench/experiment/_fleet.py
+++ b/bench/experiment/_fleet.py
@@ -119,6 +119,7 @@
     kind: settings.Kind
     request: types.OwnerRequest
     is_running: bool = False
+    started_s: float = 0.0
 
 
 class Fleet:
@@ -175,9 +176,10 @@
 
     def _make_nodes(self) -> None:
         site = self.experiment.site
+        speeds = self._draw_speeds()
         self._upstreams = [
-            _upstreams.Upstream(site.slots, site.full_factor)
-            for _ in self._services
+            _upstreams.Upstream(site.slots, site.full_factor, speed)
+            for speed in speeds
         ]
         for trouble in self.experiment.troubles:
             nodes = [
@@ -215,6 +217,20 @@
             self._ingresses.append(ingress)
             self._announce(node, ANNOUNCED_AT_S)
 
+    def _draw_speeds(self) -> list[float]:
+        """Return the speed of each upstream, evenly spread and shuffled."""
+        site = self.experiment.site
+        if site.min_speed == site.max_speed:
+            return [site.min_speed] * len(self._services)
+        speeds: list[float] = []
+        for service in self.experiment.services:
+            count = service.upstreams
+            step = (site.max_speed - site.min_speed) / max(1, count - 1)
+            found = [site.min_speed + step * each for each in range(count)]
+            self._arrivals.shuffle(found)
+            speeds += found
+        return speeds
+
     def _make_policy(
         self, service: settings.Service, domain: str
     ) -> _service_policy.ServicePolicy:
@@ -225,7 +241,9 @@
             site.retry_window_s,
             service.upstreams,
         )
-        shipped = _service_policy.for_table(domain, budget)
+        shipped = _service_policy.for_table(
+            domain, budget, is_varied=changes.is_varied
+        )
         return msgspec.structs.replace(
             shipped,
             routing=_with_changes(shipped.routing, changes.routing),
@@ -238,7 +256,13 @@
         )
 
     def _domain(self, node: int) -> str:
-        return str(node % self.experiment.site.domains)
+        site = self.experiment.site
+        first = 0
+        for index, count in enumerate(site.domain_nodes):
+            first += count
+            if node < first:
+                return str(index)
+        return str(node % site.domains)
 
     def _one_way_s(self, first: int, second: int) -> float:
         if first == second:
@@ -423,6 +447,7 @@
             rank=kind.rank,
             objective_s=pending.objective_remaining_s(self.now_s),
             is_repeat=action.is_repeat,
+            expected_ms=action.expected_ms,
         )
         self._attempts[local_id] = _Attempt(
             node, owner, action.request_id, action.attempt, kind, request
@@ -483,6 +508,7 @@
     def _dispatch(self, node: int, local_id: int) -> None:
         attempt = self._attempts[local_id]
         attempt.is_running = True
+        attempt.started_s = self.now_s
         upstream = self._upstreams[node]
         plan = upstream.plan(self.now_s, attempt.kind, self._rng)
         upstream.busy += 1
@@ -568,6 +594,7 @@
             code,
             retry_after_s,
             load,
+            run_ms=(self.now_s - attempt.started_s) * 1000,
         )
         self._schedule_after(
             self._one_way_s(attempt.owner, attempt.node),
@@ -614,7 +641,10 @@
             busy_s[service] += share * seconds
     slots = experiment.site.slots
     return min(
-        service.upstreams * slots / busy_s[service.name]
+        service.upstreams
+        * slots
+        * experiment.site.mean_speed
+        / busy_s[service.name]
         for service in experiment.services
         if busy_s[service.name] > 0.0
     )
@@ -640,4 +670,5 @@
     experiment: settings.Experiment, kind: settings.Kind
 ) -> float:
     mean_ms = kind.work_ms * math.exp(kind.sigma**2 / 2)
+    mean_ms *= 1.0 + kind.tail_share * (kind.tail_factor - 1.0)
     return mean_ms / 1000 * experiment.site.full_factor
--- a/bench/experiment/_settings.py
+++ b/bench/experiment/_settings.py
@@ -54,6 +54,11 @@
     :param retry_ratio: extra attempts per first attempt, over the fleet.
     :param retry_slack: extra attempts beyond that in each window.
     :param retry_window_s: length of the windows.
+    :param domain_nodes: number of nodes of each failure domain; equal ones
+        if empty.
+    :param min_speed: speed of the slowest upstream of each service.
+    :param max_speed: speed of its fastest upstream; those of the others are
+        spread evenly in between.
     """
 
     domains: int
@@ -63,6 +68,14 @@
     retry_ratio: float = 0.1
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
+    domain_nodes: list[int] = dataclasses.field(default_factory=list)
+    min_speed: float = 1.0
+    max_speed: float = 1.0
+
+    @property
+    def mean_speed(self) -> float:
+        """Mean speed of the upstreams of a service."""
+        return (self.min_speed + self.max_speed) / 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,6 +115,9 @@
     :param max_attempts: limit on the attempts that may reach an upstream.
     :param sigma: standard deviation of the logarithm of the run time.
     :param worth: worth of one answer relative to other kinds.
+    :param tail_share: share of the requests that take longer by a further
+        factor.
+    :param tail_factor: that factor.
     """
 
     name: str
@@ -116,6 +132,8 @@
     sigma: float = 0.5
     worth: float = 1.0
     call: Call | None = None
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -161,6 +179,7 @@
     :param health: changed fields of ``HealthTuning``.
     :param max_queued: limit on waiting requests at one owner.
     :param retry_share: factor on the fleet's retry budget.
+    :param is_varied: whether decisions depend on the expected cost.
     """
 
     name: str
@@ -168,6 +187,7 @@
     health: dict[str, float] = dataclasses.field(default_factory=dict)
     max_queued: int | None = None
     retry_share: float = 1.0
+    is_varied: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/bench/experiment/_upstreams.py
+++ b/bench/experiment/_upstreams.py
@@ -33,11 +33,15 @@
     """One upstream, with the troubles that it has in a run.
 
     :param full_factor: see :class:`Site`.
+    :param speed: run times are divided by it.
     """
 
-    def __init__(self, slots: int, full_factor: float) -> None:
+    def __init__(
+        self, slots: int, full_factor: float, speed: float = 1.0
+    ) -> None:
         self._slots = slots
         self._full_factor = full_factor
+        self._speed = speed
         self.troubles: list[settings.Trouble] = []
         self.busy = 0
 
@@ -47,9 +51,12 @@
         """Return the duration and outcome of a request that starts now."""
         assert self.busy < self._slots, "more requests than slots"
         busy_share = self.busy / self._slots
+        is_tail = kind.tail_share > 0.0 and rng.random() < kind.tail_share
         plan = Plan(
             kind.work_ms
             / 1000
+            / self._speed
+            * (kind.tail_factor if is_tail else 1.0)
             * rng.lognormvariate(0.0, kind.sigma)
             * (1.0 + (self._full_factor - 1.0) * busy_share),
             types.Outcome.ANSWERED,
--- a/src/papayastall/_admission.py
+++ b/src/papayastall/_admission.py
@@ -190,6 +190,10 @@
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
+    def total_work_s(self) -> float:
+        """Return the run time of all queued requests, in seconds."""
+        return sum(queue.work_s() for queue in self._queues.values())
+
     def work_ahead_s(self, team: str, precedence: Precedence) -> float:
         """Return the run time of what precedes a new request, in seconds."""
         return sum(
--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -349,6 +349,7 @@
             _Result.ANSWERED,
             status=attempt.head.status,
             load=attempt.head.load,
+            run_ms=attempt.upstream_ms,
         )
 
     def _acknowledge_end(self, owner: str, wire_id: int, last: bool) -> None:
@@ -413,6 +414,7 @@
         code: exceptions.ErrorCode | None = None,
         retry_after_s: float | None = None,
         load: _decision_types.OwnerLoad | None = None,
+        run_ms: float = 0.0,
     ) -> None:
         outcome = _decision_types.AttemptOutcome(
             request_id=attempt.exchange.request.request_id,
@@ -422,6 +424,7 @@
             code=code,
             retry_after_s=retry_after_s,
             load=load,
+            run_ms=run_ms,
         )
         self.perform(self.controller.attempt_ended(clock.now_s(), outcome))
 
@@ -560,6 +563,7 @@
         notices=action.notices,
         rank=request.rank,
         objective_ms=_objective_left_ms(exchange),
+        expected_ms=action.expected_ms or 0.0,
     )
     for start in range(BODY_CHUNK_BYTES, len(body), BODY_CHUNK_BYTES):
         end = start + BODY_CHUNK_BYTES
--- a/src/papayastall/_decision_types.py
+++ b/src/papayastall/_decision_types.py
@@ -184,6 +184,8 @@
     :param notices: of upstreams of the service, as the ingress knows them.
     :param is_suspect: an upstream of another owner was lost with an earlier
         attempt.
+    :param expected_ms: run time that the ingress expects at an average
+        upstream, in milliseconds; ``None`` while unknown.
     """
 
     request_id: int
@@ -200,6 +202,7 @@
     is_repeat: bool = False
     notices: tuple[UpstreamNotice, ...] = ()
     is_suspect: bool = False
+    expected_ms: float | None = None
 
 
 class OwnerLoad(msgspec.Struct, frozen=True):
@@ -266,6 +269,7 @@
 
     :param code: why it was refused or failed; ``None`` when answered.
     :param retry_after_s: retry delay that the owner suggests, in seconds.
+    :param run_ms: time at the upstream; 0 if unknown.
     """
 
     request_id: int
@@ -275,6 +279,7 @@
     code: exceptions.ErrorCode | None
     retry_after_s: float | None
     load: OwnerLoad | None
+    run_ms: float = 0.0
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -325,6 +330,7 @@
     :param notices: of upstreams of the service, for an owner whose process
         is new to them.
     :param is_suspect: see :class:`OwnerRequest`.
+    :param expected_ms: see :class:`OwnerRequest`.
     """
 
     request_id: int
@@ -336,6 +342,7 @@
     is_repeat: bool = False
     notices: tuple[UpstreamNotice, ...] = ()
     is_suspect: bool = False
+    expected_ms: float | None = None
 
 
 class CancelAttempt(msgspec.Struct, frozen=True):
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -177,6 +177,7 @@
         )
         actions: _Actions = []
         if outcome.result is types.AttemptResult.ANSWERED:
+            _service_view.note_run(now_s, service, pending, outcome)
             self._suspects.clear(pending.request.fingerprint)
             if pending.chosen is None:
                 actions = self.answer_started(
@@ -329,6 +330,9 @@
             _service_view.list_notices(now_s, service, attempt.owner),
             # The same upstream may break off a run twice without a crash.
             is_suspect=bool(pending.lost_owners - {attempt.owner}),
+            expected_ms=_service_view.expected_ms(
+                now_s, service, request.route
+            ),
         )
 
     def _select(
--- a/src/papayastall/_ingress_state.py
+++ b/src/papayastall/_ingress_state.py
@@ -10,6 +10,7 @@
 from papayastall import _routing
 from papayastall import _service_policy
 from papayastall import exceptions
+from papayastall import work
 
 __all__ = [
     "Attempt",
@@ -84,6 +85,7 @@
 
     :param notices: of upstreams that name a limit or are leaving, by the
         upstream's name.
+    :param estimator: run times of its requests.
     """
 
     policy: _service_policy.ServicePolicy
@@ -91,3 +93,6 @@
     owners: dict[str, _routing.OwnerView] = msgspec.field(default_factory=dict)
     references: dict[str, RouteReference] = msgspec.field(default_factory=dict)
     notices: dict[str, HeardNotice] = msgspec.field(default_factory=dict)
+    estimator: work.WorkEstimator = msgspec.field(
+        default_factory=work.WorkEstimator
+    )
--- a/src/papayastall/_open_attempts.py
+++ b/src/papayastall/_open_attempts.py
@@ -26,7 +26,9 @@
     view.in_flight += 1
     view.outstanding[request.request_id, attempt.number] = (
         _routing.OutstandingAttempt(
-            now_s, _service_view.silence_limit_s(service, request.route)
+            now_s,
+            _service_view.silence_limit_s(service, request.route),
+            _service_view.expected_ms(now_s, service, request.route),
         )
     )
     return attempt
--- a/src/papayastall/_owner_controller.py
+++ b/src/papayastall/_owner_controller.py
@@ -12,6 +12,7 @@
 from papayastall import _owner_evidence
 from papayastall import _owner_state as state
 from papayastall import _owner_views
+from papayastall import _owner_work
 from papayastall import _placement
 from papayastall import _refusals
 from papayastall import _retry
@@ -67,6 +68,7 @@
         if known is None:
             known = self._services[service] = state.ServiceState(policy)
         known.policy = policy
+        known.use_queue(policy.is_varied)
         match policy.owner_retry_budget, known.retry_budget:
             case None, _:
                 known.retry_budget = None
@@ -471,7 +473,8 @@
                 now_s,
                 precedence,
                 now_s + _QUEUE_LIMIT_FACTOR * max_wait_s,
-                _placement.expected_run_s(service, request),
+                _owner_work.expected_run_s(request, wait.slowness)
+                or _placement.expected_run_s(service, request),
             )
         )
         self._queued.add(request.request_id)
--- a/src/papayastall/_owner_evidence.py
+++ b/src/papayastall/_owner_evidence.py
@@ -6,6 +6,7 @@
 from papayastall import _ejection
 from papayastall import _health
 from papayastall import _owner_state as state
+from papayastall import _owner_work
 
 __all__ = [
     "median_ms",
@@ -110,6 +111,8 @@
             if run.first_byte_s is None:
                 _add_answer_time(now_s, service, upstream, run)
             _add_answer(service, upstream, run, outcome)
+            if outcome is types.Outcome.ANSWERED:
+                _owner_work.note_run(now_s, service, upstream, run)
         case types.Outcome.BROKEN:
             _add_broken(now_s, service, upstream, run)
         case types.Outcome.CONNECT_FAILED:
--- a/src/papayastall/_owner_state.py
+++ b/src/papayastall/_owner_state.py
@@ -14,6 +14,7 @@
 from papayastall import _rate_limit
 from papayastall import _retry
 from papayastall import _service_policy
+from papayastall import work
 
 __all__ = [
     "AnyEvidence",
@@ -79,6 +80,8 @@
     :param has_spoken: an answer of it has arrived at this process.
     :param has_given_notice: it has named a limit or said that it is leaving
         since its start.
+    :param run_ratios: run times relative to what ingresses expected;
+        ``None`` before the first one.
     """
 
     name: str
@@ -114,6 +117,7 @@
     says_leaving: bool = False
     has_spoken: bool = False
     has_given_notice: bool = False
+    run_ratios: work.RunTimes | None = None
 
     def effective_slots(self, mean_busy_s: float) -> float:
         """Return the slots that its limit lets requests use on average.
@@ -161,7 +165,7 @@
     """
 
     policy: _service_policy.ServicePolicy
-    queue: _admission.RankedQueue = msgspec.field(
+    queue: _admission.RankedQueue | work.CostQueue = msgspec.field(
         default_factory=_admission.RankedQueue
     )
     medians: dict[str, _health.MedianEstimate] = msgspec.field(
@@ -171,6 +175,17 @@
     healthy_share: float = 1.0
     retry_budget: _retry.RetryBudget | None = None
 
+    def use_queue(self, is_varied: bool) -> None:
+        """Order the queue by expected run time, or by class and team."""
+        if isinstance(self.queue, work.CostQueue) is is_varied:
+            return
+        before = self.queue
+        self.queue = (
+            work.CostQueue() if is_varied else _admission.RankedQueue()
+        )
+        while (item := before.pop()) is not None:
+            self.queue.push(item)
+
 
 class UpstreamView(msgspec.Struct, frozen=True):
     """An upstream as shown to operators.
--- a/src/papayastall/_owner_views.py
+++ b/src/papayastall/_owner_views.py
@@ -10,6 +10,7 @@
 from papayastall import _leaving
 from papayastall import _owner_evidence
 from papayastall import _owner_state as state
+from papayastall import _owner_work
 from papayastall import _upstream_notices
 
 __all__ = ["make_adverts", "make_load", "make_view"]
@@ -50,6 +51,11 @@
         queued=len(service.queue),
         latency_ms=_owner_evidence.median_ms(median),
         notices=_list_notices(upstreams),
+        work_s=(
+            _owner_work.work_s(now_s, service, upstreams)
+            if service.policy.is_varied
+            else None
+        ),
     )
 
 
--- a/src/papayastall/_placement.py
+++ b/src/papayastall/_placement.py
@@ -13,7 +13,9 @@
 from papayastall import _ejection
 from papayastall import _leaving
 from papayastall import _owner_state as state
+from papayastall import _owner_work
 from papayastall import exceptions
+from papayastall import work
 
 __all__ = [
     "NoUpstream",
@@ -61,12 +63,16 @@
     :param next_s: time until the first of these limits allows a request.
     :param has_open_slot: one of them has a free slot and waits for its limit
         only.
+    :param free_s: expected time until the first slot becomes free.
+    :param slowness: mean of their run times over the expected ones.
     """
 
     slots: int
     rate_per_s: float = math.inf
     next_s: float = 0.0
     has_open_slot: bool = False
+    free_s: float = 0.0
+    slowness: float = 1.0
 
 
 class NoUpstream(msgspec.Struct, frozen=True):
@@ -157,18 +163,44 @@
 
     :param wait: for the upstreams that may run it.
     """
+    queue = service.queue
+    assert isinstance(queue, _admission.RankedQueue), "ordered by run time"
     rank = precedence(service, request)
     limit_s = 0.0
     if not math.isinf(wait.rate_per_s):
-        ahead = service.queue.count_ahead(request.team, rank)
+        ahead = queue.count_ahead(request.team, rank)
         limit_s = wait.next_s + ahead / wait.rate_per_s
         if wait.has_open_slot:
             return limit_s
-    ahead_s = service.queue.work_ahead_s(request.team, rank)
+    ahead_s = queue.work_ahead_s(request.team, rank)
     slot_s = (service.mean_busy_s + ahead_s) / max(1, wait.slots)
     return max(slot_s, limit_s)
 
 
+def _expected_wait_s(
+    now_s: float,
+    service: state.ServiceState,
+    queue: work.CostQueue,
+    request: types.OwnerRequest,
+    wait: Wait,
+) -> float:
+    """Return the wait of a new request by the expected run times."""
+    run_s = _owner_work.expected_run_s(request, wait.slowness)
+    ahead = queue.list_ahead(
+        now_s,
+        request.team,
+        request.rank,
+        run_s or expected_run_s(service, request),
+    )
+    limit_s = 0.0
+    if not math.isinf(wait.rate_per_s):
+        limit_s = wait.next_s + len(ahead) / wait.rate_per_s
+        if wait.has_open_slot:
+            return limit_s
+    ahead_s = sum(item.run_s for item in ahead)
+    return max(wait.free_s + ahead_s / max(1, wait.slots), limit_s)
+
+
 def expected_run_s(
     service: state.ServiceState, request: types.OwnerRequest
 ) -> float:
@@ -215,7 +247,10 @@
 
     :param wait: for the upstreams that may run it.
     """
-    wait_s = expected_wait_s(service, request, wait)
+    if isinstance(service.queue, work.CostQueue):
+        wait_s = _expected_wait_s(now_s, service, service.queue, request, wait)
+    else:
+        wait_s = expected_wait_s(service, request, wait)
     if wait_s > max_wait_s(now_s, service, request):
         return False
     start_s = now_s + wait_s
@@ -283,20 +318,30 @@
         if share > best_share:
             best, best_share = up, share
     if best is None:
-        return _make_wait(now_s, upstreams)
+        return _make_wait(now_s, service, upstreams)
     return Place(best, is_trial=False)
 
 
-def _make_wait(now_s: float, upstreams: cabc.Sequence[state.Upstream]) -> Wait:
+def _make_wait(
+    now_s: float,
+    service: state.ServiceState,
+    upstreams: cabc.Sequence[state.Upstream],
+) -> Wait:
     slots = sum(up.slots for up in upstreams)
+    free_s, slowness = 0.0, 1.0
+    if service.policy.is_varied:
+        free_s = _owner_work.next_free_s(now_s, service, upstreams)
+        slowness = _owner_work.mean_slowness(upstreams)
     limits = [up.rate_limit for up in upstreams if up.rate_limit is not None]
     if len(limits) < len(upstreams):
-        return Wait(slots)
+        return Wait(slots, free_s=free_s, slowness=slowness)
     return Wait(
         slots,
         sum(limit.rate_per_s for limit in limits),
         min(limit.wait_s(now_s) for limit in limits),
         any(up.open_slots(now_s) > 0 for up in upstreams),
+        free_s,
+        slowness,
     )
 
 
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -26,10 +26,12 @@
 
     :param silence_limit_s: time in seconds for which it is normal that the
         owner sends nothing.
+    :param expected_ms: expected run time; ``None`` while unknown.
     """
 
     sent_s: float
     silence_limit_s: float
+    expected_ms: float | None = None
 
 
 class OwnerView(msgspec.Struct):
@@ -40,6 +42,9 @@
         without an upstream that recent work has shown to be healthy.
     :param others_in_flight: requests of other ingresses in the last load
         report.
+    :param work_s: see :class:`OwnerLoad`; from the last report.
+    :param slowness: run times of its upstreams relative to those of the whole
+        service.
     """
 
     advert: types.OwnerAdvert
@@ -57,6 +62,8 @@
     avoid_until_s: float = 0.0
     unproven_until_s: float = 0.0
     steered_word_s: float = 5.0
+    work_s: float | None = None
+    slowness: float = 1.0
 
     def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
         """Record a load report of the owner."""
@@ -65,6 +72,7 @@
         total = load.in_flight + load.queued
         self.others_in_flight = max(0.0, total - self.in_flight)
         self.load_s = now_s
+        self.work_s = load.work_s
 
     def note_heard(self, now_s: float) -> None:
         """Record that a frame from the owner has arrived."""
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -5,6 +5,7 @@
 import math
 
 import msgspec
+import msgspec.structs
 
 from papayastall import _gray_filter
 from papayastall import _health
@@ -141,6 +142,9 @@
         ingresses decays.
     :param far_penalty: share of an owner's slots by which it may be busier
         than one in another failure domain and still be preferred.
+    :param far_ms: price in milliseconds of sending a request to another
+        failure domain, for the latency and the bytes; used in place of
+        ``far_penalty`` and ``near_fill_share`` where costs are varied.
     :param near_fill_share: share of an owner's slots up to which owners in
         this node's failure domain come before all others; 0 if never.
     """
@@ -158,6 +162,7 @@
     steered_word_s: float = 5.0
     far_penalty: float = 0.0
     near_fill_share: float = 0.0
+    far_ms: float = 0.0
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
@@ -219,6 +224,14 @@
     far_penalty=0.5,
     near_fill_share=0.6,
 )
+_VARIED_ROUTING = msgspec.structs.replace(
+    _TABLE_ROUTING,
+    # Requests run for some tenths of a second up to seconds, so that a
+    # report tells of the load for longer.
+    load_decay_s=4.0,
+    # Some 11 ms of latency both ways; the rest is the price of the bytes.
+    far_ms=100.0,
+)
 
 
 def for_table(
@@ -243,6 +256,6 @@
         retry_budget=_retry.UNLIMITED,
         owner_retry_budget=owner_retry_budget,
         failure_domain=failure_domain,
-        routing=_TABLE_ROUTING,
+        routing=_VARIED_ROUTING if is_varied else _TABLE_ROUTING,
         is_varied=is_varied,
     )
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -10,10 +10,12 @@
 from papayastall import _ingress_state as state
 from papayastall import _routing
 from papayastall import exceptions
+from papayastall import work
 
 __all__ = [
     "OwnerChoice",
     "choose",
+    "expected_ms",
     "has_room",
     "hedge_due_s",
     "hints",
@@ -22,6 +24,7 @@
     "note_answer",
     "note_load",
     "note_refusal",
+    "note_run",
     "silence_limit_s",
     "reference_ms",
 ]
@@ -48,6 +51,9 @@
 _MOVED_NOTICE_RETENTION_S = 15.0
 """An upstream that loses its owner announces itself elsewhere within a few
 seconds."""
+_MAX_SLOWNESS = 4.0
+"""More than this is no lasting speed but a fault, which steering handles."""
+_SLOWNESS_SMOOTHING = 0.2
 _MAX_NOTICES = 1024
 """More upstreams than a service has; bounds what a faulty owner can cause."""
 
@@ -98,18 +104,40 @@
     if wants_proof:
         proven = [view for view in usable if view.unproven_until_s <= now_s]
         usable = proven or usable
-    view = _routing.choose_owner(
-        now_s, usable, policy.failure_domain, tuning, rng
-    )
+    view = _choose_owner(now_s, service, pending, usable, rng)
     if view is not None:
         return OwnerChoice(view, False, wants_proof)
     reachable = [view for view in untried if not view.is_link_down]
-    view = _routing.choose_owner(
-        now_s, reachable or untried, policy.failure_domain, tuning, rng
-    )
+    view = _choose_owner(now_s, service, pending, reachable or untried, rng)
     return OwnerChoice(view, True) if view is not None else None
 
 
+def _choose_owner(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    views: list[_routing.OwnerView],
+    rng: random.Random,
+) -> _routing.OwnerView | None:
+    """Choose by expected time, or by load while run times are unknown."""
+    policy = service.policy
+    run_ms = expected_ms(now_s, service, pending.request.route)
+    mean_ms = service.estimator.mean_ms(now_s)
+    if run_ms is None or mean_ms is None:
+        return _routing.choose_owner(
+            now_s, views, policy.failure_domain, policy.routing, rng
+        )
+    return work.choose_owner(
+        now_s,
+        views,
+        run_ms,
+        mean_ms,
+        policy.failure_domain,
+        policy.routing,
+        rng,
+    )
+
+
 def _wants_proof(pending: state.PendingRequest) -> bool:
     """Return whether the request fails if its next attempt is lost."""
     if pending.unproven >= _MAX_UNPROVEN_REFUSALS:
@@ -171,6 +199,33 @@
     return known.median.value
 
 
+def expected_ms(
+    now_s: float, service: state.ServiceView, route: str
+) -> float | None:
+    """Return the expected run time of a request, in milliseconds.
+
+    Returns ``None`` while it is unknown or the service does not use it.
+    """
+    if not service.policy.is_varied:
+        return None
+    return service.estimator.expected_ms(now_s, route)
+
+
+def note_run(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    outcome: types.AttemptOutcome,
+) -> None:
+    """Learn the run time of a request that was answered well."""
+    if not service.policy.is_varied:
+        return
+    if outcome.status is not None and outcome.status < 500:
+        service.estimator.note_run(
+            now_s, pending.request.route, outcome.run_ms
+        )
+
+
 def hints(
     now_s: float,
     service: state.ServiceView,
@@ -223,9 +278,23 @@
         known = service.references[route] = state.RouteReference()
     known.errors.add(failed)
     if load is not None and load.latency_ms is not None and not failed:
+        _note_slowness(service, route, load)
         known.median.add(load.latency_ms)
 
 
+def _note_slowness(
+    service: state.ServiceView, route: str, load: types.OwnerLoad
+) -> None:
+    """Compare an owner's median with that of all owners."""
+    view = service.owners.get(load.owner)
+    known_ms = reference_ms(service, route)
+    if view is None or known_ms is None or not load.latency_ms:
+        return
+    slowness = load.latency_ms / known_ms
+    slowness = min(_MAX_SLOWNESS, max(1.0 / _MAX_SLOWNESS, slowness))
+    view.slowness *= (slowness / view.slowness) ** _SLOWNESS_SMOOTHING
+
+
 def note_load(
     now_s: float, service: state.ServiceView, load: types.OwnerLoad
 ) -> None:
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -234,6 +234,7 @@
             is_repeat=frame.is_repeat,
             notices=frame.notices,
             is_suspect=frame.is_suspect,
+            expected_ms=frame.expected_ms or None,
         )
         self.perform(self.controller.submit(clock.now_s(), request))
 
