Show where a request would go now: papayastall where HOST PATH

Which owner an ingress would choose, and why, could only be worked out from logs of requests that had failed. The command, and GET /v1/where of a node, list the owners of each service of the route with the terms of their cost, or the reason for which they are avoided. Nothing is sent, no random number is drawn, and no turn of a split is taken. Log lines of refused requests now state the mean run time where costs vary.

--- a/src/papayastall/_cli_commands.py
+++ b/src/papayastall/_cli_commands.py
@@ -21,6 +21,7 @@
 from papayastall import _explain
 from papayastall import _histogram_report
 from papayastall import _text_table
+from papayastall import _where
 from papayastall import clock
 from papayastall import exceptions
 
@@ -38,6 +39,7 @@
     "status",
     "undrain",
     "upstreams",
+    "where",
 ]
 
 Arguments = dict[str, t.Any]
@@ -206,6 +208,16 @@
     print_data(arguments, answer, text)
 
 
+def where(arguments: Arguments) -> None:
+    """Print where a request would go from a node now."""
+    wanted = {"host": arguments["<host>"], "path": arguments["<path>"]}
+    if arguments["--team"] is not None:
+        wanted["team"] = arguments["--team"]
+    query = urllib.parse.urlencode(wanted)
+    answer = connect(arguments).get(f"/v1/where?{query}")
+    print_data(arguments, answer, _where.format_answer(answer))
+
+
 def explain(arguments: Arguments) -> None:
     """Print the timeline of a request, built from log files.
 
--- a/src/papayastall/_cli_usage.py
+++ b/src/papayastall/_cli_usage.py
@@ -22,6 +22,7 @@
   drain       send an upstream no new requests, let running ones finish
   undrain     return a drained upstream to service
   histograms  draw histograms of added, waiting and upstream time
+  where       show where a request would go now, and why
   explain     show from log files what happened to a request
   demo        send a lookup and a booking through a node
   version     print the version
@@ -137,6 +138,14 @@
     "  papayastall histograms --settings node.toml --service visits",
 )
 
+WHERE_USAGE = _make_usage(
+    "Show where a request would go from a node now, and why, without sending\n"
+    "it: the owners of its service in the order of preference.",
+    f"where {TARGET_USAGE} [--team=NAME]\n      <host> <path>",
+    TARGET_OPTIONS + "  --team=NAME         as a request of this team\n",
+    "  papayastall where --settings node.toml visits.example /visits/7",
+)
+
 EXPLAIN_USAGE = _make_usage(
     "Show from the logs of all nodes what happened to a request, and the\n"
     "state changes that the nodes involved logged shortly before.",
@@ -170,6 +179,7 @@
     "drain": DRAIN_USAGE,
     "undrain": UNDRAIN_USAGE,
     "histograms": HISTOGRAMS_USAGE,
+    "where": WHERE_USAGE,
     "explain": EXPLAIN_USAGE,
     "demo": DEMO_USAGE,
     "version": VERSION_USAGE,
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -17,6 +17,7 @@
 from papayastall import _service_policy
 from papayastall import _service_view
 from papayastall import _suspects
+from papayastall import _where
 from papayastall import exceptions
 
 __all__ = ["IngressController"]
@@ -279,8 +280,22 @@
         }
         if math.isfinite(view.budget.tokens):
             inputs["repeats_left"] = round(view.budget.tokens, 2)
+        mean_ms = view.estimator.mean_ms(now_s)
+        if mean_ms is not None:
+            inputs["mean_run_ms"] = round(mean_ms, 1)
         return inputs
 
+    def list_candidates(
+        self, now_s: float, service: str, route: str
+    ) -> tuple[float | None, list[_where.Candidate]]:
+        """Return the expected run time in ms, and where a request would go.
+
+        This changes nothing and draws no random number.
+        """
+        view = self._service(service)
+        run_ms = _service_view.expected_ms(now_s, view, route)
+        return run_ms, _where.list_candidates(now_s, view, run_ms)
+
     def has_work(self) -> bool:
         """Return whether any request is open, so that ticks are needed."""
         return bool(self._pending)
--- a/src/papayastall/_node_calls.py
+++ b/src/papayastall/_node_calls.py
@@ -5,12 +5,15 @@
 import typing as t
 import urllib.parse
 
+import msgspec
+
 from papayastall import _config_service
 from papayastall import _control_app
 from papayastall import _control_commands as commands
 from papayastall import _fleet_calls
 from papayastall import _histogram_report
 from papayastall import _owner_state
+from papayastall import _where
 from papayastall import clock
 from papayastall import exceptions
 
@@ -32,6 +35,7 @@
         "POST /v1/drain": calls.drain,
         "POST /v1/undrain": calls.undrain,
         "GET /v1/histograms": calls.list_histograms,
+        "GET /v1/where": calls.show_where,
     }
 
 
@@ -206,6 +210,41 @@
         )
         return {"histograms": rows}
 
+    async def show_where(self, query: str) -> object:
+        """Return where a request would go now, without sending it."""
+        wanted = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        host, path = wanted.get("host"), wanted.get("path")
+        if host is None or path is None:
+            raise exceptions.BadInputError(
+                exceptions.ErrorCode.BAD_REQUEST,
+                "send the host and the path of a request in the query",
+                step="where",
+            )
+        node = self._node
+        target = _where.find_target(
+            node.blackboard, host, path, wanted.get("team")
+        )
+        services = []
+        for service, share in target.shares:
+            run_ms, candidates = node.ingress_controller.list_candidates(
+                clock.now_s(), service, target.route
+            )
+            services.append(
+                {
+                    "service": service,
+                    "share": share,
+                    "expected_ms": run_ms,
+                    "candidates": msgspec.to_builtins(candidates),
+                }
+            )
+        return {
+            "node": node.settings.link_address,
+            "failure_domain": node.settings.failure_domain,
+            "route": target.route,
+            "rank": target.rank,
+            "services": services,
+        }
+
     def _find_upstream(self, upstream: str) -> _owner_state.UpstreamView:
         for view in self._node.owner_controller.upstreams(clock.now_s()):
             if view.upstream == upstream:
--- a/src/papayastall/cli.py
+++ b/src/papayastall/cli.py
@@ -169,6 +169,7 @@
     "drain": _cli_commands.drain,
     "undrain": _cli_commands.undrain,
     "histograms": _cli_commands.histograms,
+    "where": _cli_commands.where,
     "explain": _cli_commands.explain,
     "demo": _cli_commands.demo,
     "version": _print_version,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -235,3 +235,41 @@
     node.answers["/v1/status"] = [(200, answer)]
     assert cli.main(["status", f"--node={node.address}"]) == cli.ExitCode.DONE
     assert "has stopped: folder is empty" in capsys.readouterr().out
+
+
+def test_where_prints_the_terms_of_each_candidate(
+    node: FakeNode, capsys: pytest.CaptureFixture[str]
+) -> None:
+    cost = {"wait_ms": 12.0, "run_ms": 300.0, "far_ms": 100.0}
+    candidate = {
+        "owner": "10.0.0.1:7000",
+        "failure_domain": "b",
+        "avoided": "",
+        "slots": 4,
+        "in_flight": 2.5,
+        "report_age_s": 1.5,
+        "load": 0.875,
+        "cost": cost,
+    }
+    answer = {
+        "node": "10.0.0.9:7000",
+        "failure_domain": "a",
+        "route": "visits",
+        "rank": 0,
+        "services": [
+            {
+                "service": "visits",
+                "share": 1.0,
+                "expected_ms": 250.0,
+                "candidates": [candidate],
+            }
+        ],
+    }
+    path = "/v1/where?host=visits.example&path=%2F7%3Fa%3D1&team=desk"
+    node.answers[path] = [(200, answer)]
+    argv = ["where", f"--node={node.address}", "--team=desk"]
+    argv += ["visits.example", "/7?a=1"]
+    assert cli.main(argv) == cli.ExitCode.DONE
+    text = capsys.readouterr().out
+    assert "expected 250 ms" in text
+    assert "412" in text
