--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import msgspec
+import orjson
 import pytest
 
 from papayastall import _decision_types as types
@@ -15,6 +18,7 @@
 from papayastall import exceptions
 from papayastall import route_table
 from tests import decision_helpers as helpers
+from tests import fleet as fleets
 
 NOW_S = 50.0
 LIMITS = _retry.BudgetLimits(ratio=0.2, burst=5.0, refill_per_s=0.5)
@@ -122,3 +126,24 @@
         _where.find_target(blackboard, "visits.example", "/", "none")
     with pytest.raises(exceptions.RefusedError):
         _where.find_target(blackboard, "other.example", "/")
+
+
+@pytest.mark.anyio
+async def test_a_node_answers_without_sending_a_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with fleets.Fleet(tmp_path, [[1, 2]], with_relays=False) as fleet:
+        before = fleet.runs()
+        base = f"http://{fleet.nodes[0].control}/v1/where"
+        url = f"{base}?host=x&path=/visits/status"
+        status, content = await fleets.request("GET", url, b"")
+        assert status == 200, content
+        answer = orjson.loads(content)
+        assert answer["route"] == "status"
+        [service] = answer["services"]
+        [candidate] = service["candidates"]
+        assert candidate["owner"] in [node.link for node in fleet.nodes]
+        assert candidate["cost"] is None
+        status, _ = await fleets.request("GET", base, b"")
+        assert status == 400
+        assert fleet.runs() == before
