Order queued requests without a team each by its own run time

All requests without a team counted as one team, so that each waited for the run time of all others: calls and whole services without teams were served in the order of their arrival. Such requests now count on their own, and a request may be overtaken for twice its run time, before 4 times that of its team.

--- a/src/papayastall/work/_queue.py
+++ b/src/papayastall/work/_queue.py
@@ -11,9 +11,10 @@
 
 __all__ = ["CostQueue"]
 
-_OVERTAKING_FACTOR = 4.0
+_OVERTAKING_FACTOR = 2.0
 """A request is overtaken only by others that arrive within this multiple of
-its own expected run time."""
+its own expected run time. With more, overload is borne by the longest requests
+alone; with less, more calls fail."""
 
 
 class _Entry(msgspec.Struct, frozen=True, order=True):
@@ -32,7 +33,8 @@
     """Short requests first within a rank, with a bound on overtaking.
 
     A team's further requests count with the run time of its earlier ones,
-    so that many short requests of one team don't overtake all others.
+    so that many short requests of one team don't overtake all others. This
+    does not hold for requests without a team, such as calls.
     """
 
     __slots__ = ("_entries", "_items", "_order")
@@ -135,11 +137,13 @@
     def _place(
         self, now_s: float, team: str, rank: int, run_s: float
     ) -> _Entry:
-        own_s = sum(
-            item.run_s
-            for item in self._items.values()
-            if item.request.team == team
-        )
+        own_s = 0.0
+        if team:
+            own_s = sum(
+                item.run_s
+                for item in self._items.values()
+                if item.request.team == team
+            )
         key_s = now_s + _OVERTAKING_FACTOR * (run_s + own_s)
         return _Entry(rank, key_s, next(self._order))
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -116,6 +116,15 @@
     assert pop_all(queue).index(10) <= 2
 
 
+def test_requests_without_a_team_do_not_count_as_one_team() -> None:
+    """All calls would otherwise wait in the order of their arrival."""
+    queue = work.CostQueue()
+    for number in range(5):
+        queue.push(queued(number, 0.0, 0.7))
+    queue.push(queued(5, 0.1, 0.1))
+    assert pop_all(queue)[0] == 5
+
+
 def test_a_popped_request_goes_back_before_all_of_its_rank() -> None:
     queue = work.CostQueue()
     for number in range(3):
