Leave runs whose answer has begun out of the reported work

The load is sent with the head of an answer, whose own run counted as work of its owner until the next report.

--- a/src/papayastall/_owner_work.py
+++ b/src/papayastall/_owner_work.py
@@ -83,11 +83,16 @@
     service: state.ServiceState,
     upstreams: cabc.Sequence[state.Upstream],
 ) -> float:
-    """Return the remaining run time of all that runs and waits."""
+    """Return the remaining run time of all that runs and waits.
+
+    Runs whose answer has begun are left out: the load is sent with the head
+    of an answer, whose run would count until the next report.
+    """
     running_s = sum(
         _left_s(now_s, service, up, run)
         for up in upstreams
         for run in up.running.values()
+        if run.first_byte_s is None
     )
     return running_s + service.queue.total_work_s()
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -275,6 +275,14 @@
     assert late == pytest.approx(1.0, rel=0.2), "0.5 s until its deadline"
 
 
+def test_a_run_that_is_being_answered_is_no_work() -> None:
+    """The report is sent with the head of its answer."""
+    owner = helpers.owner(VARIED, slots=1)
+    owner.submit(NOW_S, helpers.owner_request(1))
+    owner.first_byte(NOW_S + 0.05, 1)
+    assert owner.load(NOW_S + 0.05, helpers.SERVICE).work_s == 0.0
+
+
 def test_a_slow_upstream_reports_more_work() -> None:
     """Its owner learns the speed from the runs that it answered."""
     owner = helpers.owner(VARIED, slots=1)
