Keep histograms of run times in arrays

A list of floats takes some 2.6 KB (worked out), an array 0.9 KB (measured with tracemalloc); an ingress of the two-year size may see 7,500 routes. Tests: tests/test_work.py 22 passed.

--- a/src/papayastall/work/_run_times.py
+++ b/src/papayastall/work/_run_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 import itertools
 import math
 
@@ -32,7 +33,7 @@
     def __init__(self, half_life_s: float) -> None:
         self._half_life_s = half_life_s
         self._since_s: float | None = None
-        self._weights = [0.0] * _COUNT
+        self._weights = array.array("d", bytes(8 * _COUNT))
         self._total = 0.0
         self._mean: float | None = None
 
@@ -44,7 +45,9 @@
             self._since_s = now_s
         factor = math.exp2(min(900.0, self._age(now_s)))
         if factor > _MAX_SAMPLE_WEIGHT:
-            self._weights = [each / factor for each in self._weights]
+            self._weights = array.array(
+                "d", [each / factor for each in self._weights]
+            )
             self._total /= factor
             self._since_s = now_s
             factor = 1.0
