--- a/tests/test_quota_service.py
+++ b/tests/test_quota_service.py
@@ -183,8 +183,8 @@
 # Guards against a node that starts, reads an older table without quotas and
 # then lets everything run for a window.
 def test_quotas_that_follow_an_older_table_are_in_force_at_once() -> None:
-    network = fake_peering.Network()
     member = [*MEMBERS][0]
+    network = fake_peering.Network(t.cast(t.Any, None))
     quota = quotas.Quotas(
         member,
         network.add(member),
