Experiment with upstreams that hang by turns under bookings that call

Settings can now name services whose upstreams hang by turns, and the number of calls; the tables show the share of arrivals that hung, the reasons for further attempts, the peak of the extra arrivals of a service in any window, and healthy upstreams without a request for 2 s.

--- a/bench/experiment/_fleet.py
+++ b/bench/experiment/_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc as cabc
 import functools
 import heapq
@@ -27,6 +28,7 @@
 from papayastall import exceptions
 
 __all__ = [
+    "Arrival",
     "CallerRequest",
     "Fleet",
     "Reply",
@@ -83,11 +85,27 @@
     ended_s: float = 0.0
 
 
+class Arrival(msgspec.Struct):
+    """A request that reached an upstream.
+
+    :param is_extra: an earlier attempt of it did, or it is a call of a run
+        that was itself extra.
+    :param hangs: it is never answered.
+    """
+
+    at_s: float
+    node: int
+    service: str
+    is_extra: bool
+    hangs: bool
+
+
 class _Pending(msgspec.Struct):
     """A try that is open at its ingress.
 
     :param ended: called with the result.
     :param status: status of the last answer that the ingress received.
+    :param is_extra: see :class:`Arrival`.
     """
 
     node: int
@@ -96,6 +114,7 @@
     begun_s: float
     ended: cabc.Callable[[Reply], None]
     status: int = 0
+    is_extra: bool = False
 
     def objective_remaining_s(self, now_s: float) -> float | None:
         """Return the time left until the latency objective, in seconds."""
@@ -119,6 +138,7 @@
     kind: settings.Kind
     request: types.OwnerRequest
     is_running: bool = False
+    is_extra: bool = False
 
 
 class Fleet:
@@ -129,6 +149,9 @@
     :ivar sent: number of attempts that ingresses sent to owners.
     :ivar sent_to_other_domains: number of those that went to another failure
         domain.
+    :ivar arrivals: requests that reached an upstream, in their order.
+    :ivar causes: number of attempts by the reason for which they were made,
+        if they were not the first of their request.
     """
 
     def __init__(
@@ -142,6 +165,8 @@
         self.asked: list[CallerRequest] = []
         self.sent = 0
         self.sent_to_other_domains = 0
+        self.arrivals: list[Arrival] = []
+        self.causes: collections.Counter[str] = collections.Counter()
         self.now_s = 0.0
         self._policy = policy
         self._rng = random.Random(seed)
@@ -160,7 +185,7 @@
             for service in experiment.services
             for _ in range(service.upstreams)
         ]
-        self._make_nodes()
+        self._make_nodes(seed)
 
     def run(self) -> list[CallerRequest]:
         """Run to the end; return the requests of callers."""
@@ -173,7 +198,27 @@
             step()
         return self.asked
 
-    def _make_nodes(self) -> None:
+    def starved_share(self, window_s: float) -> float:
+        """Return the share of windows in which a healthy upstream got nothing.
+
+        :param window_s: length of the windows, which don't overlap.
+        """
+        count = int(self.experiment.seconds / window_s)
+        served = {
+            (each.node, int(each.at_s / window_s)) for each in self.arrivals
+        }
+        healthy = [
+            (node, window)
+            for node, upstream in enumerate(self._upstreams)
+            for window in range(1, count)
+            if not upstream.is_troubled(
+                window * window_s, (window + 1) * window_s
+            )
+        ]
+        starved = sum(each not in served for each in healthy)
+        return starved / max(1, len(healthy))
+
+    def _make_nodes(self, seed: int) -> None:
         site = self.experiment.site
         self._upstreams = [
             _upstreams.Upstream(site.slots, site.full_factor)
@@ -187,6 +232,13 @@
             ]
             for node in nodes[: trouble.count]:
                 self._upstreams[node].troubles.append(trouble)
+        turns_rng = random.Random(f"turns {seed}")
+        for turns in self.experiment.gray_turns:
+            for node, name in enumerate(self._services):
+                if name == turns.service:
+                    self._upstreams[node].troubles += _upstreams.draw_turns(
+                        turns, self.experiment.seconds, turns_rng
+                    )
         self._owners = []
         self._ingresses = []
         for node, own_service in enumerate(self._services):
@@ -225,7 +277,9 @@
             site.retry_window_s,
             service.upstreams,
         )
-        shipped = _service_policy.for_table(domain, budget)
+        shipped = _service_policy.for_table(
+            domain, budget, is_varied=changes.is_varied
+        )
         return msgspec.structs.replace(
             shipped,
             routing=_with_changes(shipped.routing, changes.routing),
@@ -353,12 +407,14 @@
         remaining_s: float,
         age_s: float,
         ended: cabc.Callable[[Reply], None],
+        is_extra: bool = False,
     ) -> None:
         """Submit a request to a node's ingress.
 
         :param remaining_s: time for which its sender still waits.
         :param age_s: time since the sender's first try.
         :param ended: called with the result.
+        :param is_extra: see :class:`Arrival`.
         """
         request_id = next(self._ids)
         timeout_s = min(remaining_s, kind.timeout_ms / 1000)
@@ -379,7 +435,7 @@
             objective_s=max(0.0, kind.objective_ms / 1000 - age_s) or None,
         )
         self._pending[request_id] = _Pending(
-            node, kind, request, self.now_s, ended
+            node, kind, request, self.now_s, ended, is_extra=is_extra
         )
         actions = self._ingresses[node].begin(self.now_s, request)
         self._perform_ingress(node, actions)
@@ -429,6 +485,9 @@
         )
         self._local_ids[action.request_id, action.attempt] = local_id
         self.sent += 1
+        if action.attempt > 1:
+            cause = action.cause.value if action.cause else "no answer yet"
+            self.causes[cause] += 1
         self.sent_to_other_domains += self._domain(node) != self._domain(owner)
         self._schedule_after(
             self._one_way_s(node, owner),
@@ -486,6 +545,7 @@
         upstream = self._upstreams[node]
         plan = upstream.plan(self.now_s, attempt.kind, self._rng)
         upstream.busy += 1
+        self._record_arrival(attempt, math.isinf(plan.duration_s))
         remaining_s = attempt.request.deadline_s - self.now_s
         self._schedule_after(
             max(0.0, remaining_s),
@@ -495,10 +555,10 @@
             return
         call = attempt.kind.call
         calls = call is not None and self._rng.random() < call.share
-        if calls and plan.outcome is types.Outcome.ANSWERED:
+        if call and calls and plan.outcome is types.Outcome.ANSWERED:
             self._schedule_after(
                 CALL_AT_SHARE * plan.duration_s,
-                functools.partial(self._send_call, local_id, plan),
+                functools.partial(self._send_call, local_id, plan, call.count),
             )
         else:
             self._schedule_after(
@@ -506,8 +566,29 @@
                 functools.partial(self._finish, local_id, plan.outcome),
             )
 
-    def _send_call(self, local_id: int, plan: _upstreams.Plan) -> None:
-        """Send the call of a running request, which fails if the call does."""
+    def _record_arrival(self, attempt: _Attempt, hangs: bool) -> None:
+        pending = self._pending.get(attempt.request_id)
+        attempt.is_extra = attempt.request.is_repeat
+        if pending is not None:
+            attempt.is_extra |= pending.is_extra
+            pending.is_extra = True
+        self.arrivals.append(
+            Arrival(
+                self.now_s,
+                attempt.owner,
+                attempt.kind.service,
+                attempt.is_extra,
+                hangs,
+            )
+        )
+
+    def _send_call(
+        self, local_id: int, plan: _upstreams.Plan, count: int
+    ) -> None:
+        """Send the calls of a running request, which fails if one does.
+
+        :param count: calls left to send.
+        """
         attempt = self._attempts.get(local_id)
         if attempt is None:
             return
@@ -518,6 +599,9 @@
             if not reply.served:
                 self._finish(local_id, types.Outcome.FAILED)
                 return
+            if count > 1:
+                self._send_call(local_id, plan, count - 1)
+                return
             self._schedule_after(
                 (1.0 - CALL_AT_SHARE) * plan.duration_s,
                 functools.partial(self._finish, local_id, plan.outcome),
@@ -525,7 +609,9 @@
 
         kind = self.experiment.find_kind(call.kind)
         remaining_s = attempt.request.deadline_s - self.now_s
-        self._start_request(attempt.owner, kind, remaining_s, 0.0, ended)
+        self._start_request(
+            attempt.owner, kind, remaining_s, 0.0, ended, attempt.is_extra
+        )
 
     def _finish(self, local_id: int, outcome: types.Outcome) -> None:
         attempt = self._attempts.get(local_id)
@@ -630,7 +716,8 @@
     work_s = {kind.service: _mean_service_s(experiment, kind)}
     if kind.call is not None:
         called = experiment.find_kind(kind.call.kind)
-        called_s = kind.call.share * _mean_service_s(experiment, called)
+        called_s = kind.call.share * kind.call.count
+        called_s *= _mean_service_s(experiment, called)
         for service in (kind.service, called.service):
             work_s[service] = work_s.get(service, 0.0) + called_s
     return work_s
--- a/bench/experiment/_report.py
+++ b/bench/experiment/_report.py
@@ -26,8 +26,11 @@
     """Print a table of policies and one of request kinds, for each load."""
     baseline_policy = experiment.policies[0].name
     print(f"Against {baseline_policy!r}, on {len(experiment.seeds)} seeds:\n")
-    print("| load | policy | credit | change | better on | attempts | far |")
-    print("|---|---|---|---|---|---|---|")
+    print(
+        "| load | policy | credit | change | better on | attempts | far "
+        "| hung | extra | starved |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|---|")
     for load in experiment.loads:
         baseline_runs = _select(runs, baseline_policy, load)
         for policy in experiment.policies:
@@ -42,11 +45,18 @@
                 f"| {load:g} | {policy.name} | {credit:.3f} "
                 f"| {_mean(changes):+.3f} | {better_count} of {len(selected)} "
                 f"| {_mean(run.attempts for run in selected):.2f} "
-                f"| {100 * _mean(run.far_share for run in selected):.0f}% |"
+                f"| {100 * _mean(run.far_share for run in selected):.0f}% "
+                f"| {_mean(run.hang_share for run in selected):.3f} "
+                f"| {max(run.extra_peak for run in selected):.0f} "
+                f"| {_mean(run.starved for run in selected):.3f} |"
             )
+    _print_causes(experiment, runs)
     print("\nShares of what was asked, and the best that can be served:\n")
-    print("| load | kind | best | policy | served | in time | refused | p50 |")
-    print("|---|---|---|---|---|---|---|---|")
+    print(
+        "| load | kind | best | policy | served | in time | refused "
+        "| unknown | failed | p50 |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|---|")
     for load in experiment.loads:
         best = results.find_max_served(experiment, load)
         for kind in best:
@@ -60,6 +70,22 @@
                     _print_kind(load, kind, best[kind], policy.name, found)
 
 
+def _print_causes(experiment: settings.Experiment, runs: Runs) -> None:
+    """Print how many attempts were made for a reason, for each request."""
+    causes = sorted({cause for run in runs for cause in run.causes})
+    print("\nFurther attempts by reason, for each request of a caller:\n")
+    print(f"| load | policy | {' | '.join(causes)} |")
+    print("|---" * (2 + len(causes)) + "|")
+    for load in experiment.loads:
+        for policy in experiment.policies:
+            selected = _select(runs, policy.name, load)
+            shares = [
+                f"{_mean(run.causes.get(cause, 0.0) for run in selected):.3f}"
+                for cause in causes
+            ]
+            print(f"| {load:g} | {policy.name} | {' | '.join(shares)} |")
+
+
 def _print_kind(
     load: float,
     kind: str,
@@ -72,6 +98,8 @@
         f"| {_mean(each.served for each in selected):.3f} "
         f"| {_mean(each.in_objective for each in selected):.3f} "
         f"| {_mean(each.refused for each in selected):.3f} "
+        f"| {_mean(each.unknown for each in selected):.3f} "
+        f"| {_mean(each.failed for each in selected):.3f} "
         f"| {_mean(each.median_ms for each in selected):.0f} ms |"
     )
 
--- a/bench/experiment/_results.py
+++ b/bench/experiment/_results.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import collections.abc as cabc
 import statistics
 
 import msgspec
@@ -16,6 +18,7 @@
 SETTLE_MARGIN_S = 1.0
 """Requests that begin within the callers' patience and this margin of the end
 of a run may not end in it and are not counted."""
+STARVED_WINDOW_S = 2.0
 
 
 class KindResult(msgspec.Struct):
@@ -25,6 +28,8 @@
     :param served: share of them with a successful answer.
     :param in_objective: share answered within the latency objective.
     :param refused: share that were refused at their last try.
+    :param unknown: share whose last try ended with an unknown outcome.
+    :param failed: share whose last try was answered with an error.
     :param credit: share of the full worth of all requests that was earned.
     :param median_ms: median time of the successful answers.
     """
@@ -33,6 +38,8 @@
     served: float
     in_objective: float
     refused: float
+    unknown: float
+    failed: float
     credit: float
     median_ms: float
 
@@ -45,6 +52,12 @@
     :param attempts: attempts sent to owners per request of a caller.
     :param far_share: share of the attempts that went to another failure
         domain.
+    :param extra_peak: most extra arrivals at upstreams of a service in any
+        window, beyond the retry ratio; the fleet's slack is the limit.
+    :param hang_share: share of the arrivals that hung.
+    :param starved: windows of 2 s in which an upstream that was healthy got
+        no request, as a share of all windows and healthy upstreams.
+    :param causes: further attempts by their reason, for each request.
     """
 
     policy: str
@@ -53,6 +66,10 @@
     credit: float
     attempts: float
     far_share: float
+    extra_peak: float
+    hang_share: float
+    starved: float
+    causes: dict[str, float]
     kinds: dict[str, KindResult]
 
 
@@ -87,10 +104,41 @@
         earned / owed if owed else 0.0,
         fleet.sent / max(1, len(fleet.asked)),
         fleet.sent_to_other_domains / max(1, fleet.sent),
+        _find_extra_peak(experiment, fleet.arrivals),
+        sum(each.hangs for each in fleet.arrivals)
+        / max(1, len(fleet.arrivals)),
+        fleet.starved_share(STARVED_WINDOW_S),
+        {
+            cause: count / max(1, len(fleet.asked))
+            for cause, count in fleet.causes.items()
+        },
         kinds,
     )
 
 
+def _find_extra_peak(
+    experiment: settings.Experiment,
+    arrivals: cabc.Sequence[_fleet.Arrival],
+) -> float:
+    """Return the largest number of extra arrivals beyond the retry ratio."""
+    site = experiment.site
+    peak = 0.0
+    for service in experiment.services:
+        selected = [each for each in arrivals if each.service == service.name]
+        # The windows with most extra arrivals begin and end with one. The
+        # excess is a sum, so a deque of the window's arrivals suffices.
+        window: collections.deque[_fleet.Arrival] = collections.deque()
+        excess = 0.0
+        for arrival in selected:
+            window.append(arrival)
+            excess += 1.0 if arrival.is_extra else -site.retry_ratio
+            while window[0].at_s < arrival.at_s - site.retry_window_s:
+                first = window.popleft()
+                excess -= 1.0 if first.is_extra else -site.retry_ratio
+            peak = max(peak, excess)
+    return peak
+
+
 def _summarise(asked: list[_fleet.CallerRequest]) -> KindResult:
     times_ms = [
         (each.ended_s - each.begun_s) * 1000
@@ -100,15 +148,15 @@
     objective_ms = asked[0].kind.objective_ms
     early = sum(time_ms <= objective_ms for time_ms in times_ms)
     late = len(times_ms) - early
-    refused = sum(
-        each.reply is not None and each.reply.status == 503 for each in asked
-    )
+    ended = [0 if each.reply is None else each.reply.status for each in asked]
     count = len(asked)
     return KindResult(
         count,
         len(times_ms) / count,
         early / count,
-        refused / count,
+        ended.count(503) / count,
+        ended.count(504) / count,
+        ended.count(500) / count,
         (early + LATE_CREDIT * late) / count,
         statistics.median(times_ms) if times_ms else 0.0,
     )
--- a/bench/experiment/_settings.py
+++ b/bench/experiment/_settings.py
@@ -17,6 +17,7 @@
     "Call",
     "Clients",
     "Experiment",
+    "GrayTurns",
     "Kind",
     "Policy",
     "Service",
@@ -78,14 +79,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
-    """A request that a run sends halfway through and waits for.
+    """Requests that a run sends halfway through, one after the other.
 
-    :param kind: name of the kind of the request that is sent.
-    :param share: share of the runs that send it, 0 to 1.
+    :param kind: name of the kind of the requests that are sent.
+    :param share: share of the runs that send them, 0 to 1.
+    :param count: number of requests; the run waits for each.
     """
 
     kind: str
     share: float
+    count: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -137,6 +140,23 @@
     factor: float = 5.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GrayTurns:
+    """Upstreams of a service that hang by turns, at times drawn by the seed.
+
+    :param share: share of the upstreams that hang at any time, on average.
+    :param hang_share: share of their requests that hang.
+    :param mean_s: mean duration of one such period.
+    :param min_s: shortest duration.
+    """
+
+    service: str
+    share: float = 0.3
+    hang_share: float = 0.75
+    mean_s: float = 6.0
+    min_s: float = 2.0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Clients:
     """How callers retry after a refusal.
@@ -161,6 +181,7 @@
     :param health: changed fields of ``HealthTuning``.
     :param max_queued: limit on waiting requests at one owner.
     :param retry_share: factor on the fleet's retry budget.
+    :param is_varied: see ``ServicePolicy``.
     """
 
     name: str
@@ -168,6 +189,7 @@
     health: dict[str, float] = dataclasses.field(default_factory=dict)
     max_queued: int | None = None
     retry_share: float = 1.0
+    is_varied: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -190,6 +212,7 @@
     warm_s: float = 5.0
     clients: Clients = Clients()
     troubles: list[Trouble] = dataclasses.field(default_factory=list)
+    gray_turns: list[GrayTurns] = dataclasses.field(default_factory=list)
 
     def find_kind(self, name: str) -> Kind:
         """Return the kind of request with a name."""
@@ -244,6 +267,16 @@
     for number, trouble in enumerate(experiment.troubles):
         if trouble.service not in services:
             yield _unknown_name(f"troubles[{number}].service", trouble.service)
+    for number, turns in enumerate(experiment.gray_turns):
+        if turns.service not in services:
+            key = f"gray_turns[{number}].service"
+            yield _unknown_name(key, turns.service)
+        if not 0.0 < turns.share < 1.0 or turns.mean_s <= turns.min_s:
+            yield _checking.Problem(
+                f"gray_turns[{number}]",
+                "has a share outside 0 to 1, or a mean that is too short",
+                "use a share between both and a mean above min_s",
+            )
     for number, policy in enumerate(experiment.policies):
         for table, tuning in (
             ("routing", _service_policy.RoutingTuning),
--- a/bench/experiment/_upstreams.py
+++ b/bench/experiment/_upstreams.py
@@ -11,7 +11,7 @@
 from bench.experiment import _settings as settings
 from papayastall import _decision_types as types
 
-__all__ = ["Plan", "Upstream"]
+__all__ = ["Plan", "Upstream", "draw_turns"]
 
 SHED_AFTER_S = 0.002
 """Time after which an upstream refuses a request that it sheds."""
@@ -58,6 +58,13 @@
             self._apply_trouble(plan, trouble, now_s, rng)
         return plan
 
+    def is_troubled(self, start_s: float, end_s: float) -> bool:
+        """Return whether it has a trouble in a part of this period."""
+        return any(
+            trouble.start_s < end_s and start_s < trouble.end_s
+            for trouble in self.troubles
+        )
+
     def _active_troubles(
         self, now_s: float
     ) -> cabc.Iterator[settings.Trouble]:
@@ -90,3 +97,28 @@
                 length_s = trouble.end_s - trouble.start_s
                 left = (trouble.end_s - now_s) / length_s
                 plan.duration_s *= 1.0 + (trouble.factor - 1.0) * left
+
+
+def draw_turns(
+    turns: settings.GrayTurns, seconds: float, rng: random.Random
+) -> cabc.Iterator[settings.Trouble]:
+    """Draw the periods in which one upstream hangs.
+
+    :param seconds: length of the run.
+    """
+    healthy_s = turns.mean_s * (1.0 - turns.share) / turns.share
+    at_s = rng.expovariate(1.0 / healthy_s)
+    if rng.random() < turns.share:
+        at_s = 0.0
+    while at_s < seconds:
+        more_s = rng.expovariate(1.0 / (turns.mean_s - turns.min_s))
+        end_s = at_s + turns.min_s + more_s
+        yield settings.Trouble(
+            settings.TroubleKind.HANG,
+            turns.service,
+            1,
+            at_s,
+            end_s,
+            turns.hang_share,
+        )
+        at_s = end_s + rng.expovariate(1.0 / healthy_s)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import pathlib
+import random
 import typing as t
 
 from bench.experiment import __main__ as command
 from bench.experiment import _fleet
 from bench.experiment import _results
 from bench.experiment import _settings
+from bench.experiment import _upstreams
 import pytest
 
 from papayastall import exceptions
@@ -129,3 +131,33 @@
     for policy in _settings.load(path).policies:
         assert f"| {policy.name} |" in printed
     assert plot.read_bytes().startswith(b"\x89PNG")
+
+
+def load_gray(seconds: float = 20.0) -> _settings.Experiment:
+    """Return the example whose upstreams hang by turns, with a short run."""
+    path = EXAMPLE.with_name("gray.toml")
+    experiment = _settings.load(path)
+    return dataclasses.replace(experiment, seconds=seconds)
+
+
+def test_upstreams_hang_by_turns_for_their_share_of_the_time() -> None:
+    """Compares policies under the faults that the settings ask for."""
+    experiment = load_gray()
+    [turns, *_] = experiment.gray_turns
+    rng = random.Random(1)
+    runs, seconds = 400, 60.0
+    gray_s = sum(
+        min(period.end_s, seconds) - period.start_s
+        for _ in range(runs)
+        for period in _upstreams.draw_turns(turns, seconds, rng)
+    )
+    assert abs(gray_s / (runs * seconds) - turns.share) < 0.05
+
+
+def test_extra_arrivals_stay_within_the_budget_of_the_fleet() -> None:
+    """Counts the calls of repeated runs, which the owners can't tell."""
+    experiment = load_gray()
+    for policy in experiment.policies:
+        for seed in (1, 2):
+            result = _results.simulate(experiment, policy, 0.3, seed)
+            assert 0.0 < result.extra_peak <= experiment.site.retry_slack
