Learn a route's median from own answers until an owner knows one

An owner reports a median only after eight answers on the route, and an ingress needs three reports. Where policies are varied, the time of the answer itself counts until then.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -157,7 +157,13 @@
         service = self._service(pending.request.service)
         _open_attempts.note_heard(now_s, service, pending, attempt, load)
         failed = status is not None and status >= 500
-        _service_view.note_answer(service, pending.request.route, load, failed)
+        _service_view.note_answer(
+            service,
+            pending.request.route,
+            load,
+            failed,
+            now_s - pending.open[attempt].sent_s,
+        )
         if failed and pending.request.kind is types.RequestKind.LOOKUP:
             replaced = self._replace(now_s, pending, attempt)
             if replaced:
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -214,16 +214,28 @@
     route: str,
     load: types.OwnerLoad | None,
     failed: bool,
+    took_s: float,
 ) -> None:
-    """Add an owner's answer to the reference of the route."""
+    """Add an owner's answer to the reference of the route.
+
+    An owner that has answered only few requests of the route reports no
+    median yet. Until then the time of the answer itself counts: without a
+    median, lookups are hedged too early.
+
+    :param took_s: time since the attempt was sent.
+    """
     known = service.references.get(route)
     if known is None:
         if len(service.references) >= _MAX_REFERENCE_ROUTES:
             return
         known = service.references[route] = state.RouteReference()
     known.errors.add(failed)
-    if load is not None and load.latency_ms is not None and not failed:
+    if failed:
+        return
+    if load is not None and load.latency_ms is not None:
         known.median.add(load.latency_ms)
+    elif service.policy.is_varied:
+        known.median.add(took_s * 1000.0)
 
 
 def note_load(
