Send retries and hedges to owners that have budget left

An owner has an equal part of the fleet's retry budget: at 34 owners 1.8 retries at once, 0.12 a second, and 0.12 for each first attempt. While some owners had tokens left half of the time, hedges met those without. Owners now report the retries left and the odds that they hang (16 bytes a load), and ingresses choose among those with a token, counting what they sent and what the refill adds. The limit itself is enforced by the owners as before.

--- a/bench/experiment/_fleet.py
+++ b/bench/experiment/_fleet.py
@@ -284,6 +284,7 @@
             shipped,
             routing=_with_changes(shipped.routing, changes.routing),
             health=_with_changes(shipped.thresholds(), changes.health),
+            proof_limits=_with_changes(shipped.proof_limits, changes.proof),
             max_queued=(
                 shipped.max_queued
                 if changes.max_queued is None
--- a/bench/experiment/_settings.py
+++ b/bench/experiment/_settings.py
@@ -12,6 +12,7 @@
 from papayastall import _checking
 from papayastall import _service_policy
 from papayastall import exceptions
+from papayastall import proof
 
 __all__ = [
     "Call",
@@ -180,6 +181,7 @@
     :param routing: changed fields of ``RoutingTuning``.
     :param health: changed fields of ``HealthTuning``.
     :param max_queued: limit on waiting requests at one owner.
+    :param proof: changed fields of ``ProofTuning``.
     :param retry_share: factor on the fleet's retry budget.
     :param is_varied: see ``ServicePolicy``.
     """
@@ -187,6 +189,7 @@
     name: str
     routing: dict[str, float] = dataclasses.field(default_factory=dict)
     health: dict[str, float] = dataclasses.field(default_factory=dict)
+    proof: dict[str, float] = dataclasses.field(default_factory=dict)
     max_queued: int | None = None
     retry_share: float = 1.0
     is_varied: bool = False
@@ -281,6 +284,7 @@
         for table, tuning in (
             ("routing", _service_policy.RoutingTuning),
             ("health", _service_policy.HealthTuning),
+            ("proof", proof.ProofTuning),
         ):
             unknown = set(getattr(policy, table)).difference(
                 tuning.__struct_fields__
--- a/src/papayastall/_gray_filter.py
+++ b/src/papayastall/_gray_filter.py
@@ -56,6 +56,15 @@
         gray = self.hang_share + (1.0 - self.hang_share) * healthy
         return math.log(gray / healthy)
 
+    def age(self, estimate: float, elapsed_s: float) -> float:
+        """Return a probability of "gray" moved towards the prior.
+
+        :param estimate: the probability ``elapsed_s`` earlier.
+        """
+        rate = 1.0 / self.mean_gray_s + 1.0 / self.mean_healthy_s
+        share = math.exp(-elapsed_s * rate)
+        return self.prior + (estimate - self.prior) * share
+
     @property
     def answer_log_ratio(self) -> float:
         """The evidence against "gray" of one answer, in nats."""
@@ -99,12 +108,8 @@
 
     def decay(self, elapsed_s: float) -> None:
         """Move the estimate towards the prior, as time passes."""
-        model = self.model
-        rate = 1.0 / model.mean_gray_s + 1.0 / model.mean_healthy_s
-        share = math.exp(-elapsed_s * rate)
         estimate = 1.0 / (1.0 + math.exp(-self._log_odds))
-        estimate = model.prior + (estimate - model.prior) * share
-        self._log_odds = _to_log_odds(estimate)
+        self._log_odds = _to_log_odds(self.model.age(estimate, elapsed_s))
 
     def start(
         self, now_s: float, request_id: int, route: str, reference_s: float
--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -321,6 +321,8 @@
         attempt = _open_attempts.open_attempt(
             now_s, service, pending, choice.view
         )
+        if is_repeat:
+            choice.view.report.note_repeat()
         pending.hedge_due_s = _service_view.hedge_due_s(
             now_s, service, request
         )
--- a/src/papayastall/_owner_views.py
+++ b/src/papayastall/_owner_views.py
@@ -50,9 +50,29 @@
         queued=len(service.queue),
         latency_ms=_owner_evidence.median_ms(median),
         notices=_list_notices(upstreams),
+        gray_odds=_gray_odds(now_s, service, present),
+        repeats_left=_repeats_left(now_s, service),
     )
 
 
+def _gray_odds(
+    now_s: float,
+    service: state.ServiceState,
+    present: cabc.Iterable[state.Upstream],
+) -> float | None:
+    if service.policy.proof_tuning() is None:
+        return None
+    scores = [up.evidence.score(now_s, 0.0) for up in present]
+    return min(scores, default=None)
+
+
+def _repeats_left(now_s: float, service: state.ServiceState) -> float | None:
+    budget = service.retry_budget
+    if budget is None or service.policy.proof_tuning() is None:
+        return None
+    return budget.left(now_s)
+
+
 def _list_notices(
     upstreams: cabc.Iterable[state.Upstream],
 ) -> tuple[types.UpstreamNotice, ...]:
--- a/src/papayastall/_retry.py
+++ b/src/papayastall/_retry.py
@@ -108,6 +108,11 @@
         self.tokens += self.limits.ratio
         self.tokens = min(self.limits.burst, self.tokens)
 
+    def left(self, now_s: float) -> float:
+        """Return the tokens that the bucket holds."""
+        self._refill(now_s)
+        return self.tokens
+
     def take(self, now_s: float) -> bool:
         """Take a token for one extra attempt; return whether there was one."""
         self._refill(now_s)
--- a/src/papayastall/_routing.py
+++ b/src/papayastall/_routing.py
@@ -10,6 +10,7 @@
 
 from papayastall import _decision_types as types
 from papayastall import _service_policy
+from papayastall import proof
 
 __all__ = ["OutstandingAttempt", "OwnerView", "choose_owner", "is_full"]
 
@@ -38,6 +39,7 @@
     :param steered_word_s: see ``RoutingTuning``.
     :param unproven_until_s: time until which the owner counts as one
         without an upstream that recent work has shown to be healthy.
+    :param report: odds and retry budget that the owner last reported.
     :param others_in_flight: requests of other ingresses in the last load
         report.
     """
@@ -57,6 +59,9 @@
     avoid_until_s: float = 0.0
     unproven_until_s: float = 0.0
     steered_word_s: float = 5.0
+    report: proof.OwnerReport = msgspec.field(
+        default_factory=proof.OwnerReport
+    )
 
     def note_load(self, now_s: float, load: types.OwnerLoad) -> None:
         """Record a load report of the owner."""
@@ -65,6 +70,7 @@
         total = load.in_flight + load.queued
         self.others_in_flight = max(0.0, total - self.in_flight)
         self.load_s = now_s
+        self.report.note(now_s, load.gray_odds, load.repeats_left)
 
     def note_heard(self, now_s: float) -> None:
         """Record that a frame from the owner has arrived."""
--- a/src/papayastall/_service_policy.py
+++ b/src/papayastall/_service_policy.py
@@ -10,6 +10,7 @@
 from papayastall import _health
 from papayastall import _retry
 from papayastall import documents
+from papayastall import proof
 
 __all__ = [
     "HealthTuning",
@@ -172,6 +173,8 @@
     :param failure_domain: of this node; breaks ties in routing.
     :param is_varied: whether requests cost very different amounts of work;
         switches on the decisions that depend on their expected cost.
+    :param proof_limits: limits of the decisions that rest on proof; in force
+        where ``is_varied`` is set.
     """
 
     floor_slots: int = 0
@@ -185,11 +188,16 @@
     health: HealthTuning | None = None
     routing: RoutingTuning = RoutingTuning()
     is_varied: bool = False
+    proof_limits: proof.ProofTuning = proof.ProofTuning()
 
     def thresholds(self) -> HealthTuning:
         """Return the health thresholds in force."""
         return self.health or health_tuning(self.health_priority)
 
+    def proof_tuning(self) -> proof.ProofTuning | None:
+        """Return the limits that rest on proof, ``None`` if not in force."""
+        return self.proof_limits if self.is_varied else None
+
 
 def from_document(
     document: documents.Document, failure_domain: str
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import random
 
 import msgspec
@@ -98,8 +99,9 @@
     if wants_proof:
         proven = [view for view in usable if view.unproven_until_s <= now_s]
         usable = proven or usable
+    preferred = _prefer(now_s, service, pending, usable)
     view = _routing.choose_owner(
-        now_s, usable, policy.failure_domain, tuning, rng
+        now_s, preferred, policy.failure_domain, tuning, rng
     )
     if view is not None:
         return OwnerChoice(view, False, wants_proof)
@@ -110,6 +112,24 @@
     return OwnerChoice(view, True) if view is not None else None
 
 
+def _prefer(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    usable: cabc.Sequence[_routing.OwnerView],
+) -> cabc.Sequence[_routing.OwnerView]:
+    """Return the owners among which the next attempt's owner is chosen."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None:
+        return usable
+    if pending.sent > 0 and tuning.checks_budget:
+        limits = service.policy.owner_retry_budget
+        usable = [
+            view for view in usable if view.report.may_repeat(now_s, limits)
+        ] or usable
+    return usable
+
+
 def _wants_proof(pending: state.PendingRequest) -> bool:
     """Return whether the request fails if its next attempt is lost."""
     if pending.unproven >= _MAX_UNPROVEN_REFUSALS:
