Hedge a lookup when it is more likely stuck than long

The delay of 2.5 medians, 0.3 s at least, was the same at an upstream that had just answered and at one in doubt. It now follows from the odds that the owner reported, aged towards the prior, and from the share of healthy runs that are as long: some 2 medians without a report, 3 to 4 at a proved upstream, 1.5 if the owner is avoided meanwhile or little time is left for a second run.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -459,6 +459,9 @@
     ) -> bool:
         if not _retry_rules.is_hedge_due(now_s, pending):
             return False
+        service = self._service(pending.request.service)
+        if not _service_view.is_likely_stuck(now_s, service, pending):
+            return False
         fingerprint = pending.request.fingerprint
         return not self._suspects.losses(now_s, fingerprint)
 
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from papayastall import _decision_types as types
+from papayastall import _gray_filter
 from papayastall import _ingress_state as state
 from papayastall import _routing
 from papayastall import exceptions
+from papayastall import proof
 
 __all__ = [
     "OwnerChoice",
@@ -18,6 +20,7 @@
     "has_room",
     "hedge_due_s",
     "hints",
+    "is_likely_stuck",
     "is_owner_avoided",
     "list_notices",
     "note_answer",
@@ -130,6 +133,39 @@
     return usable
 
 
+def _gray_model(service: state.ServiceView) -> _gray_filter.GrayModel:
+    model = service.policy.thresholds().evidence
+    if isinstance(model, _gray_filter.GrayModel):
+        return model
+    return _gray_filter.GrayModel()
+
+
+def is_likely_stuck(
+    now_s: float, service: state.ServiceView, pending: state.PendingRequest
+) -> bool:
+    """Return whether the open attempt is more likely stuck than long."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None or not tuning.hedges_by_odds:
+        return True
+    known_ms = reference_ms(service, pending.request.route)
+    if known_ms is None:
+        return True
+    model = _gray_model(service)
+    [attempt] = pending.open.values()
+    view = service.owners.get(attempt.owner)
+    gray_share = 1.0
+    if view is not None and not view.is_avoided(now_s):
+        gray_share = view.report.gray_share(now_s, model)
+    return proof.is_likely_stuck(
+        now_s - attempt.sent_s,
+        known_ms / 1000.0,
+        pending.request.deadline_s - now_s,
+        gray_share,
+        model,
+        tuning,
+    )
+
+
 def _wants_proof(pending: state.PendingRequest) -> bool:
     """Return whether the request fails if its next attempt is lost."""
     if pending.unproven >= _MAX_UNPROVEN_REFUSALS:
@@ -225,6 +261,9 @@
         if request.objective_s is not None:
             return now_s + _DEFAULT_HEDGE_OBJECTIVE_SHARE * request.objective_s
         return now_s + _DEFAULT_HEDGE_DELAY_S
+    limits = service.policy.proof_tuning()
+    if limits is not None and limits.hedges_by_odds:
+        return now_s + limits.min_hedge_s
     delay_s = tuning.hedge_factor * known_ms / 1000.0
     return now_s + max(tuning.min_hedge_s, delay_s)
 
--- a/src/papayastall/proof/__init__.py
+++ b/src/papayastall/proof/__init__.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from papayastall.proof._reports import OwnerReport
+from papayastall.proof._stuck import is_likely_stuck
 from papayastall.proof._tuning import ProofTuning
 
 __all__ = [
     "OwnerReport",
     "ProofTuning",
+    "is_likely_stuck",
 ]
--- a/src/papayastall/proof/_tuning.py
+++ b/src/papayastall/proof/_tuning.py
@@ -15,6 +15,21 @@
 
     :param checks_budget: whether second attempts go to owners that report
         retries left.
+    :param hedges_by_odds: whether the time of a hedge follows from the
+        estimate of its owner.
+    :param min_hedge_s: earliest time of a hedge.
+    :param min_stuck_ratio: earliest time of a hedge, as a ratio.
+    :param max_stuck_ratio: latest time of a hedge, as a ratio.
+    :param second_run_ratio: time to leave for the second attempt, as a
+        ratio. It may have to be moved to another owner first.
+    :param long_share: share of healthy run times that are far longer than
+        their distribution allows.
     """
 
     checks_budget: bool = True
+    hedges_by_odds: bool = True
+    min_hedge_s: float = 0.15
+    min_stuck_ratio: float = 1.5
+    max_stuck_ratio: float = 4.0
+    second_run_ratio: float = 5.0
+    long_share: float = 0.02
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -17,6 +17,7 @@
 from tests import decision_helpers as helpers
 
 MODEL = _gray_filter.GrayModel()
+TUNING = proof.ProofTuning()
 LIMITS = _retry.BudgetLimits(ratio=0.12, burst=2.0, refill_per_s=0.1)
 VARIED = _service_policy.for_table("domain-1", LIMITS, is_varied=True)
 OWNERS = 6
@@ -80,6 +81,23 @@
     raise AssertionError("not hedged")
 
 
+def test_hedges_at_doubtful_and_at_proved_upstreams() -> None:
+    """A doubtful upstream's lookup is hedged first, and to a proved one.
+
+    One delay for all hedges long runs of healthy upstreams, which spends the
+    retry budget, and leaves too little time for calls that hang.
+    """
+    delays = []
+    for odds in (1.0, -5.0):
+        ingress = _ingress()
+        for number in range(1, OWNERS + 1):
+            _report(ingress, number, gray_odds=odds)
+        delays.append(_hedged_after_s(ingress)[0])
+    doubtful_s, proved_s = delays
+    assert 0.15 <= doubtful_s < 0.3
+    assert 0.4 <= proved_s < 0.7
+
+
 def test_a_hedge_goes_to_an_owner_with_budget_left() -> None:
     """Owners have equal parts of the budget; others refuse the hedge."""
     ingress = _ingress()
@@ -94,6 +112,13 @@
     assert hedge.owner in rich
 
 
+def test_a_lookup_close_to_its_deadline_leaves_time_for_a_second_run() -> None:
+    """A call must end before its caller's time is over."""
+    for left_s, is_hedged in ((2.0, False), (0.5, True)):
+        stuck = proof.is_likely_stuck(0.3, 0.16, left_s, 0.02, MODEL, TUNING)
+        assert stuck is is_hedged
+
+
 @pytest.mark.parametrize(
     "odds", [math.nan, math.inf, -math.inf, 1e300, -1e300]
 )
