Prefer owners with recent proof for bookings and short lookups

A booking or a call went to any owner that was not in doubt, most of them without recent proof, and lost three of four times if that had begun to hang. Bookings, short lookups (mostly calls) and second attempts now go to owners whose aged odds are lowest, as long as one has a free slot; longer lookups go to owners without recent proof, so that these stay known and in use. The hook is one function that takes views and returns those to choose from. Log lines of refusals state how many owners count as proved.

--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -282,6 +282,9 @@
             "owners_known": len(view.owners),
             "owners_avoided": avoided,
         }
+        proved = _service_view.count_proved(now_s, view)
+        if proved is not None:
+            inputs["owners_proved"] = proved
         if math.isfinite(view.budget.tokens):
             inputs["repeats_left"] = round(view.budget.tokens, 2)
         return inputs
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -17,6 +17,7 @@
 __all__ = [
     "OwnerChoice",
     "choose",
+    "count_proved",
     "has_room",
     "hedge_due_s",
     "hints",
@@ -130,7 +131,30 @@
         usable = [
             view for view in usable if view.report.may_repeat(now_s, limits)
         ] or usable
-    return usable
+    is_fragile = _is_fragile(service, pending, tuning)
+    if not (tuning.prefers_likely if is_fragile else tuning.spreads_lookups):
+        return usable
+    prefer = proof.prefer_likely if is_fragile else proof.prefer_unproved
+    model = _gray_model(service)
+    decay_s = service.policy.routing.load_decay_s
+    return prefer(
+        usable,
+        lambda view: view.report.gray_share(now_s, model),
+        lambda view: not _routing.is_full(view, now_s, decay_s),
+        tuning,
+    )
+
+
+def count_proved(now_s: float, service: state.ServiceView) -> int | None:
+    """Return how many owners reported recent proof, ``None`` if not used."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None:
+        return None
+    model = _gray_model(service)
+    return sum(
+        view.report.gray_share(now_s, model) <= tuning.low_gray_share
+        for view in service.owners.values()
+    )
 
 
 def _gray_model(service: state.ServiceView) -> _gray_filter.GrayModel:
@@ -140,6 +164,22 @@
     return _gray_filter.GrayModel()
 
 
+def _is_fragile(
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    tuning: proof.ProofTuning,
+) -> bool:
+    """Return whether a lost attempt costs more than that of a lookup.
+
+    Most short lookups are calls, whose loss fails the run that sent them.
+    """
+    if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
+        return True
+    known_ms = reference_ms(service, pending.request.route)
+    is_short = known_ms is not None and known_ms <= 1000 * tuning.short_s
+    return is_short or pending.sent > 0
+
+
 def is_likely_stuck(
     now_s: float, service: state.ServiceView, pending: state.PendingRequest
 ) -> bool:
--- a/src/papayastall/proof/__init__.py
+++ b/src/papayastall/proof/__init__.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from papayastall.proof._preference import prefer_likely
+from papayastall.proof._preference import prefer_unproved
 from papayastall.proof._reports import OwnerReport
 from papayastall.proof._stuck import is_likely_stuck
 from papayastall.proof._tuning import ProofTuning
@@ -14,4 +16,6 @@
     "OwnerReport",
     "ProofTuning",
     "is_likely_stuck",
+    "prefer_likely",
+    "prefer_unproved",
 ]
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -67,6 +67,20 @@
     return owner
 
 
+def _first_owners(
+    ingress: _ingress_controller.IngressController,
+    kind: types.RequestKind,
+    now_s: float = 0.0,
+) -> set[str]:
+    owners = set()
+    for number in range(1, 30):
+        [forward] = ingress.begin(now_s, helpers.ingress_request(number, kind))
+        assert isinstance(forward, types.ForwardAttempt)
+        owners.add(forward.owner)
+        ingress.caller_gone(now_s, number)
+    return owners
+
+
 def _hedged_after_s(
     ingress: _ingress_controller.IngressController,
 ) -> tuple[float, types.ForwardAttempt]:
@@ -81,6 +95,53 @@
     raise AssertionError("not hedged")
 
 
+@pytest.mark.parametrize("kind", [helpers.BOOKING, helpers.LOOKUP])
+def test_bookings_and_calls_go_to_upstreams_that_just_answered(
+    kind: types.RequestKind,
+) -> None:
+    """Any other upstream may have begun to hang since its last answer."""
+    ingress = _ingress()
+    for number in range(1, OWNERS + 1):
+        _report(ingress, number, gray_odds=-1.5)
+    proved = {_report(ingress, 2, gray_odds=-5.0)}
+    assert _first_owners(ingress, kind) == proved
+    assert ingress.explain(0.0, helpers.SERVICE)["owners_proved"] == 1
+
+
+def test_an_old_report_counts_no_more_than_none() -> None:
+    """Gray periods begin within seconds, so old proof has no value."""
+    ingress = _ingress()
+    _report(ingress, 2, gray_odds=-5.0)
+    assert len(_first_owners(ingress, helpers.BOOKING, 60.0)) > 1
+
+
+def test_all_upstreams_in_doubt_still_take_bookings() -> None:
+    """An estimate must not cost a service its capacity."""
+    ingress = _ingress()
+    for number in range(1, OWNERS + 1):
+        _report(ingress, number, gray_odds=5.0)
+    assert _first_owners(ingress, helpers.BOOKING)
+
+
+def test_longer_lookups_go_to_upstreams_without_recent_proof() -> None:
+    """Healthy upstreams would get nothing if all requests followed proof."""
+    ingress = _ingress(run_ms=400.0)
+    proved = {_report(ingress, number, gray_odds=-5.0) for number in (1, 2)}
+    owners = _first_owners(ingress, helpers.LOOKUP)
+    assert not owners & proved
+
+
+def test_a_full_proved_upstream_leaves_bookings_to_the_others() -> None:
+    """Proof at one upstream must not queue all bookings there."""
+    ingress = _ingress()
+    proved = _report(ingress, 2, gray_odds=-5.0)
+    load = msgspec.structs.replace(
+        helpers.load(proved, in_flight=3), gray_odds=-5.0
+    )
+    ingress.note_load(0.0, load)
+    assert proved not in _first_owners(ingress, helpers.BOOKING)
+
+
 def test_hedges_at_doubtful_and_at_proved_upstreams() -> None:
     """A doubtful upstream's lookup is hedged first, and to a proved one.
 
