--- a/src/papayastall/_ingress_controller.py
+++ b/src/papayastall/_ingress_controller.py
@@ -158,7 +158,13 @@
         service = self._service(pending.request.service)
         _open_attempts.note_heard(now_s, service, pending, attempt, load)
         failed = status is not None and status >= 500
-        _service_view.note_answer(service, pending.request.route, load, failed)
+        _service_view.note_answer(
+            service,
+            pending.request.route,
+            load,
+            failed,
+            now_s - pending.open[attempt].sent_s,
+        )
         if failed and pending.request.kind is types.RequestKind.LOOKUP:
             replaced = self._replace(now_s, pending, attempt)
             if replaced:
@@ -278,6 +284,9 @@
             "owners_known": len(view.owners),
             "owners_avoided": avoided,
         }
+        proved = _service_view.count_proved(now_s, view)
+        if proved is not None:
+            inputs["owners_proved"] = proved
         if math.isfinite(view.budget.tokens):
             inputs["repeats_left"] = round(view.budget.tokens, 2)
         mean_ms = view.estimator.mean_ms(now_s)
@@ -331,6 +340,8 @@
         attempt = _open_attempts.open_attempt(
             now_s, service, pending, choice.view
         )
+        if is_repeat:
+            choice.view.report.note_repeat()
         pending.hedge_due_s = _service_view.hedge_due_s(
             now_s, service, request
         )
@@ -470,6 +481,9 @@
     ) -> bool:
         if not _retry_rules.is_hedge_due(now_s, pending):
             return False
+        service = self._service(pending.request.service)
+        if not _service_view.is_likely_stuck(now_s, service, pending):
+            return False
         fingerprint = pending.request.fingerprint
         return not self._suspects.losses(now_s, fingerprint)
 
--- a/src/papayastall/_service_view.py
+++ b/src/papayastall/_service_view.py
@@ -2,23 +2,28 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import random
 
 import msgspec
 
 from papayastall import _decision_types as types
+from papayastall import _gray_filter
 from papayastall import _ingress_state as state
 from papayastall import _routing
 from papayastall import exceptions
+from papayastall import proof
 from papayastall import work
 
 __all__ = [
     "OwnerChoice",
     "choose",
+    "count_proved",
     "expected_ms",
     "has_room",
     "hedge_due_s",
     "hints",
+    "is_likely_stuck",
     "is_owner_avoided",
     "list_notices",
     "note_answer",
@@ -104,7 +109,8 @@
     if wants_proof:
         proven = [view for view in usable if view.unproven_until_s <= now_s]
         usable = proven or usable
-    view = _choose_owner(now_s, service, pending, usable, rng)
+    preferred = _prefer(now_s, service, pending, usable)
+    view = _choose_owner(now_s, service, pending, preferred, rng)
     if view is not None:
         return OwnerChoice(view, False, wants_proof)
     reachable = [view for view in untried if not view.is_link_down]
@@ -116,7 +122,7 @@
     now_s: float,
     service: state.ServiceView,
     pending: state.PendingRequest,
-    views: list[_routing.OwnerView],
+    views: cabc.Sequence[_routing.OwnerView],
     rng: random.Random,
 ) -> _routing.OwnerView | None:
     """Choose by expected time, or by load while run times are unknown."""
@@ -138,6 +144,96 @@
     )
 
 
+def _prefer(
+    now_s: float,
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    usable: cabc.Sequence[_routing.OwnerView],
+) -> cabc.Sequence[_routing.OwnerView]:
+    """Return the owners among which the next attempt's owner is chosen."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None:
+        return usable
+    if pending.sent > 0 and tuning.checks_budget:
+        limits = service.policy.owner_retry_budget
+        usable = [
+            view for view in usable if view.report.may_repeat(now_s, limits)
+        ] or usable
+    is_fragile = _is_fragile(service, pending, tuning)
+    if not (tuning.prefers_likely if is_fragile else tuning.spreads_lookups):
+        return usable
+    prefer = proof.prefer_likely if is_fragile else proof.prefer_unproved
+    model = _gray_model(service)
+    decay_s = service.policy.routing.load_decay_s
+    return prefer(
+        usable,
+        lambda view: view.report.gray_share(now_s, model),
+        lambda view: not _routing.is_full(view, now_s, decay_s),
+        tuning,
+    )
+
+
+def count_proved(now_s: float, service: state.ServiceView) -> int | None:
+    """Return how many owners reported recent proof, ``None`` if not used."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None:
+        return None
+    model = _gray_model(service)
+    return sum(
+        view.report.gray_share(now_s, model) <= tuning.low_gray_share
+        for view in service.owners.values()
+    )
+
+
+def _gray_model(service: state.ServiceView) -> _gray_filter.GrayModel:
+    model = service.policy.thresholds().evidence
+    if isinstance(model, _gray_filter.GrayModel):
+        return model
+    return _gray_filter.GrayModel()
+
+
+def _is_fragile(
+    service: state.ServiceView,
+    pending: state.PendingRequest,
+    tuning: proof.ProofTuning,
+) -> bool:
+    """Return whether a lost attempt costs more than that of a lookup.
+
+    Most short lookups are calls, whose loss fails the run that sent them.
+    """
+    if pending.request.kind is types.RequestKind.NON_IDEMPOTENT:
+        return True
+    known_ms = reference_ms(service, pending.request.route)
+    is_short = known_ms is not None and known_ms <= 1000 * tuning.short_s
+    return is_short or pending.sent > 0
+
+
+def is_likely_stuck(
+    now_s: float, service: state.ServiceView, pending: state.PendingRequest
+) -> bool:
+    """Return whether the open attempt is more likely stuck than long."""
+    tuning = service.policy.proof_tuning()
+    if tuning is None or not tuning.hedges_by_odds:
+        return True
+    known_ms = reference_ms(service, pending.request.route)
+    if known_ms is None:
+        return True
+    model = _gray_model(service)
+    [attempt] = pending.open.values()
+    view = service.owners.get(attempt.owner)
+    gray_share = 1.0
+    if view is not None and not view.is_avoided(now_s):
+        gray_share = view.report.gray_share(now_s, model)
+    return proof.is_likely_stuck(
+        now_s - attempt.sent_s,
+        known_ms / 1000.0,
+        pending.request.deadline_s - now_s,
+        gray_share,
+        model,
+        tuning,
+    )
+
+
 def _wants_proof(pending: state.PendingRequest) -> bool:
     """Return whether the request fails if its next attempt is lost."""
     if pending.unproven >= _MAX_UNPROVEN_REFUSALS:
@@ -260,6 +356,9 @@
         if request.objective_s is not None:
             return now_s + _DEFAULT_HEDGE_OBJECTIVE_SHARE * request.objective_s
         return now_s + _DEFAULT_HEDGE_DELAY_S
+    limits = service.policy.proof_tuning()
+    if limits is not None and limits.hedges_by_odds:
+        return now_s + limits.min_hedge_s
     delay_s = tuning.hedge_factor * known_ms / 1000.0
     return now_s + max(tuning.min_hedge_s, delay_s)
 
@@ -269,17 +368,29 @@
     route: str,
     load: types.OwnerLoad | None,
     failed: bool,
+    took_s: float,
 ) -> None:
-    """Add an owner's answer to the reference of the route."""
+    """Add an owner's answer to the reference of the route.
+
+    An owner that has answered only few requests of the route reports no
+    median yet. Until then the time of the answer itself counts: without a
+    median, lookups are hedged too early.
+
+    :param took_s: time since the attempt was sent.
+    """
     known = service.references.get(route)
     if known is None:
         if len(service.references) >= _MAX_REFERENCE_ROUTES:
             return
         known = service.references[route] = state.RouteReference()
     known.errors.add(failed)
-    if load is not None and load.latency_ms is not None and not failed:
+    if failed:
+        return
+    if load is not None and load.latency_ms is not None:
         _note_slowness(service, route, load)
         known.median.add(load.latency_ms)
+    elif service.policy.is_varied:
+        known.median.add(took_s * 1000.0)
 
 
 def _note_slowness(
