--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -122,6 +122,7 @@
     :param net: second part of the loopback addresses; fleets that run at
         the same time need different ones.
     :param control_count: number of control machines, 3 or more.
+    :param limits: ``limits`` of the settings of all machines, if any.
     :ivar born_ms: Unix time of the start of the upstreams in milliseconds, as
         their heartbeats say.
     """
@@ -132,8 +133,10 @@
         services: t.Sequence[str],
         net: int,
         control_count: int = 3,
+        limits: dict[str, int] | None = None,
     ) -> None:
         self.folder = folder
+        self._limits = limits
         self.born_ms = int(time.time() * 1000)
         names = ("outbound", "ready", "control", "app", "link")
         ports: set[int] = set()
@@ -222,6 +225,7 @@
             "bounds": ["graceS=6", "budgetRatio=0.2", "budgetSlack=60"],
             "appAddr": None if is_control else self.address(machine, "app"),
             "service": machine.service or None,
+            "limits": self._limits,
         }
 
     def call(
