Limits on the memory and connections that untrusted clients can take

Causes: trailers were kept as headers without a limit. The limit of 16 pipelined requests did not hold, as one read was parsed to its end, however many requests it held, and as each answered request or body that was read resumed reading. Bodies were limited one by one, but not in sum, and each was kept in up to six copies (buffer, bytes, frames, owner, encoded request, transport). Refused bodies stayed alive in the tracebacks of their errors.

Limits of connections follow from descriptor_limit. Lookups of a connection may run side by side if memory_limit_mb is set: the application says so through scope["pipeline"]; others wait for their turn. The body of a request to this node's own upstream is not copied, and is written in pieces.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -44,6 +44,7 @@
     several attempts at the same time.
 
     :param rng: yields the first wire id; the others count up from it.
+    :param address: link address of this node.
     """
 
     def __init__(
@@ -52,7 +53,9 @@
         controller: _ingress_controller.IngressController,
         rng: random.Random,
         counters: metrics.Metrics,
+        address: str = "",
     ) -> None:
+        self._address = address
         self._counters = counters
         self.controller = controller
         self._links = links
@@ -264,7 +267,11 @@
             self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
             return
         attempt.owner_boot_id = self._links.boot_id(attempt.owner)
-        for frame in _make_frames(attempt, action, remaining_s):
+        first_bytes = BODY_CHUNK_BYTES
+        if attempt.owner == self._address:
+            # Frames to this node itself are not encoded.
+            first_bytes = max(first_bytes, len(attempt.exchange.body))
+        for frame in _make_frames(attempt, action, remaining_s, first_bytes):
             self._links.send(attempt.owner, frame)
 
     def _cancel(self, attempt: _exchange.Attempt) -> None:
@@ -531,7 +538,12 @@
     attempt: _exchange.Attempt,
     action: _decision_types.ForwardAttempt,
     remaining_s: float,
+    first_bytes: int,
 ) -> cabc.Iterator[_frames.Frame]:
+    """Yield the frames of an attempt.
+
+    :param first_bytes: length of the part of the body in the first frame.
+    """
     exchange = attempt.exchange
     request = exchange.request
     body = exchange.body
@@ -547,8 +559,8 @@
         method=exchange.method,
         target=exchange.target,
         headers=exchange.headers,
-        body=body[:BODY_CHUNK_BYTES],
-        body_follows=len(body) > BODY_CHUNK_BYTES,
+        body=body[:first_bytes],
+        body_follows=len(body) > first_bytes,
         claim_token=exchange.claim_token,
         claim_key=exchange.claim_key,
         reference_error_ratio=action.hints.reference_error_ratio,
@@ -561,7 +573,7 @@
         rank=request.rank,
         objective_ms=_objective_left_ms(exchange),
     )
-    for start in range(BODY_CHUNK_BYTES, len(body), BODY_CHUNK_BYTES):
+    for start in range(first_bytes, len(body), BODY_CHUNK_BYTES):
         end = start + BODY_CHUNK_BYTES
         yield _frames.BodyChunk(
             attempt.wire_id, body[start:end], end >= len(body)
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -19,9 +19,12 @@
 MAX_UNSENT_BYTES = 16 << 20
 """Unsent bytes beyond which a connection is closed."""
 READ_SIZE_BYTES = 1 << 16
+MAX_HELLO_BYTES = 4 << 10
+"""Size of the first frame of a connection, which is a hello."""
 
 _UNCOMPRESSED_FRAMES = (_frames.AnswerChunk, _frames.BodyChunk)
 
+BookInput = cabc.Callable[["Connection", int], bool]
 ReceiveFrame = cabc.Callable[["Connection", int, _frames.Frame], None]
 
 
@@ -34,6 +37,8 @@
 
     :param receive_frame: called for each frame, with this connection, the
         config index in the frame's header, and the frame.
+    :param book_input: books memory for the part of a frame that was received,
+        given the change in bytes; returns whether it may be kept.
     :ivar peer: the peer's hello, ``None`` until it arrives.
     :ivar address: the peer's link address; "" on an accepted connection
         until the peer's hello arrives.
@@ -41,9 +46,14 @@
     """
 
     def __init__(
-        self, stream: anyio.abc.ByteStream, receive_frame: ReceiveFrame
+        self,
+        stream: anyio.abc.ByteStream,
+        receive_frame: ReceiveFrame,
+        book_input: BookInput = lambda connection, more_bytes: True,
     ) -> None:
         self._stream = stream
+        self._book_input = book_input
+        self._booked_bytes = 0
         self._receive_frame = receive_frame
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
@@ -140,6 +150,8 @@
                 buffer += await self._stream.receive(READ_SIZE_BYTES)
                 self.last_received_s = clock.now_s()
                 self._dispatch_frames(buffer)
+                if len(buffer) > READ_SIZE_BYTES or self._booked_bytes:
+                    self._count_input(len(buffer))
         except exceptions.ProtocolError as error:
             self.error = error
         except (
@@ -150,8 +162,23 @@
         ):
             pass
         finally:
+            self._book_input(self, -self._booked_bytes)
+            self._booked_bytes = 0
             self.close()
 
+    def _count_input(self, size_bytes: int) -> None:
+        """Book the part of a frame that was received.
+
+        :raises papayastall.exceptions.ProtocolError: it may not be kept.
+        """
+        if not self._book_input(self, size_bytes - self._booked_bytes):
+            raise exceptions.ProtocolError(
+                exceptions.ErrorCode.MEMORY_FULL,
+                "the memory for peers that are not members is in use",
+                step="receive",
+            )
+        self._booked_bytes = size_bytes
+
     def _dispatch_frames(self, buffer: bytearray) -> None:
         """Decode each complete frame and remove it from the buffer."""
         position = 0
@@ -159,6 +186,12 @@
         while len(buffer) - position >= header_size:
             start = position + header_size
             header = _frames.decode_header(bytes(buffer[position:start]))
+            if self.peer is None and header.size_bytes > MAX_HELLO_BYTES:
+                raise exceptions.ProtocolError(
+                    exceptions.ErrorCode.BAD_FRAME,
+                    "the first frame must be a hello",
+                    step="receive",
+                )
             end = start + header.size_bytes
             if len(buffer) < end:
                 break
--- a/src/papayastall/_control_app.py
+++ b/src/papayastall/_control_app.py
@@ -13,6 +13,7 @@
 from papayastall import _http_server
 from papayastall import _problem
 from papayastall import exceptions
+from papayastall import memory
 
 __all__ = ["ControlApp", "Handler"]
 
@@ -85,20 +86,20 @@
 
 
 async def _read_json(receive: Receive) -> t.Any:
-    body = bytearray()
+    body = memory.BodyBuffer()
     more = True
     while more:
         message = await receive()
-        body += message.get("body", b"")
+        body.add(message.get("body", b""))
         more = message.get("more_body", False)
-        if len(body) > MAX_BODY_BYTES or message["type"] == "http.disconnect":
+        if body.size > MAX_BODY_BYTES or message["type"] == "http.disconnect":
             raise exceptions.BadInputError(
                 _Code.BODY_TOO_LARGE,
                 f"send a whole body of at most {MAX_BODY_BYTES} bytes",
                 step="control",
             )
     try:
-        return orjson.loads(bytes(body))
+        return orjson.loads(body.take())
     except orjson.JSONDecodeError as error:
         raise exceptions.BadInputError(
             _Code.BAD_REQUEST,
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -26,6 +26,7 @@
 from papayastall import _peering
 from papayastall import clock
 from papayastall import exceptions
+from papayastall import memory
 from papayastall import metrics
 
 __all__ = ["LinkEvent", "LinkSettings", "Links"]
@@ -90,6 +91,10 @@
     :param get_config_index: returns the config index to send with frames.
     :param on_config_index: called with the peer's address and the
         config index of each frame that arrives.
+    :param account: books the memory of frames that are being received.
+    :param is_member: returns whether a link address is that of a member.
+    :param max_strangers: accepted connections of peers that are not known
+        as members, beyond which further ones are closed.
     :ivar rejected_connections: connections closed because of malformed
         input.
     """
@@ -100,8 +105,17 @@
         counters: metrics.Metrics,
         get_config_index: cabc.Callable[[], int] = lambda: 0,
         on_config_index: cabc.Callable[[str, int], None] = lambda p, i: None,
+        account: memory.MemoryAccount | None = None,
+        is_member: cabc.Callable[[str], bool] = lambda address: True,
+        max_strangers: int | None = None,
     ) -> None:
         self.settings = settings
+        self._account = account
+        self._is_member = is_member
+        self._max_strangers = max_strangers
+        self._accepted: dict[_connection.Connection, None] = {}
+        # Bytes booked for strangers, by connection.
+        self._booked: dict[_connection.Connection, int] = {}
         self._counters = counters
         self._get_config_index = get_config_index
         self._on_config_index = on_config_index
@@ -303,9 +317,61 @@
             pass
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
-        connection = _connection.Connection(stream, self._receive)
-        self._start_hello_timeout(connection, HELLO_TIMEOUT_S)
-        await self._run(connection)
+        connection = _connection.Connection(
+            stream, self._receive, self._book_input
+        )
+        self._accepted[connection] = None
+        try:
+            if self._has_too_many_strangers():
+                await stream.aclose()
+                return
+            self._start_hello_timeout(connection, HELLO_TIMEOUT_S)
+            await self._run(connection)
+        finally:
+            del self._accepted[connection]
+
+    def _has_too_many_strangers(self) -> bool:
+        """Return whether to close the connection that was just accepted.
+
+        At the limit the oldest one without a hello is closed instead.
+        """
+        limit = self._max_strangers
+        if limit is None or len(self._accepted) <= limit:
+            return False
+        strangers = [each for each in self._accepted if self._is_strange(each)]
+        if len(strangers) <= limit:
+            return False
+        for each in strangers[:-1]:
+            if each.peer is None and not each.is_closed:
+                each.close()
+                return False
+        return True
+
+    def _is_strange(self, connection: _connection.Connection) -> bool:
+        return connection.peer is None or not self._is_member(
+            connection.address
+        )
+
+    def _book_input(
+        self, connection: _connection.Connection, more_bytes: int
+    ) -> bool:
+        """Book a part of a frame; refused only of peers without membership."""
+        if self._account is None:
+            return True
+        strange = memory.MemoryClass.STRANGERS
+        booked = self._booked.get(connection, 0)
+        if booked == 0 and not self._is_strange(connection):
+            return True
+        if more_bytes > 0 and not self._account.book(strange, more_bytes):
+            return False
+        if more_bytes < 0:
+            more_bytes = max(more_bytes, -booked)
+            self._account.release(strange, -more_bytes)
+        if booked + more_bytes:
+            self._booked[connection] = booked + more_bytes
+        else:
+            self._booked.pop(connection, None)
+        return True
 
     def _start_hello_timeout(
         self, connection: _connection.Connection, timeout_s: float
--- a/src/papayastall/_listener.py
+++ b/src/papayastall/_listener.py
@@ -16,7 +16,7 @@
 
 import anyio
 
-__all__ = ["close_listener"]
+__all__ = ["close_listener", "open_listener"]
 
 HANDSHAKE_WAIT_S = 0.02
 """Time for handshakes in progress to end: many round trips within a site."""
@@ -41,6 +41,23 @@
         """Set an option of the socket."""
 
 
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a bound, non-blocking TCP socket; it does not listen yet.
+
+    :raises OSError: the address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setblocking(False)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 async def close_listener(
     server: asyncio.Server, note_failure: cabc.Callable[[Exception], None]
 ) -> None:
--- /dev/null
+++ b/src/papayastall/_node_memory.py
@@ -0,0 +1,110 @@
+"""The memory account of a node, and its limits on connections."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import enum
+
+import anyio
+
+from papayastall import memory
+from papayastall import metrics
+
+__all__ = ["NodeMemory", "PortKind"]
+
+WATCH_INTERVAL_S = 1.0
+QUIET_BYTES = 1 << 20
+"""Booked bytes below which the resident memory is that of the node itself."""
+TRIM_BYTES = 8 << 20
+"""Growth of the resident memory after which freed memory is returned."""
+
+_Class = memory.MemoryClass
+
+_COUNTERS = {
+    _Class.HEADS: metrics.Counter.MEMORY_REFUSED_HEADS,
+    _Class.BODIES: metrics.Counter.MEMORY_REFUSED_BODIES,
+    _Class.LINKS: metrics.Counter.MEMORY_REFUSED_LINKS,
+    _Class.STRANGERS: metrics.Counter.MEMORY_REFUSED_STRANGERS,
+    _Class.CONTROL: metrics.Counter.MEMORY_REFUSED_CONTROL,
+}
+
+
+class PortKind(enum.Enum):
+    """Kinds of ports; the value is the share of the descriptors.
+
+    There are up to three control ports. What is left, two fifths, is for
+    links between members, connections to upstreams and files.
+    """
+
+    CALLERS = 0.25
+    LINKS = 0.1
+    """Connections of peers that are not known as members."""
+    CONTROL = 0.05
+
+
+class NodeMemory:
+    """Keeps the account in step with the process, and reports refusals.
+
+    :param limit_mb: memory that the process may use; ``None`` for that of
+        the VM.
+    :param descriptor_limit: descriptors that the process may open; ``None``
+        for no limit on connections.
+    :param log: writes one log line with a cause.
+    """
+
+    def __init__(
+        self,
+        limit_mb: int | None,
+        descriptor_limit: int | None,
+        counters: metrics.Metrics,
+        log: cabc.Callable[[str], None],
+    ) -> None:
+        self._descriptor_limit = descriptor_limit
+        self._counters = counters
+        self._log = log
+        limit_bytes = memory.read_vm_bytes()
+        if limit_mb is not None:
+            memory.return_large_blocks()
+            limit_bytes = limit_mb << 20
+        self._own_bytes = memory.read_own_bytes()
+        self.account = memory.MemoryAccount(limit_bytes, self._own_bytes)
+        self._reported = dict(self.account.refusals)
+
+    def max_connections(self, kind: PortKind) -> int | None:
+        """Return the limit of connections of a port, if there is one."""
+        if self._descriptor_limit is None:
+            return None
+        return max(1, int(kind.value * self._descriptor_limit))
+
+    async def run(self) -> None:
+        """Watch the memory of the process, and report once a second."""
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            self._measure()
+            self._report()
+
+    def _measure(self) -> None:
+        if self.account.used_bytes > QUIET_BYTES:
+            return
+        own_bytes = memory.read_own_bytes()
+        if own_bytes > self._own_bytes + TRIM_BYTES:
+            memory.return_freed_memory()
+            own_bytes = memory.read_own_bytes()
+        self._own_bytes = own_bytes
+        self.account.resize(own_bytes)
+
+    def _report(self) -> None:
+        causes = []
+        for each, count in self.account.refusals.items():
+            more = count - self._reported[each]
+            if not more:
+                continue
+            self._reported[each] = count
+            if each in _COUNTERS:
+                self._counters.count(_COUNTERS[each], more)
+            causes.append(
+                f"{more} of {each.value}: {self.account.used(each)} of "
+                f"{self.account.limit(each)} bytes are in use"
+            )
+        if causes:
+            self._log("no memory for " + "; ".join(causes))
--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -27,7 +27,8 @@
     :param open: the frame that opened the request.
     :param arrived_s: when that frame arrived.
     :param waiting_ms: time from the arrival to the dispatch.
-    :param body: the request's body as received so far.
+    :param body: parts of the request's body as received so far.
+    :param booked_bytes: memory that is booked for the body.
     :param submitted: whether the body is complete and the request was
         passed to the controller.
     :param dispatched: whether the request was passed to an upstream.
@@ -46,7 +47,8 @@
     deadline_s: float
     arrived_s: float = 0.0
     waiting_ms: float = 0.0
-    body: bytearray = msgspec.field(default_factory=bytearray)
+    body: list[bytes] = msgspec.field(default_factory=list)
+    booked_bytes: int = 0
     submitted: bool = False
     dispatched: bool = False
     abandoned: bool = False
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -199,9 +199,9 @@
     ) -> _decision_types.Outcome:
         answer: _upstream_connection.UpstreamAnswer | None = None
         try:
-            data = self._encode(request, deadline_s)
+            head = self._encode_head(request, deadline_s)
             is_head = request.method == b"HEAD"
-            answer = await connection.send(data, is_head)
+            answer = await connection.send(head, request.body, is_head)
             outcome = await self._relay(
                 connection, request, answer, sink, is_reused
             )
@@ -363,7 +363,9 @@
         else:
             connection.close()
 
-    def _encode(self, request: UpstreamRequest, deadline_s: float) -> bytes:
+    def _encode_head(
+        self, request: UpstreamRequest, deadline_s: float
+    ) -> bytes:
         """Return a request as bytes, with the time left in its header.
 
         The deadline is checked here because this process may have been
@@ -392,4 +394,4 @@
         if request.body or request.method not in (b"GET", b"HEAD"):
             lines.append(b"content-length: %d" % len(request.body))
         lines.append(b"\r\n")
-        return b"\r\n".join(lines) + request.body
+        return b"\r\n".join(lines)
--- a/src/papayastall/_upstream_connection.py
+++ b/src/papayastall/_upstream_connection.py
@@ -30,6 +30,7 @@
 timeout, because the upstream may be closing it."""
 DEFAULT_KEEP_ALIVE_S = 4.0
 """Keep-alive timeout of upstreams that do not announce one."""
+WRITE_SIZE_BYTES = 64 << 10
 MAX_UNREAD_BYTES = 256 << 10
 """Unread bytes of a body above which the connection is not read further."""
 MAX_FRAMING_BYTES = 64 << 10
@@ -105,6 +106,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._expires_s = 0.0
+        self._unsent = memoryview(b"")
         self.is_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -112,6 +114,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
+        self._unsent = memoryview(b"")
         self._writable.set()
         answer = self._answer
         if answer is not None and not answer.complete:
@@ -129,6 +132,15 @@
 
     def resume_writing(self) -> None:
         self._writable.set()
+        self._write_unsent()
+
+    def _write_unsent(self) -> None:
+        """Write the body in pieces, so that the transport copies only one."""
+        assert self._transport is not None
+        while self._unsent and self._writable.is_set() and not self.is_closed:
+            piece = self._unsent[:WRITE_SIZE_BYTES]
+            self._unsent = self._unsent[WRITE_SIZE_BYTES:]
+            self._transport.write(piece)
 
     def data_received(self, data: bytes) -> None:
         if self._answer is None or self._answer.complete:
@@ -220,10 +232,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def send(self, data: bytes, is_head_request: bool) -> UpstreamAnswer:
+    async def send(
+        self, head: bytes, body: bytes, is_head_request: bool
+    ) -> UpstreamAnswer:
         """Send a request and return its answer when the head has arrived.
 
-        :param data: the encoded request, sent in one write.
+        :param head: the encoded head; a short body is sent with it in one
+            write.
         :param is_head_request: whether the answer has no body although its
             headers may describe one.
         :raises AnswerBroken: the connection closed before the head arrived.
@@ -235,7 +250,12 @@
         self._has_head = False
         self._framing_bytes = 0
         self._is_head_request = is_head_request
-        self._transport.write(data)
+        if len(body) <= WRITE_SIZE_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._unsent = memoryview(body)
+            self._write_unsent()
         while not answer.status:
             await self._wait(answer)
         return answer
@@ -261,6 +281,7 @@
         self._answer = None
         self._resume_reading()
         is_clean = answer.complete and answer.keeps_alive
+        is_clean = is_clean and not self._unsent
         if not is_clean or self._has_extra_bytes or self.is_closed:
             self.close()
             return
--- a/src/papayastall/embedding.py
+++ b/src/papayastall/embedding.py
@@ -19,6 +19,7 @@
 from papayastall._http_server import send_answer
 from papayastall._problem import problem_of
 from papayastall.http_names import HeaderNames
+from papayastall.memory import BodyBuffer
 from papayastall.node import Interfaces
 from papayastall.node import Node
 from papayastall.node import run
@@ -29,6 +30,7 @@
 
 __all__ = [
     "Address",
+    "BodyBuffer",
     "ControlGroupSettings",
     "HeaderNames",
     "HttpServer",
--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -64,6 +64,8 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
     QUOTA_EXCEEDED = "quota-exceeded"
+    MEMORY_FULL = "memory-full"
+    BODY_TOO_SLOW = "body-too-slow"
 
 
 class RanState(enum.Enum):
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -28,6 +28,7 @@
 from papayastall import histograms
 from papayastall import http_names
 from papayastall import logs
+from papayastall import memory
 from papayastall import metrics
 
 __all__ = [
@@ -144,6 +145,8 @@
         force here has been accepted, as far as control can be asked.
     :param key_lease: checked for each request that shows a key.
     :param quotas: of the teams whose keys callers show.
+    :param pipelines_lookups: whether the lookups of one connection may run
+        side by side.
     :ivar open_requests: number of requests being handled.
     """
 
@@ -163,7 +166,9 @@
         is_latest: cabc.Callable[[], cabc.Awaitable[bool]] = _assume_latest,
         key_lease: KeyLease = _NoKeyLease(),
         quotas: TeamQuotas = _NoQuotas(),
+        pipelines_lookups: bool = False,
     ) -> None:
+        self._pipelines_lookups = pipelines_lookups
         self._names = names
         self._local_service = local_service
         self._blackboard = blackboard
@@ -214,7 +219,7 @@
             return
         if exchange.chosen is not None and exchange.chosen.complete:
             self._count(metrics.Counter.ANSWERS, exchange)
-            total_ms = (clock.now_s() - started_s) * 1000
+            total_ms = (clock.now_s() - exchange.started_s) * 1000
             self._record_sample(_make_sample(exchange, total_ms))
 
     def _log_unread(
@@ -246,6 +251,8 @@
         target = await self._resolve(scope)
         if target.team:
             self._key_lease.check()
+        if self._pipelines_lookups:
+            started_s = await _order(scope, target, started_s)
         timeout_ms = self._read_timeout_ms(scope, target)
         body = await _read_body(scope, receive, target.max_body_bytes)
         method = scope["method"].encode()
@@ -422,6 +429,8 @@
             raise _Aborted from group
         finally:
             self._attempts.close(exchange)
+            # Cancelled tasks may refer to the exchange for some time.
+            exchange.body = b""
 
     async def _cancel_on_disconnect(
         self,
@@ -566,23 +575,43 @@
         await self.finish(body)
 
 
+async def _order(
+    scope: Scope, target: _route_resolution.ResolvedRoute, started_s: float
+) -> float:
+    """Let the next request of a connection begin, or wait for the earlier.
+
+    :returns: when the request began, which is after its wait.
+    :raises papayastall.exceptions.RefusedError: the connection was closed.
+    """
+    pipeline = scope.get("pipeline")
+    if pipeline is None:
+        return started_s
+    if target.kind is _Kind.LOOKUP:
+        pipeline.allow_next()
+        return started_s
+    if pipeline.has_earlier:
+        await pipeline.wait_for_turn()
+        return clock.now_s()
+    return started_s
+
+
 async def _read_body(
     scope: Scope, receive: Receive, limit_bytes: int
 ) -> bytes:
     length = _find_header(scope, b"content-length")
     if length is not None and int(length) > limit_bytes:
         raise _body_too_large(limit_bytes)
-    body = bytearray()
+    body = memory.BodyBuffer()
     with anyio.move_on_after(BODY_TIMEOUT_S):
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
                 break
-            body += message.get("body", b"")
-            if len(body) > limit_bytes:
+            body.add(message.get("body", b""))
+            if body.size > limit_bytes:
                 raise _body_too_large(limit_bytes)
             if not message.get("more_body", False):
-                return bytes(body)
+                return body.take()
     raise exceptions.RefusedError(
         _Code.BAD_REQUEST,
         f"the body did not arrive whole within {BODY_TIMEOUT_S:g} s",
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -125,6 +125,34 @@
     )
     ELECTIONS = Description("elections", "elections", "started by this node")
     FSYNCS = Description("fsyncs", "calls", "of fsync on the data folder")
+    MEMORY_REFUSED_HEADS = Description(
+        "memory_refused_heads", "requests", "heads without memory for them"
+    )
+    MEMORY_REFUSED_BODIES = Description(
+        "memory_refused_bodies",
+        "requests",
+        "bodies of callers without memory for them",
+    )
+    MEMORY_REFUSED_LINKS = Description(
+        "memory_refused_links",
+        "requests",
+        "bodies from other nodes without memory for them",
+    )
+    MEMORY_REFUSED_STRANGERS = Description(
+        "memory_refused_strangers",
+        "connections",
+        "of peers that are not members, without memory for a frame",
+    )
+    MEMORY_REFUSED_CONTROL = Description(
+        "memory_refused_control",
+        "requests",
+        "of upstreams and operators without memory for them",
+    )
+    CONNECTIONS_REFUSED = Description(
+        "connections_refused",
+        "connections",
+        "closed for others at the limit of a port",
+    )
     METRICS_DROPPED = Description(
         "metrics_dropped", "series", "not counted: too many at once"
     )
@@ -145,6 +173,12 @@
         "datagrams",
         "with another key or a wrong form since the start",
     )
+    MEMORY_BOOKED = Description(
+        "memory_booked_bytes", "bytes", "kept for requests and answers"
+    )
+    MEMORY_TOTAL = Description(
+        "memory_total_bytes", "bytes", "that may be kept for them"
+    )
     LOOP_DELAY = Description(
         "loop_delay_ms", "ms", "by which the event loop is late"
     )
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -33,6 +33,7 @@
 from papayastall import _links
 from papayastall import _membership
 from papayastall import _membership_types
+from papayastall import _node_memory
 from papayastall import _node_monitor
 from papayastall import _notices
 from papayastall import _owner_controller
@@ -53,6 +54,7 @@
 from papayastall import http_names
 from papayastall import ingress
 from papayastall import logs
+from papayastall import memory
 from papayastall import metrics
 from papayastall import owner
 from papayastall import route_table
@@ -173,6 +175,12 @@
             node_settings.statsd_address, node_settings.link_address
         )
         self.histograms = histograms.HistogramTable()
+        self.memory = _node_memory.NodeMemory(
+            node_settings.memory_limit_mb,
+            node_settings.descriptor_limit,
+            self.counters,
+            lambda cause: self._log_state("running", "running", cause),
+        )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._group_folder: _group_folder.GroupFolder | None = None
         if node_settings.control_group and node_settings.data_folder:
@@ -203,6 +211,13 @@
             self.counters,
             lambda: self.blackboard.config_index,
             lambda peer, index: self.control.config.observe(peer, index),
+            account=self.memory.account,
+            is_member=lambda peer: (
+                peer in self._seeds or self.membership.member(peer) is not None
+            ),
+            max_strangers=self.memory.max_connections(
+                _node_memory.PortKind.LINKS
+            ),
         )
 
     def _build_membership(self) -> None:
@@ -282,12 +297,17 @@
             self.control.claims,
             self.spread_suspect,
             self.interfaces.names,
+            self.memory.account,
         )
         self.ingress_controller = _ingress_controller.IngressController(
             address, self._rng
         )
         self.attempts = _attempts.AttemptSender(
-            self.links, self.ingress_controller, self._rng, self.counters
+            self.links,
+            self.ingress_controller,
+            self._rng,
+            self.counters,
+            address,
         )
         self.ingress = ingress.Ingress(
             self.blackboard,
@@ -302,6 +322,7 @@
             local_service=self.settings.local_service,
             explain_config=self.control.config.explain,
             is_latest=self.control.config.is_latest,
+            pipelines_lookups=self.settings.memory_limit_mb is not None,
         )
 
     def _build_servers(self) -> None:
@@ -311,8 +332,11 @@
         self.servers: list[_http_server.HttpServer] = []
         self.caller_server: _http_server.HttpServer | None = None
         if self.settings.caller_address is not None:
-            self.caller_server = self.make_server(
-                self.ingress, self.settings.caller_address
+            self.caller_server = self._make_server(
+                self.ingress,
+                self.settings.caller_address,
+                None,
+                _node_memory.PortKind.CALLERS,
             )
             self.servers.append(self.caller_server)
         self.servers += self.interfaces.make_servers(self)
@@ -331,9 +355,33 @@
         tls: ssl.SSLContext | None = None,
     ) -> _http_server.HttpServer:
         """Return an HTTP server, to be started and closed with this node."""
-        close_timeout_s = self.settings.shutdown_timeout_ms / 1000
+        kind = _node_memory.PortKind.CONTROL
+        return self._make_server(application, address, tls, kind)
+
+    def _make_server(
+        self,
+        application: _http_server.Application,
+        address: str,
+        tls: ssl.SSLContext | None,
+        kind: _node_memory.PortKind,
+    ) -> _http_server.HttpServer:
+        heads = bodies = memory.MemoryClass.CONTROL
+        if kind is _node_memory.PortKind.CALLERS:
+            heads = memory.MemoryClass.HEADS
+            bodies = memory.MemoryClass.BODIES
         return _http_server.HttpServer(
-            application, address, close_timeout_s, tls, self._log_app_failure
+            application,
+            address,
+            self.settings.shutdown_timeout_ms / 1000,
+            tls,
+            self._log_app_failure,
+            account=self.memory.account,
+            heads_class=heads,
+            bodies_class=bodies,
+            max_connections=self.memory.max_connections(kind),
+            count_refused_connection=lambda: self.counters.count(
+                metrics.Counter.CONNECTIONS_REFUSED
+            ),
         )
 
     def make_control_server(self) -> _http_server.HttpServer:
@@ -373,6 +421,7 @@
             tasks.start_soon(self._update_control)
         tasks.start_soon(self._advertise)
         tasks.start_soon(self._make_monitor().run)
+        tasks.start_soon(self.memory.run)
         for server in self.servers:
             await server.start(tasks)
         cause = "all listeners are open"
@@ -406,6 +455,8 @@
         gossip = self.gossiper.counters
         return {
             metrics.Gauge.IN_FLIGHT: in_flight,
+            metrics.Gauge.MEMORY_BOOKED: self.memory.account.used_bytes,
+            metrics.Gauge.MEMORY_TOTAL: self.memory.account.total_bytes,
             metrics.Gauge.LINKS: self.links.open_count,
             metrics.Gauge.MEMBERS_ALIVE: len(self.membership.members()),
             metrics.Gauge.CONFIG_INDEX: self.blackboard.config_index,
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -19,6 +19,7 @@
 from papayastall import clock
 from papayastall import exceptions
 from papayastall import http_names
+from papayastall import memory
 from papayastall import metrics
 
 __all__ = ["ClaimRecorder", "Owner", "PermitRequester"]
@@ -29,6 +30,9 @@
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
 MAX_RECORDED_BODY_BYTES = 64 << 10
+MEMORY_RETRY_AFTER_MS = 1_000
+BODY_COPIES = 2
+"""Copies of a body that another node sends: its parts, and the whole."""
 
 Outcome = _decision_types.Outcome
 Actions = cabc.Sequence[_decision_types.OwnerAction]
@@ -86,6 +90,7 @@
     :param spread_suspect: called with notices of requests that may crash
         upstreams.
     :param names: names of the headers exchanged with upstreams.
+    :param account: books the bodies that other nodes send.
     """
 
     def __init__(
@@ -99,7 +104,9 @@
             [_decision_types.SuspectNotice], None
         ] = lambda notice: None,
         names: http_names.HeaderNames = http_names.HeaderNames(),
+        account: memory.MemoryAccount | None = None,
     ) -> None:
+        self._account = account
         self.controller = controller
         self._links = links
         self._permits = permits
@@ -194,7 +201,11 @@
                 retry_after_ms=0,
             )
             return
-        run.body += frame.body
+        body = frame.body
+        # The run keeps the frame for longer than the body is needed.
+        frame.body = b""
+        if not self._keep_body(run, body):
+            return
         if not frame.body_follows:
             self._submit(run)
 
@@ -204,10 +215,54 @@
         run = self._runs.find((ingress, boot_id, frame.request_id))
         if run is None or run.submitted or run.ended_s is not None:
             return
-        run.body += frame.data
+        if not self._keep_body(run, frame.data):
+            return
         if frame.last:
             self._submit(run)
 
+    def _keep_body(self, run: _owner_runs.Run, data: bytes) -> bool:
+        """Add a part of a body; end the run if there is no memory for it."""
+        if data and not self._book(run, len(data)):
+            self._end(
+                run,
+                exceptions.ErrorCode.OVERLOADED,
+                ran_unknown=False,
+                retry_after_ms=MEMORY_RETRY_AFTER_MS,
+            )
+            return False
+        if data:
+            run.body.append(data)
+        return True
+
+    def _book(self, run: _owner_runs.Run, size_bytes: int) -> bool:
+        """Book a part of a body that another node sends.
+
+        One of this node itself is booked by its ingress and not copied. A
+        single body may take what other classes leave, so that a large one
+        passes while there is little load.
+        """
+        account = self._account
+        if account is None or run.ingress == self._links.settings.address:
+            return True
+        size_bytes *= BODY_COPIES
+        links = memory.MemoryClass.LINKS
+        if account.used(links) == run.booked_bytes:
+            if account.used_bytes + size_bytes > account.total_bytes:
+                return False
+            account.charge(links, size_bytes)
+        elif not account.book(links, size_bytes):
+            return False
+        run.booked_bytes += size_bytes
+        return True
+
+    def _release_body(self, run: _owner_runs.Run) -> None:
+        """Drop the body of a run that has ended."""
+        run.body = []
+        if self._account is not None and run.booked_bytes:
+            links = memory.MemoryClass.LINKS
+            self._account.release(links, run.booked_bytes)
+            run.booked_bytes = 0
+
     def _submit(self, run: _owner_runs.Run) -> None:
         run.submitted = True
         frame = run.open
@@ -346,6 +401,8 @@
         final: bool = False,
     ) -> None:
         run.ended_s = clock.now_s()
+        if not run.dispatched:
+            self._release_body(run)
         run.refusal = _frames.Refuse(
             request_id=run.open.request_id,
             code=code.value,
@@ -368,7 +425,7 @@
             method=run.open.method,
             target=run.open.target,
             headers=run.open.headers,
-            body=bytes(run.body),
+            body=b"".join(run.body),
             idempotent=run.open.idempotent,
             sends_once=action.sends_once,
         )
@@ -377,8 +434,14 @@
         run.waiting_ms = (started_s - run.arrived_s) * 1000
         timeout_s = run.deadline_s - started_s
         assert run.scope is not None
-        with run.scope:
-            outcome = await self._client.run(request, timeout_s, sink)
+        # The request holds the only copy.
+        run.body = []
+        try:
+            with run.scope:
+                outcome = await self._client.run(request, timeout_s, sink)
+        finally:
+            del request
+            self._release_body(run)
         if outcome is Outcome.SHED:
             self._count(metrics.Counter.SHEDS, run)
         elif outcome not in (Outcome.ANSWERED, Outcome.CANCELLED):
