--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -10,6 +10,7 @@
 import orjson
 import pytest
 
+from papayastall import _decision_types
 from papayastall import _route_lookup
 from papayastall import blackboard as blackboards
 from papayastall import http_names
@@ -137,3 +138,66 @@
     with pytest.raises(Forwarded):
         call(application, "/added/")
     assert call(application, "/unknown/")["status"] == 404
+
+
+class FakePipeline:
+    """Place of a request behind an earlier one; records what is asked."""
+
+    has_earlier = True
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def allow_next(self) -> None:
+        self.calls.append("allow")
+
+    async def wait_for_turn(self) -> None:
+        self.calls.append("wait")
+
+
+# Guards against requests that must run once and run beside an earlier one,
+# whose answer may still close the connection.
+@pytest.mark.parametrize(
+    ("kind", "pipelines_lookups", "calls"),
+    [
+        (_decision_types.RequestKind.LOOKUP, True, ["allow"]),
+        (_decision_types.RequestKind.NON_IDEMPOTENT, True, ["wait"]),
+        (_decision_types.RequestKind.LOOKUP, False, []),
+    ],
+)
+def test_only_lookups_let_the_next_request_begin(
+    kind: _decision_types.RequestKind,
+    pipelines_lookups: bool,
+    calls: list[str],
+) -> None:
+    async def receive() -> Message:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(message: Message) -> None:
+        raise AssertionError(message)
+
+    blackboard = make_blackboard()
+    route = route_helpers.make_route("known", kind=kind)
+    blackboard.routing = blackboards.TableRouting(
+        _route_lookup.RouteLookup(route_helpers.make_table(1, route))
+    )
+    application = ingress.Ingress(
+        blackboard,
+        lambda: True,
+        t.cast(t.Any, FakeSender()),
+        metrics.Metrics(None, "10.0.0.1:1"),
+        pipelines_lookups=pipelines_lookups,
+    )
+    pipeline = FakePipeline()
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": "/known/",
+        "raw_path": b"/known/",
+        "query_string": b"",
+        "headers": [(b"host", b"a.example")],
+        "pipeline": pipeline,
+    }
+    with pytest.raises(Forwarded):
+        anyio.run(application, scope, receive, send)
+    assert pipeline.calls == calls
