Drop input behind a request that ends its connection; check keys after waits

A lookup behind a request with "Connection: close" could begin beside it. And a request that waited for its turn was checked against the keys of before its wait.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -297,6 +297,7 @@
         self._closes = False
         self._input_ended = False
         self._is_new = True
+        self._is_last = False
         self._has_sent_head = False
         self._answer_bytes = 0
         self._stalled_sweeps = 0
@@ -353,6 +354,10 @@
             while position < len(data) and not self._input_ended:
                 if self._request is not None:
                     position = self._read_body(self._request, data, position)
+                elif self._is_last:
+                    # What follows a request that ends its connection is
+                    # not read.
+                    position = len(data)
                 elif self._count_requests() >= MAX_PIPELINED_REQUESTS:
                     break
                 elif (after := self._read_head(data, position)) > position:
@@ -413,6 +418,7 @@
         self._feed_parser(request, head)
         self._headers_since_s = None
         self._has_sent_head = True
+        self._is_last = request.closes
         self._open_request(request, len(head))
         return end
 
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -249,10 +249,12 @@
         if not self._is_ready():
             raise _not_ready("the configuration here is not confirmed")
         target = await self._resolve(scope)
+        if self._pipelines_lookups and await _order(scope, target):
+            # The configuration may have changed during the wait.
+            started_s = clock.now_s()
+            target = await self._resolve(scope)
         if target.team:
             self._key_lease.check()
-        if self._pipelines_lookups:
-            started_s = await _order(scope, target, started_s)
         timeout_ms = self._read_timeout_ms(scope, target)
         body = await _read_body(scope, receive, target.max_body_bytes)
         method = scope["method"].encode()
@@ -576,23 +578,23 @@
 
 
 async def _order(
-    scope: Scope, target: _route_resolution.ResolvedRoute, started_s: float
-) -> float:
+    scope: Scope, target: _route_resolution.ResolvedRoute
+) -> bool:
     """Let the next request of a connection begin, or wait for the earlier.
 
-    :returns: when the request began, which is after its wait.
+    :returns: whether it waited.
     :raises papayastall.exceptions.RefusedError: the connection was closed.
     """
     pipeline = scope.get("pipeline")
     if pipeline is None:
-        return started_s
+        return False
     if target.kind is _Kind.LOOKUP:
         pipeline.allow_next()
-        return started_s
-    if pipeline.has_earlier:
-        await pipeline.wait_for_turn()
-        return clock.now_s()
-    return started_s
+        return False
+    if not pipeline.has_earlier:
+        return False
+    await pipeline.wait_for_turn()
+    return True
 
 
 async def _read_body(
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -154,6 +154,24 @@
     await caller.leave()
 
 
+# Guards against a request that runs beside a lookup whose caller asked for
+# the end of the connection.
+async def test_nothing_behind_a_request_that_closes_is_run() -> None:
+    caller = Caller()
+    assert isinstance(caller.connection, asyncio.Protocol)
+    caller.connection.data_received(
+        b"GET /l1 HTTP/1.1\r\nConnection: close\r\n\r\n"
+        b"GET /l2 HTTP/1.1\r\n\r\n"
+    )
+    await caller.settle()
+    await caller.send("/l3")
+    assert caller.application.begun == ["/l1"]
+    await caller.end("/l1", "/l2", "/l3")
+    assert caller.answered() == ["/l1"]
+    assert caller.transport.is_closing()
+    await caller.leave()
+
+
 async def test_a_caller_that_goes_away_cancels_all() -> None:
     caller = Caller()
     await caller.send("/l1", "/l2", "/o1", "/o2")
