--- a/src/papayastall/exceptions.py
+++ b/src/papayastall/exceptions.py
@@ -65,6 +65,8 @@
     KEYS_UNCONFIRMED = "keys-unconfirmed"
     QUOTA_EXCEEDED = "quota-exceeded"
     QUOTA_UNDECIDED = "quota-undecided"
+    MEMORY_FULL = "memory-full"
+    BODY_TOO_SLOW = "body-too-slow"
 
 
 class RanState(enum.Enum):
