Use more of the margin of quotas for requests in a group

The bucket gains up to twice the burst a window more than the rate, of half of the margin left beside tokens used late, and holds up to the burst more, of 0.3 of it.

--- a/src/papayastall/quotas/_bounds.py
+++ b/src/papayastall/quotas/_bounds.py
@@ -20,10 +20,11 @@
 """Time for which tokens may be kept, from the sending of the question."""
 ASK_LIMIT_S = 0.3
 """Longest time that a request waits for tokens."""
-_RATE_SHARE = 0.35
+_RATE_SHARE = 0.5
 """Share of the margin left beside late tokens by which the refill of a bucket
-in a window may be larger than that of the rate; the burst suffices."""
-_CAPACITY_SHARE = 0.25
+in a window may be larger than that of the rate. A team that sends much for one
+window finds its burst twice then, as windows begin at any moment."""
+_CAPACITY_SHARE = 0.3
 """Share of it by which a bucket may hold more than the burst, for requests
 that come in a group; the burst suffices."""
 _OWN_SHARE = 0.35
@@ -59,7 +60,7 @@
         return max(1.0, limits.burst + self._more_capacity(limits))
 
     def _more_refill(self, limits: _messages.Limits) -> float:
-        return min(limits.burst, _RATE_SHARE * self._unspent(limits))
+        return min(2.0 * limits.burst, _RATE_SHARE * self._unspent(limits))
 
     def _more_capacity(self, limits: _messages.Limits) -> float:
         return min(limits.burst, _CAPACITY_SHARE * self._unspent(limits))
