--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -112,7 +112,7 @@
 def test_a_team_that_uses_the_quota_of_each_window_is_not_refused() -> None:
     """Groups of requests come to ``rate x window + burst`` a window.
 
-    A bucket of the rate and burst refused a sixth of them.
+    A bucket of the rate and burst refused some of them.
     """
     fleet = make_fleet(limits=SMALL)
     for group in range(20):
