--- a/review/standins-2/small_fleet.py
+++ b/review/standins-2/small_fleet.py
@@ -111,6 +111,7 @@
     """Some core machines, and one sidecar machine for each service named.
 
     :param services: services of the servers beside the sidecars.
+    :param side_memory_mb: memory of a sidecar machine.
     """
 
     def __init__(
@@ -118,8 +119,10 @@
         services: t.Sequence[str],
         record: Record,
         core_count: int = 3,
+        side_memory_mb: int = 300,
     ) -> None:
         self.record = record
+        self._side_memory_mb = side_memory_mb
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         names = ("outbound", "inbound", "ready", "control", "app", "link")
         self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
@@ -217,7 +220,7 @@
             "limits": {
                 "cpuShare": 0.645 if is_core else 0.86,
                 "vcpus": 1,
-                "memoryMb": 296 if is_core else 300,
+                "memoryMb": 296 if is_core else self._side_memory_mb,
                 "maxFds": 4096 if is_core else 4100,
                 "linkMbps": 1000.0,
                 "diskMb": 256 if is_core else 0,
