Tests of large bodies and answers on their whole way

Clients that nobody controls sent bodies of legal size and read no answers; the tests so far looked at the process that they connect to, with one limit of memory, and only at an ordinary booking there. What the issue measured on (a body of 40 to 63 MB served at its owner only, 400 after 10 s, resets of clients that still send) had no test.

--- a/tests/platform_upstream.py
+++ b/tests/platform_upstream.py
@@ -13,6 +13,7 @@
 __all__ = ["Fault", "Upstream", "make_body"]
 
 MAX_HOLD_S = 30.0
+READ_BYTES = 1 << 20
 EXTRA = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
 )
@@ -59,6 +60,7 @@
     :ivar gate: event for which running requests wait before they are
         answered; it is set at first.
     :ivar runs: number of runs by request id.
+    :ivar body_bytes: length of the whole body of the last run, by request id.
     :ivar arrived: number of requests received, run or not.
     :ivar arrived_s: when each of them was received.
     :ivar headers: further headers of all answers with a head.
@@ -87,6 +89,7 @@
         self.gate.set()
         self.fault = Fault.NONE
         self.runs: collections.Counter[str] = collections.Counter()
+        self.body_bytes: dict[str, int] = {}
         self.arrived = 0
         self.arrived_s: list[float] = []
         self.headers: dict[str, str] = {}
@@ -128,13 +131,15 @@
             fault = Fault.NONE
         elif headers.get("expect-instance", instance) != instance:
             fault = Fault.OTHER_INSTANCE
+        body_bytes = 0
         if fault is not Fault.EARLY:
-            self._read_body(headers)
+            body_bytes = self._read_body(headers)
         request_id = headers.get("request-id", "")
         self.server.arrived += 1
         self.server.arrived_s.append(time.monotonic())
         if fault not in NOT_RUN_FAULTS:
             self.server.runs[request_id] += 1
+            self.server.body_bytes[request_id] = body_bytes
             self.server.requests.append((path, headers))
             self.server.started.set()
             self.server.gate.wait(MAX_HOLD_S)
@@ -143,13 +148,29 @@
             self._read_body(headers)
         return stays_open
 
-    def _read_body(self, headers: dict[str, str]) -> None:
+    def _read_body(self, headers: dict[str, str]) -> int:
+        """Read a body and return its length.
+
+        :raises ConnectionError: the connection ended before the body did.
+        """
         if headers.get("transfer-encoding") != "chunked":
-            self.rfile.read(int(headers.get("content-length", "0")))
-            return
+            size = int(headers.get("content-length", "0"))
+            return self._skip(size)
+        total = 0
         while size := int(self.rfile.readline(), 16):
-            self.rfile.read(size + 2)
+            total += self._skip(size)
+            self.rfile.readline()
         self.rfile.readline()
+        return total
+
+    def _skip(self, size: int) -> int:
+        left = size
+        while left:
+            part = self.rfile.read1(min(left, READ_BYTES))
+            if not part:
+                raise ConnectionError("the body is incomplete")
+            left -= len(part)
+        return size
 
     def _answer(self, fault: Fault, request_id: str) -> bool:
         body = self.server.body(request_id)
