Send heartbeats beside the slow uploads of the tests

The upload of 12 s in tests/test_platform_bodies.py outlasted the lease of the upstream, which the test announced only before it: once a body may take longer than 10 s, it is refused with 503 for lack of an upstream. Upstreams send heartbeats all the time; now those of the test do too, beside every upload.

The crowds and bounds are as they were. With it both tests of the slow body still fail on: no answer is read where 200 is expected.

--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -75,7 +75,8 @@
         fleet.restart(machine)
     fleet.wait_until_served(CALLERS, "before")
     processes = [fleet.watch(machine) for machine in fleet.nodes]
-    yield
+    with fleet.beating():
+        yield
     fleet.wait_until_served(CALLERS, "after")
     untrusted_clients.check_processes(processes)
 
--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -9,6 +9,7 @@
 import pathlib
 import signal
 import socket
+import threading
 import time
 import typing as t
 
@@ -39,6 +40,7 @@
 """Time without progress after which a crowd stops sending."""
 QUIET_S = 1.5
 """Time without more memory after which a process has read what it reads."""
+BEAT_INTERVAL_S = 1.0
 SEQUENCES = itertools.count(1)
 
 
@@ -253,6 +255,24 @@
         ]
         return max(statuses)
 
+    @contextlib.contextmanager
+    def beating(self) -> cabc.Iterator[None]:
+        """Send heartbeats of all upstreams meanwhile, as they would."""
+        stopped = threading.Event()
+
+        def run() -> None:
+            while not stopped.wait(BEAT_INTERVAL_S):
+                with contextlib.suppress(OSError):
+                    self.beat()
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        try:
+            yield
+        finally:
+            stopped.set()
+            thread.join()
+
     def serve(self, target: Target) -> bool:
         """Return whether an ordinary request is answered.
 
