Send a body to its owner piece by piece, as the upstream takes it

Cause: the ingress queued all frames of a body at once. The link kept the frames, their join and the copy in the transport, none of them booked, and closed itself at 16 MiB unsent, with all that it carried; the request went on to the next owner and did the same there. The owner kept a second whole copy, and booked twice as much.

Now one node, the ingress, keeps a body whole. The request carries the first 64 KiB; the owner queues it and grants offsets up to which it takes more, 256 KiB ahead of what its upstream has taken, or 64 KiB while memory for links is short. The ingress sends parts in turn and waits while 128 KiB are unsent on the link. After a new link the ingress asks as before; the answer says from where to go on. Where the caller leaves or the deadline passes, the connection to the upstream is closed, so that no part is taken for the whole. Nodes say in their hello that they grant bodies; older ones get them at once.

Weighed: a higher limit of unsent bytes that is booked (four copies of each body remain), relaying while the caller sends (callers that stop short hold slots, refused requests can't go elsewhere); see docs/design/request-path.md.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc as cabc
 import itertools
 import random
@@ -9,6 +10,7 @@
 import anyio
 import anyio.abc
 
+from papayastall import _body_transfer
 from papayastall import _decision_types
 from papayastall import _exchange
 from papayastall import _frames
@@ -29,7 +31,6 @@
 """Answers with this status or above count as failures of the upstream."""
 DEADLINE_GRACE_S = 1.0
 PING_INTERVAL_S = 0.25
-BODY_CHUNK_BYTES = 256 << 10
 CREDIT_INTERVAL_BYTES = 64 << 10
 
 Actions = cabc.Sequence[_decision_types.IngressAction]
@@ -62,6 +63,8 @@
         self._wire_ids = itertools.count(rng.getrandbits(48) + 1)
         self._exchanges: dict[int, _exchange.Exchange] = {}
         self._attempts: dict[int, _exchange.Attempt] = {}
+        # Attempts whose body is being sent, by owner.
+        self._bodies: dict[str, dict[int, _exchange.Attempt]] = {}
         self._down_peers: dict[str, float] = {}
         self._pinged_s = 0.0
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -75,6 +78,7 @@
         links.handle_frames(_frames.Refuse, self._receive_refuse)
         links.handle_frames(_frames.Running, self._receive_running)
         links.handle_frames(_frames.LoadNotice, self._receive_load)
+        links.handle_frames(_frames.BodyGrant, self._receive_grant)
         links.handle_events(self._receive_event)
         tasks.start_soon(self._tick)
 
@@ -267,12 +271,54 @@
             self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
             return
         attempt.owner_boot_id = self._links.boot_id(attempt.owner)
-        first_bytes = BODY_CHUNK_BYTES
-        if attempt.owner == self._address:
+        frame = _make_open(attempt, action, remaining_s)
+        size = len(attempt.exchange.body)
+        first_bytes = _body_transfer.FIRST_PART_BYTES
+        if attempt.owner == self._address or size <= first_bytes:
             # Frames to this node itself are not encoded.
-            first_bytes = max(first_bytes, len(attempt.exchange.body))
-        for frame in _make_frames(attempt, action, remaining_s, first_bytes):
+            frame.body = attempt.exchange.body
             self._links.send(attempt.owner, frame)
+            return
+        frame.body = attempt.exchange.body[:first_bytes]
+        frame.body_follows = True
+        is_granted = self._links.grants_bodies(attempt.owner)
+        frame.body_bytes = size if is_granted else 0
+        attempt.body = _body_transfer.BodySender(
+            attempt.exchange.body, first_bytes, 0 if is_granted else size
+        )
+        self._links.send(attempt.owner, frame)
+        self._bodies.setdefault(attempt.owner, {})[attempt.wire_id] = attempt
+        self._send_bodies(attempt.owner)
+
+    def _receive_grant(
+        self, owner: str, boot_id: int, frame: _frames.BodyGrant
+    ) -> None:
+        attempt = self._find(owner, frame.request_id)
+        if attempt is None or attempt.body is None:
+            return
+        if frame.resume_bytes >= 0:
+            attempt.body.resume(frame.resume_bytes)
+        attempt.body.extend(frame.limit_bytes)
+        self._send_bodies(owner)
+
+    def _send_bodies(self, owner: str) -> None:
+        """Send parts of bodies to an owner in turn, while its link has room.
+
+        It is called again when the owner asks for more, and when the link
+        has room.
+        """
+        ready = collections.deque(
+            (attempt.wire_id, attempt.body)
+            for attempt in self._bodies.get(owner, {}).values()
+            if attempt.body is not None and attempt.body.can_send
+        )
+        while ready and self._links.has_room(owner):
+            wire_id, body = ready.popleft()
+            offset, data, is_last = body.take()
+            chunk = _frames.BodyChunk(wire_id, data, is_last, offset)
+            self._links.send(owner, chunk)
+            if body.can_send:
+                ready.append((wire_id, body))
 
     def _cancel(self, attempt: _exchange.Attempt) -> None:
         if self._attempts.get(attempt.wire_id) is None:
@@ -284,6 +330,12 @@
 
     def _remove(self, attempt: _exchange.Attempt) -> None:
         del self._attempts[attempt.wire_id]
+        if attempt.body is not None:
+            attempt.body = None
+            waiting = self._bodies[attempt.owner]
+            del waiting[attempt.wire_id]
+            if not waiting:
+                del self._bodies[attempt.owner]
         attempt.exchange.attempts.pop(attempt.number, None)
         self._links.unwatch(attempt.owner)
 
@@ -445,6 +497,8 @@
             case _links.LinkEvent.REPLACED:
                 self._mark_peer_up(peer)
                 self._query_attempts(peer)
+            case _links.LinkEvent.WRITABLE:
+                self._send_bodies(peer)
 
     def _mark_peer_down(self, peer: str) -> None:
         self._down_peers.setdefault(peer, clock.now_s())
@@ -479,6 +533,8 @@
                 attempt.head is not None,
                 attempt.received_bytes,
             )
+            if attempt.body is not None:
+                attempt.body.suspend()
             self._links.send(peer, query)
 
     async def _tick(self) -> None:
@@ -537,20 +593,15 @@
         return exceptions.ErrorCode.INTERNAL
 
 
-def _make_frames(
+def _make_open(
     attempt: _exchange.Attempt,
     action: _decision_types.ForwardAttempt,
     remaining_s: float,
-    first_bytes: int,
-) -> cabc.Iterator[_frames.Frame]:
-    """Yield the frames of an attempt.
-
-    :param first_bytes: length of the part of the body in the first frame.
-    """
+) -> _frames.Open:
+    """Return the frame that opens an attempt, without a body."""
     exchange = attempt.exchange
     request = exchange.request
-    body = exchange.body
-    yield _frames.Open(
+    return _frames.Open(
         request_id=attempt.wire_id,
         service_name=request.service,
         route=request.route,
@@ -562,8 +613,6 @@
         method=exchange.method,
         target=exchange.target,
         headers=exchange.headers,
-        body=body[:first_bytes],
-        body_follows=len(body) > first_bytes,
         claim_token=exchange.claim_token,
         claim_key=exchange.claim_key,
         reference_error_ratio=action.hints.reference_error_ratio,
@@ -577,8 +626,3 @@
         objective_ms=_objective_left_ms(exchange),
         expected_ms=action.expected_ms or 0.0,
     )
-    for start in range(first_bytes, len(body), BODY_CHUNK_BYTES):
-        end = start + BODY_CHUNK_BYTES
-        yield _frames.BodyChunk(
-            attempt.wire_id, body[start:end], end >= len(body)
-        )
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -24,6 +24,9 @@
 
 _UNCOMPRESSED_FRAMES = (_frames.AnswerChunk, _frames.BodyChunk)
 
+ROOM_BYTES = 128 << 10
+"""Unsent bytes below which the connection has room for parts of bodies."""
+
 BookInput = cabc.Callable[["Connection", int], bool]
 ReceiveFrame = cabc.Callable[["Connection", int, _frames.Frame], None]
 
@@ -39,6 +42,8 @@
         config index in the frame's header, and the frame.
     :param book_input: books memory for the part of a frame that was received,
         given the change in bytes; returns whether it may be kept.
+    :param note_room: called when there is room again after :meth:`has_room`
+        has returned false.
     :ivar peer: the peer's hello, ``None`` until it arrives.
     :ivar address: the peer's link address; "" on an accepted connection
         until the peer's hello arrives.
@@ -50,9 +55,12 @@
         stream: anyio.abc.ByteStream,
         receive_frame: ReceiveFrame,
         book_input: BookInput = lambda connection, more_bytes: True,
+        note_room: cabc.Callable[[Connection], None] = lambda connection: None,
     ) -> None:
         self._stream = stream
         self._book_input = book_input
+        self._note_room = note_room
+        self._is_awaited = False
         self._booked_bytes = 0
         self._receive_frame = receive_frame
         self._unsent: list[bytes] = []
@@ -77,6 +85,13 @@
         """Number of bytes that are queued or being written."""
         return self._unsent_bytes
 
+    def has_room(self) -> bool:
+        """Return whether there is room for parts of bodies."""
+        if self._unsent_bytes < ROOM_BYTES:
+            return not self.is_closed
+        self._is_awaited = True
+        return False
+
     @property
     def is_deflating(self) -> bool:
         """Whether outgoing frames are deflated."""
@@ -138,6 +153,9 @@
                 if data:
                     await self._stream.send(data)
                 self._unsent_bytes -= len(data)
+                if self._is_awaited and self._unsent_bytes < ROOM_BYTES:
+                    self._is_awaited = False
+                    self._note_room(self)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             pass
         finally:
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from papayastall import _body_transfer
 from papayastall import _decision_types
 from papayastall import _frames
 from papayastall import documents
@@ -24,6 +25,8 @@
         was sent to; 0 while nothing has been sent.
     :param begun_s: monotonic time at which the request was sent, or began
         to wait for the link to be opened.
+    :param body: what is left of the body to be sent, if it is not sent with
+        the request.
     :param started: whether a chunk of the answer has arrived, not only its
         head.
     :param chunks: received chunks of the body that are not relayed yet.
@@ -43,6 +46,7 @@
     owner_boot_id: int = 0
     begun_s: float = 0.0
     head: _frames.AnswerHead | None = None
+    body: _body_transfer.BodySender | None = None
     started: bool = False
     chunks: collections.deque[bytes] = msgspec.field(
         default_factory=collections.deque
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -24,6 +24,7 @@
     "AnswerChunk",
     "AnswerHead",
     "BodyChunk",
+    "BodyGrant",
     "Call",
     "CallAnswer",
     "Cancel",
@@ -62,6 +63,8 @@
     :param boot_id: differs after each restart of the sender.
     :param sent_ms: send time on the sender's monotonic clock.
     :param inflates: whether the sender can read deflated frames.
+    :param grants_body: whether the sender, as owner, asks for the rest of a
+        body with :class:`BodyGrant`. Otherwise it expects it at once.
     """
 
     node: str
@@ -69,6 +72,7 @@
     failure_domain: str
     sent_ms: int = 0
     inflates: bool = False
+    grants_body: bool = False
 
 
 class Open(msgspec.Struct):
@@ -103,6 +107,8 @@
         earlier attempt.
     :param expected_ms: run time that the ingress expects of this request; 0
         if unknown.
+    :param body_bytes: length of the whole body, if the rest of it is sent as
+        the owner asks for it; 0 if it follows at once.
     """
 
     request_id: int
@@ -131,17 +137,34 @@
     notices: tuple[_decision_types.UpstreamNotice, ...] = ()
     is_suspect: bool = False
     expected_ms: float = 0.0
+    body_bytes: int = 0
 
 
 class BodyChunk(msgspec.Struct):
     """A further chunk of a request's body.
 
     :param last: whether this chunk completes the body.
+    :param offset_bytes: position of ``data`` in the body; 0 in a body that
+        is sent without being asked for.
     """
 
     request_id: int
     data: bytes
     last: bool
+    offset_bytes: int = 0
+
+
+class BodyGrant(msgspec.Struct):
+    """An owner's permission to send more of a request's body.
+
+    :param limit_bytes: offset in the body up to which it may be sent.
+    :param resume_bytes: offset from which to send it again, because parts
+        may have been lost with a link; -1 to go on.
+    """
+
+    request_id: int
+    limit_bytes: int
+    resume_bytes: int = -1
 
 
 class Cancel(msgspec.Struct):
@@ -285,6 +308,7 @@
     | Call
     | CallAnswer
     | LoadNotice
+    | BodyGrant
 )
 
 _KINDS: list[type[t.Any]] = [
@@ -304,6 +328,7 @@
     Call,
     CallAnswer,
     LoadNotice,
+    BodyGrant,
 ]
 """Frame classes in the order of their kinds on the wire, which start at 1."""
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS, 1)}
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -58,6 +58,8 @@
     """The peer answered a ping."""
     DOWN = "down"
     """The last attempt to connect failed."""
+    WRITABLE = "writable"
+    """There is room again after :meth:`Links.has_room` returned false."""
 
 
 class LinkSettings(msgspec.Struct, frozen=True):
@@ -222,6 +224,21 @@
             return self.settings.boot_id
         return self._peer(address).boot_id
 
+    def grants_bodies(self, address: str) -> bool:
+        """Return whether the peer asks for the rest of a body."""
+        connection = self._peer(address).connection
+        if connection is None or connection.peer is None:
+            return False
+        return connection.peer.grants_body
+
+    def has_room(self, address: str) -> bool:
+        """Return whether to send parts of bodies to the peer.
+
+        If not, ``LinkEvent.WRITABLE`` follows once there is room.
+        """
+        connection = self._peer(address).connection
+        return connection is not None and connection.has_room()
+
     def send(self, address: str, frame: _frames.Frame) -> None:
         """Send a frame, or drop it if there is no connection.
 
@@ -318,7 +335,7 @@
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(
-            stream, self._receive, self._book_input
+            stream, self._receive, self._book_input, self._notify_room
         )
         self._accepted[connection] = None
         try:
@@ -395,6 +412,7 @@
             self.settings.failure_domain,
             _now_ms(),
             inflates=True,
+            grants_body=True,
         )
         connection.send(hello, self._get_config_index())
 
@@ -417,7 +435,9 @@
         if stream is None:
             self._note_dial_failed(peer)
             return
-        connection = _connection.Connection(stream, self._receive)
+        connection = _connection.Connection(
+            stream, self._receive, note_room=self._notify_room
+        )
         connection.address = peer.address
         self._send_hello(connection)
         self._start_hello_timeout(connection, peer.dial_timeout_s)
@@ -608,6 +628,10 @@
         elif silent_s > PING_AFTER_SILENCE_S:
             connection.send(_frames.Ping(number), self._get_config_index())
 
+    def _notify_room(self, connection: _connection.Connection) -> None:
+        if self._peer(connection.address).connection is connection:
+            self._notify(connection.address, LinkEvent.WRITABLE)
+
     def _notify(self, address: str, event: LinkEvent) -> None:
         for handler in self._event_handlers:
             handler(address, event)
--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from papayastall import _body_transfer
 from papayastall import _frames
 
 __all__ = ["Run", "RunKey", "RunTable"]
@@ -27,10 +28,11 @@
     :param open: the frame that opened the request.
     :param arrived_s: when that frame arrived.
     :param waiting_ms: time from the arrival to the dispatch.
-    :param body: parts of the request's body as received so far.
+    :param body: parts of a body that is received whole before it is
+        submitted.
+    :param receiver: the body, if it is received as the upstream takes it.
     :param booked_bytes: memory that is booked for the body.
-    :param submitted: whether the body is complete and the request was
-        passed to the controller.
+    :param submitted: whether the request was passed to the controller.
     :param dispatched: whether the request was passed to an upstream.
     :param abandoned: whether the ingress cancelled the request.
     :param scope: cancels the request at the upstream.
@@ -48,6 +50,7 @@
     arrived_s: float = 0.0
     waiting_ms: float = 0.0
     body: list[bytes] = msgspec.field(default_factory=list)
+    receiver: _body_transfer.BodyReceiver | None = None
     booked_bytes: int = 0
     submitted: bool = False
     dispatched: bool = False
@@ -142,7 +145,7 @@
         return key in self._forgotten
 
     def unfinished_bodies(self, now_s: float) -> list[Run]:
-        """Return the runs whose body was incomplete at their deadline."""
+        """Return the runs that their deadline found without a body."""
         return [
             run
             for run in self._runs.values()
--- a/src/papayastall/_upstream_client.py
+++ b/src/papayastall/_upstream_client.py
@@ -76,6 +76,7 @@
         the request; "" for any.
     :param sends_once: send it on a new connection, so that it need not be
         sent again after an idle one was closed.
+    :param rest: yields the body instead of ``body``; it can be read once.
     """
 
     upstream: str
@@ -86,6 +87,12 @@
     idempotent: bool
     instance: str = ""
     sends_once: bool = False
+    rest: _upstream_connection.BodyReader | None = None
+
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body."""
+        return len(self.body) if self.rest is None else self.rest.total_bytes
 
 
 class _DeadlinePassed(Exception):
@@ -193,7 +200,8 @@
         self, request: UpstreamRequest
     ) -> _upstream_connection.UpstreamConnection | None:
         idle = self._idle.get(request.upstream)
-        while idle and request.idempotent and not request.sends_once:
+        sends_once = request.sends_once or request.rest is not None
+        while idle and request.idempotent and not sends_once:
             connection = idle.pop()
             if connection.is_reusable():
                 return connection
@@ -223,7 +231,9 @@
         try:
             head = self._encode_head(request, deadline_s)
             is_head = request.method == b"HEAD"
-            answer = await connection.send(head, request.body, is_head)
+            answer = await connection.send(
+                head, request.body, is_head, request.rest
+            )
             outcome = await self._relay(
                 connection, request, answer, sink, is_reused
             )
@@ -413,7 +423,7 @@
             lines.append(
                 self._names.instance + b": " + request.instance.encode()
             )
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            lines.append(b"content-length: %d" % len(request.body))
+        if request.body_bytes or request.method not in (b"GET", b"HEAD"):
+            lines.append(b"content-length: %d" % request.body_bytes)
         lines.append(b"\r\n")
         return b"\r\n".join(lines)
--- a/src/papayastall/_upstream_connection.py
+++ b/src/papayastall/_upstream_connection.py
@@ -12,10 +12,12 @@
 
 import httptools
 
+from papayastall import _body_transfer
 from papayastall import clock
 
 __all__ = [
     "AnswerBroken",
+    "BodyReader",
     "Headers",
     "NotConnected",
     "UpstreamAnswer",
@@ -52,6 +54,21 @@
     """The connection closed, or its data is no complete answer."""
 
 
+class BodyReader(t.Protocol):
+    """Interface of a body that is read while it is sent.
+
+    :ivar total_bytes: its length.
+    """
+
+    total_bytes: int
+
+    async def read(self) -> bytes:
+        """Return the next part; ``b""`` at the end.
+
+        :raises papayastall._body_transfer.BodyLost: the rest can't be read.
+        """
+
+
 class UpstreamAnswer:
     """The head of an answer, and its body as it arrives.
 
@@ -113,6 +130,7 @@
         self._writable.set()
         self._expires_s = 0.0
         self._unsent = memoryview(b"")
+        self._rest_writer: asyncio.Task[None] | None = None
         self.is_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -148,6 +166,26 @@
             self._unsent = self._unsent[WRITE_SIZE_BYTES:]
             self._transport.write(piece)
 
+    async def _write_rest(self, rest: BodyReader) -> None:
+        """Write a body as fast as the upstream takes it."""
+        assert self._transport is not None
+        try:
+            while not self.is_closed and (data := await rest.read()):
+                self._transport.write(data)
+                await self._writable.wait()
+        except _body_transfer.BodyLost:
+            # The upstream must not take the part that it got for the whole.
+            self._break()
+
+    def _stop_writing(self) -> bool:
+        """Write no more of a body; return whether it was written whole."""
+        is_whole = not self._unsent
+        writer, self._rest_writer = self._rest_writer, None
+        if writer is not None and not writer.done():
+            writer.cancel()
+            is_whole = False
+        return is_whole
+
     def data_received(self, data: bytes) -> None:
         if self._answer is None or self._answer.complete:
             # Bytes after a complete answer belong to no request.
@@ -250,11 +288,16 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.is_closed = True
+        self._stop_writing()
         if self._transport is not None:
             self._transport.abort()
 
     async def send(
-        self, head: bytes, body: bytes, is_head_request: bool
+        self,
+        head: bytes,
+        body: bytes,
+        is_head_request: bool,
+        rest: BodyReader | None = None,
     ) -> UpstreamAnswer:
         """Send a request and return its answer when the head has arrived.
 
@@ -262,6 +305,7 @@
             write.
         :param is_head_request: whether the answer has no body although its
             headers may describe one.
+        :param rest: yields what follows ``body``.
         :raises AnswerBroken: the connection closed before the head arrived.
         """
         assert self._transport is not None
@@ -278,6 +322,8 @@
             self._transport.write(head)
             self._unsent = memoryview(body)
             self._write_unsent()
+        if rest is not None:
+            self._rest_writer = asyncio.create_task(self._write_rest(rest))
         while not answer.status:
             await self._wait(answer)
         return answer
@@ -302,8 +348,8 @@
         """Finish an answer; close the connection unless it is reusable."""
         self._answer = None
         self._resume_reading()
-        is_clean = answer.complete and answer.keeps_alive
-        is_clean = is_clean and not self._unsent
+        is_clean = self._stop_writing()
+        is_clean = is_clean and answer.complete and answer.keeps_alive
         if not is_clean or self._has_extra_bytes or self.is_closed:
             self.close()
             return
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -9,6 +9,7 @@
 import anyio.abc
 import msgspec
 
+from papayastall import _body_transfer
 from papayastall import _decision_types
 from papayastall import _frames
 from papayastall import _links
@@ -32,7 +33,7 @@
 MAX_RECORDED_BODY_BYTES = 64 << 10
 MEMORY_RETRY_AFTER_MS = 1_000
 BODY_COPIES = 2
-"""Copies of a body that another node sends: its parts, and the whole."""
+"""Copies of a body that is received whole: its parts, and the whole."""
 
 Outcome = _decision_types.Outcome
 Actions = cabc.Sequence[_decision_types.OwnerAction]
@@ -204,47 +205,110 @@
         body = frame.body
         # The run keeps the frame for longer than the body is needed.
         frame.body = b""
+        if frame.body_bytes > len(body):
+            self._open_receiver(run, body)
+            return
         if not self._keep_body(run, body):
             return
         if not frame.body_follows:
             self._submit(run)
 
+    def _open_receiver(self, run: _owner_runs.Run, first: bytes) -> None:
+        """Submit a run whose body is received as the upstream takes it."""
+        if not self._book(run, len(first)):
+            self._refuse_body(run)
+            return
+        run.receiver = _body_transfer.BodyReceiver(run.open.body_bytes)
+        run.receiver.limit_bytes = len(first)
+        run.receiver.add(0, first)
+        self._grant(run)
+        self._submit(run)
+
     def _receive_body(
         self, ingress: str, boot_id: int, frame: _frames.BodyChunk
     ) -> None:
         run = self._runs.find((ingress, boot_id, frame.request_id))
-        if run is None or run.submitted or run.ended_s is not None:
+        if run is None or run.ended_s is not None:
             return
-        if not self._keep_body(run, frame.data):
+        if run.receiver is not None:
+            run.receiver.add(frame.offset_bytes, frame.data)
+            return
+        if run.submitted or not self._keep_body(run, frame.data):
             return
         if frame.last:
             self._submit(run)
 
     def _keep_body(self, run: _owner_runs.Run, data: bytes) -> bool:
         """Add a part of a body; end the run if there is no memory for it."""
-        if data and not self._book(run, len(data)):
-            self._end(
-                run,
-                exceptions.ErrorCode.OVERLOADED,
-                ran_unknown=False,
-                retry_after_ms=MEMORY_RETRY_AFTER_MS,
-            )
+        if data and not self._book(run, BODY_COPIES * len(data)):
+            self._refuse_body(run)
             return False
         if data:
             run.body.append(data)
         return True
 
+    def _refuse_body(self, run: _owner_runs.Run) -> None:
+        self._end(
+            run,
+            exceptions.ErrorCode.OVERLOADED,
+            ran_unknown=False,
+            retry_after_ms=MEMORY_RETRY_AFTER_MS,
+        )
+
+    def _grant(self, run: _owner_runs.Run) -> None:
+        """Let the ingress send more of a body, as far as memory allows.
+
+        What runs always gets a small window, so that it can end.
+        """
+        receiver = run.receiver
+        assert receiver is not None
+        more = receiver.extend(_body_transfer.WINDOW_BYTES)
+        account = self._account
+        if account is not None and more:
+            links = memory.MemoryClass.LINKS
+            if account.is_near(links) or not account.book(links, more):
+                if not run.dispatched:
+                    return
+                more = receiver.extend(_body_transfer.MIN_WINDOW_BYTES)
+                account.charge(links, more)
+            run.booked_bytes += more
+        if more:
+            receiver.limit_bytes += more
+            self._send_grant(run)
+
+    def _send_grant(
+        self, run: _owner_runs.Run, resume_bytes: int = -1
+    ) -> None:
+        assert run.receiver is not None
+        grant = _frames.BodyGrant(
+            run.open.request_id, run.receiver.limit_bytes, resume_bytes
+        )
+        self._links.send(run.ingress, grant)
+
+    async def read_body(self, run: _owner_runs.Run) -> bytes:
+        """Return the next part of a body for the upstream; ``b""`` at its end.
+
+        :raises papayastall._body_transfer.BodyLost: the rest will not arrive.
+        """
+        assert run.receiver is not None
+        data = await run.receiver.take()
+        if self._account is not None:
+            taken = min(len(data), run.booked_bytes)
+            self._account.release(memory.MemoryClass.LINKS, taken)
+            run.booked_bytes -= taken
+        if data:
+            self._grant(run)
+        return data
+
     def _book(self, run: _owner_runs.Run, size_bytes: int) -> bool:
         """Book a part of a body that another node sends.
 
         One of this node itself is booked by its ingress and not copied. A
-        single body may take what other classes leave, so that a large one
-        passes while there is little load.
+        single body may take what other classes leave.
         """
         account = self._account
         if account is None or run.ingress == self._links.settings.address:
             return True
-        size_bytes *= BODY_COPIES
         links = memory.MemoryClass.LINKS
         if account.used(links) == run.booked_bytes:
             if account.used_bytes + size_bytes > account.total_bytes:
@@ -258,6 +322,8 @@
     def _release_body(self, run: _owner_runs.Run) -> None:
         """Drop the body of a run that has ended."""
         run.body = []
+        if run.receiver is not None:
+            run.receiver.lose()
         if self._account is not None and run.booked_bytes:
             links = memory.MemoryClass.LINKS
             self._account.release(links, run.booked_bytes)
@@ -306,6 +372,8 @@
             self._end(run, exceptions.ErrorCode.CANCELLED, ran_unknown=False)
         elif run.open.idempotent and run.scope is not None:
             run.scope.cancel()
+        elif run.receiver is not None and not run.receiver.is_complete:
+            run.receiver.lose()
 
     def _receive_credit(
         self, ingress: str, boot_id: int, frame: _frames.Credit
@@ -336,6 +404,9 @@
             return
         run.acknowledge(frame.received_bytes)
         self._resend(run, frame)
+        receiver = run.receiver
+        if receiver is not None and not receiver.is_complete:
+            self._send_grant(run, receiver.received_bytes)
 
     def _answer_unknown_query(self, key: _owner_runs.RunKey) -> None:
         forgotten = self._runs.was_forgotten(key)
@@ -420,14 +491,20 @@
     ) -> None:
         sink = _RunSink(self, run)
         address, instance = _decision_types.split_name(action.upstream)
+        rest: _RunBody | None = None
+        body = b"".join(run.body)
+        if run.receiver is not None:
+            rest = _RunBody(self, run, run.receiver.total_bytes)
+            self._grant(run)
         request = _upstream_client.UpstreamRequest(
             upstream=address,
             instance=instance,
             method=run.open.method,
             target=run.open.target,
             headers=run.open.headers,
-            body=b"".join(run.body),
+            body=body,
             idempotent=run.open.idempotent,
+            rest=rest,
             sends_once=action.sends_once,
         )
         outcome = Outcome.CANCELLED
@@ -437,6 +514,7 @@
         assert run.scope is not None
         # The request holds the only copy.
         run.body = []
+        del body
         try:
             with run.scope:
                 outcome = await self._client.run(request, timeout_s, sink)
@@ -584,6 +662,21 @@
                 expire_s = now_s + EXPIRE_INTERVAL_S
 
 
+class _RunBody:
+    """Body of a run, received from the ingress as the upstream takes it."""
+
+    def __init__(
+        self, owner: Owner, run: _owner_runs.Run, total_bytes: int
+    ) -> None:
+        self._owner = owner
+        self._run = run
+        self.total_bytes = total_bytes
+
+    async def read(self) -> bytes:
+        """Return the next part; see :meth:`Owner.read_body`."""
+        return await self._owner.read_body(self._run)
+
+
 class _RunSink(_upstream_client.AnswerSink):
     """Forwards an upstream's answer to the ingress.
 
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -34,6 +34,7 @@
   3: string failure_domain,
   4: i64 sent_ms,
   5: bool inflates,
+  6: bool grants_body,
 }
 
 struct Open {
@@ -63,12 +64,20 @@
   24: list<UpstreamNotice> notices,
   25: bool is_suspect,
   26: double expected_ms,
+  27: i64 body_bytes,
 }
 
 struct BodyChunk {
   1: i64 request_id,
   2: binary data,
   3: bool last,
+  4: i64 offset_bytes,
+}
+
+struct BodyGrant {
+  1: i64 request_id,
+  2: i64 limit_bytes,
+  3: i64 resume_bytes,
 }
 
 struct Cancel {
