Let a body take the time that its caller waits

A body that took longer than 10 s was answered with 400, which callers do not send again, and the connection was reset, whatever deadline they had named.

Now a body may take until its caller's own deadline; without one, as long as it makes progress. One of which nothing arrives for the idle timeout is refused with 408, as is one that is not whole at its caller's deadline: neither has run. The route's timeout, the longest time that an operator lets callers wait, counts from the end of the body, so that a slow upload doesn't expire before it is forwarded; for short bodies that is the same moment as before. Clients that never end are bounded as before: by memory (408 after 3 s without progress near its limit), and by connections, of which those that have sent for over 5 s are replaced at the limit.

Tests without network: the deadline of a body of 12 s, one later than its caller waits (408, not forwarded), one of which nothing arrives.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -673,12 +673,24 @@
         elif self.is_idle:
             if now_s - self.last_used_s > limits.idle_timeout_ms / 1000:
                 self.close()
+        elif self._request is not None and not self._is_paused:
+            if now_s - self.last_used_s > limits.idle_timeout_ms / 1000:
+                self._refuse_silent_body(self._request)
         if self._is_paused and self._poll(POLL_PEER_CLOSED):
             # While reading is paused, the event loop does not notice it.
             self.abort()
         elif self._answer_bytes:
             self._sweep_unread_answers(limits.idle_timeout_ms / 1000)
 
+    def _refuse_silent_body(self, request: _Request) -> None:
+        assert request.holding is not None
+        error = exceptions.RefusedError(
+            exceptions.ErrorCode.BODY_TOO_SLOW,
+            "no part of the body arrived within the idle timeout",
+            step="read",
+        )
+        self.refuse_body(request.holding, error)
+
     def _sweep_unread_answers(self, idle_timeout_s: float) -> None:
         """Reset the connection of a caller that does not read its answers."""
         before = self._answer_bytes
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -10,6 +10,7 @@
 
 import collections.abc as cabc
 import itertools
+import math
 import typing as t
 
 import anyio
@@ -40,7 +41,6 @@
     "scope_key",
 ]
 
-BODY_TIMEOUT_S = 10.0
 MAX_TEAM_NAME_CHARS = 64
 CLAIM_RETRY_AFTER_S = 1.0
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
@@ -256,8 +256,16 @@
             target = await self._resolve(scope)
         if target.team:
             self._key_lease.check()
-        timeout_ms = self._read_timeout_ms(scope, target)
-        body = await _read_body(scope, receive, target.max_body_bytes)
+        deadline_s = started_s + self._read_timeout_s(scope)
+        body_since_s = clock.now_s()
+        body = await _read_body(
+            scope, receive, target.max_body_bytes, deadline_s
+        )
+        # The route's timeout is for what callers wait once they have sent.
+        body_s = clock.now_s() - body_since_s
+        deadline_s = min(
+            deadline_s, started_s + body_s + target.timeout_ms / 1000
+        )
         method = scope["method"].encode()
         full_path = _read_full_path(scope)
         digest = xxhash.xxh3_64()
@@ -270,7 +278,7 @@
             route=target.route,
             team=_read_team(scope, target),
             kind=target.kind,
-            deadline_s=started_s + timeout_ms / 1000,
+            deadline_s=deadline_s,
             fingerprint=digest.intdigest() >> 1,
             max_attempts=target.max_attempts,
             rank=target.rank,
@@ -353,12 +361,11 @@
         ]
         return headers + added
 
-    def _read_timeout_ms(
-        self, scope: Scope, target: _route_resolution.ResolvedRoute
-    ) -> int:
+    def _read_timeout_s(self, scope: Scope) -> float:
+        """Return how long the caller says it waits; infinite by default."""
         text = _find_header(scope, self._names.timeout)
         if text is None:
-            return target.timeout_ms
+            return math.inf
         if not text.isdigit() or len(text) > 9 or int(text) == 0:
             raise exceptions.RefusedError(
                 _Code.BAD_REQUEST,
@@ -366,7 +373,7 @@
                 "milliseconds",
                 step="read",
             )
-        return min(target.timeout_ms, int(text))
+        return int(text) / 1000
 
     async def _claim(
         self, scope: Scope, exchange: _exchange.Exchange, reply: _Reply
@@ -599,25 +606,37 @@
 
 
 async def _read_body(
-    scope: Scope, receive: Receive, limit_bytes: int
+    scope: Scope, receive: Receive, limit_bytes: int, deadline_s: float
 ) -> bytes:
+    """Read a whole body.
+
+    The server refuses one that makes no progress.
+
+    :param deadline_s: time after which the caller no longer waits.
+    :raises papayastall.exceptions.RefusedError: it is too large, or does not
+        arrive whole in time.
+    """
     length = _find_header(scope, b"content-length")
     if length is not None and int(length) > limit_bytes:
         raise _body_too_large(limit_bytes)
     body = memory.BodyBuffer()
-    with anyio.move_on_after(BODY_TIMEOUT_S):
+    with anyio.move_on_after(deadline_s - clock.now_s()):
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
-                break
+                raise exceptions.RefusedError(
+                    _Code.CANCELLED,
+                    "the caller left before its body was whole",
+                    step="read",
+                )
             body.add(message.get("body", b""))
             if body.size > limit_bytes:
                 raise _body_too_large(limit_bytes)
             if not message.get("more_body", False):
                 return body.take()
     raise exceptions.RefusedError(
-        _Code.BAD_REQUEST,
-        f"the body did not arrive whole within {BODY_TIMEOUT_S:g} s",
+        _Code.BODY_TOO_SLOW,
+        "the body did not arrive whole in the time that the caller waits",
         step="read",
     )
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import contextlib
 import pathlib
 import typing as t
 
@@ -11,8 +12,10 @@
 import pytest
 
 from papayastall import _decision_types
+from papayastall import _exchange
 from papayastall import _route_lookup
 from papayastall import blackboard as blackboards
+from papayastall import clock
 from papayastall import http_names
 from papayastall import ingress
 from papayastall import logs
@@ -201,3 +204,81 @@
     with pytest.raises(Forwarded):
         anyio.run(application, scope, receive, send)
     assert pipeline.calls == calls
+
+
+class Recorder:
+    """Records the exchange instead of forwarding a request."""
+
+    def __init__(self) -> None:
+        self.exchange: _exchange.Exchange | None = None
+
+    def open(self, exchange: _exchange.Exchange) -> None:
+        self.exchange = exchange
+        raise Forwarded
+
+
+def send_slowly(
+    monkeypatch: pytest.MonkeyPatch, headers: list[tuple[bytes, bytes]]
+) -> tuple[float, list[Message]]:
+    """Send a body that takes 12 s.
+
+    :returns: time from its first byte to the deadline, 0 if the request was
+        not forwarded; and the messages of the answer.
+    """
+    now_s = [100.0]
+    monkeypatch.setattr(clock, "now_s", lambda: now_s[0])
+    recorder = Recorder()
+    application = make_ingress(make_blackboard("known"))
+    application._attempts = t.cast(t.Any, recorder)
+    sent: list[Message] = []
+
+    async def receive() -> Message:
+        now_s[0] += 1.0
+        await anyio.sleep(0.02)
+        is_last = now_s[0] >= 112.0
+        return {
+            "type": "http.request",
+            "body": b"part",
+            "more_body": not is_last,
+        }
+
+    async def send(message: Message) -> None:
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "path": "/known/",
+        "raw_path": b"/known/",
+        "query_string": b"",
+        "headers": [(b"host", b"a.example"), *headers],
+    }
+    with contextlib.suppress(Forwarded):
+        anyio.run(application, scope, receive, send)
+    if recorder.exchange is None:
+        return 0.0, sent
+    return recorder.exchange.request.deadline_s - 100.0, sent
+
+
+# Guards against a body that is refused, or expires, only because it takes
+# longer than the route lets callers wait for an answer.
+def test_a_routes_timeout_counts_from_the_end_of_the_body(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeout_ms = route_helpers.make_route("known").timeout_ms
+    after_s, _ = send_slowly(monkeypatch, [])
+    assert after_s == pytest.approx(12.0 + timeout_ms / 1000)
+    caller_ms = (b"papayastall-timeout-ms", b"12500")
+    after_s, _ = send_slowly(monkeypatch, [caller_ms])
+    assert after_s == pytest.approx(12.5)
+
+
+# Its caller no longer waits when the body is whole: nothing runs.
+def test_a_body_that_is_later_than_its_caller_waits_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    after_s, sent = send_slowly(
+        monkeypatch, [(b"papayastall-timeout-ms", b"100")]
+    )
+    assert after_s == 0.0
+    assert sent[0]["status"] == 408
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,6 +8,7 @@
 import pytest
 
 from papayastall import _http_server
+from papayastall import clock
 from papayastall import exceptions
 from tests import fake_transport
 
@@ -229,3 +230,22 @@
     assert caller.transport.statuses() == [200, 500]
     assert caller.transport.is_closing()
     await caller.leave()
+
+
+# Guards against a connection and its memory that a caller keeps for ever.
+async def test_a_body_of_which_nothing_arrives_is_refused() -> None:
+    caller = Caller()
+    connection = caller.connection
+    assert isinstance(connection, _http_server._Connection)
+    connection.data_received(
+        b"POST /o1 HTTP/1.1\r\nContent-Length: 9\r\n\r\nsome"
+    )
+    await caller.settle()
+    timeout_s = caller.server.limits.idle_timeout_ms / 1000
+    connection.sweep(clock.now_s() + timeout_s - 1.0)
+    await caller.settle()
+    assert caller.transport.statuses() == []
+    connection.sweep(clock.now_s() + timeout_s + 1.0)
+    await caller.settle()
+    assert caller.transport.statuses() == [408]
+    await caller.leave()
