Let clients that still send read their refusal

A client that was refused while it sent its body (413 for one over the limit, 503 or 408 for one that is not read further) got a reset instead, at the ports for callers, heartbeats and operators: the server closed the socket with input that nobody had read, and the kernel drops the answer with it. What it promises, that the request did not run and when to come back, was lost with it.

Now such a connection is closed for sending only. What the client still sends is read and dropped, not booked, until it closes, is silent for 2 s or has gone on for 30 s; then it is reset. A planned stop gives it 2 s. At the limit of connections it counts as idle, so it is replaced before those that work.

Tests without network: one that is silent and one that sends on, after a refused body and after input that is no request. FakeTransport got write_eof(); no check was changed.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -57,6 +57,11 @@
 LONG_BODY_S = 5.0
 """Time after which a body may be cut off to make room for a connection."""
 MEMORY_RETRY_AFTER_S = 2.0
+LINGER_SILENCE_S = 2.0
+"""Time without input after which a connection that was answered before its
+input ended is closed."""
+LINGER_TIMEOUT_S = 30.0
+"""The same without regard to input."""
 POLL_PEER_CLOSED = getattr(select, "POLLRDHUP", 0)
 MAX_BUFFERED_BODY_BYTES = 256 << 10
 """Unread body bytes beyond which the connection is not read further."""
@@ -301,6 +306,7 @@
         self._has_sent_head = False
         self._answer_bytes = 0
         self._stalled_sweeps = 0
+        self._lingers_since_s: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
@@ -342,6 +348,8 @@
         self.last_used_s = clock.now_s()
         self._is_new = False
         if self._input_ended or self._closes:
+            # Read and dropped: closing a socket with unread input resets
+            # it, and the caller might not get its answer.
             return
         if self._unparsed:
             data = self._unparsed + data
@@ -667,6 +675,9 @@
     def sweep(self, now_s: float) -> None:
         """Close the connection if one of its time limits has passed."""
         limits = self._server.limits
+        if self._lingers_since_s is not None:
+            self._sweep_lingering(now_s, self._lingers_since_s)
+            return
         if self._headers_since_s is not None and not self._running:
             if now_s - self._headers_since_s > limits.header_timeout_ms / 1000:
                 self._refuse_input(_request_framing.FramingError("late", 408))
@@ -721,7 +732,14 @@
         self._answer_bytes = size
 
     def close(self) -> None:
-        """Close the connection once its pending output is written."""
+        """Close the connection once its pending output is written.
+
+        One that lingers is reset instead once it has had some time.
+        """
+        if self._lingers_since_s is not None:
+            if clock.now_s() - self._lingers_since_s > LINGER_SILENCE_S:
+                self.abort()
+            return
         self._closes = True
         self._drop_requests()
         if self._transport is not None:
@@ -729,14 +747,41 @@
             if self._transport.get_write_buffer_size():
                 self._count_unread_answers()
 
+    def _linger(self) -> None:
+        """Close the connection once the caller has read its answer.
+
+        What it still sends is read and dropped, until it closes, is silent
+        or takes too long.
+        """
+        if self._transport is None or self._is_lost:
+            return
+        self._closes = True
+        self._input_ended = True
+        self._drop_requests()
+        self._unparsed = b""
+        self._count_input()
+        self.last_used_s = clock.now_s()
+        self._lingers_since_s = self.last_used_s
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._update_reading()
+
+    def _sweep_lingering(self, now_s: float, since_s: float) -> None:
+        is_silent = now_s - self.last_used_s > LINGER_SILENCE_S
+        if is_silent or now_s - since_s > LINGER_TIMEOUT_S:
+            self.abort()
+
     def abort(self) -> None:
         """Reset the connection; a broken answer must not look complete."""
         self._closes = True
         if self._transport is not None:
             self._transport.abort()
 
-    def _write_rejection(self, status: int) -> None:
-        """Answer input that is not a valid request, and close."""
+    def _write_rejection(self, status: int, *, is_whole: bool = False) -> None:
+        """Answer input that is not a valid request, and close.
+
+        :param is_whole: whether it was a request, and was received whole.
+        """
         if self._transport is None or self._is_lost:
             return
         phrase = http.HTTPStatus(status).phrase.encode()
@@ -747,7 +792,10 @@
             b"HTTP/1.1 %d %s\r\nconnection: close\r\n%b"
             b"content-length: 0\r\n\r\n" % (status, phrase, retry)
         )
-        self.close()
+        if is_whole:
+            self.close()
+        else:
+            self._linger()
 
     def is_first(self, request: _Request) -> bool:
         """Return whether all earlier requests have ended."""
@@ -813,7 +861,9 @@
         if not request.started and not request.disconnected:
             self._running.remove(request)
             self._release(request)
-            self._write_rejection(_problem.status_of(code))
+            self._write_rejection(
+                _problem.status_of(code), is_whole=request.complete
+            )
             return
         self._running.remove(request)
         self._release(request)
@@ -828,9 +878,12 @@
             first = self._running.popleft()
             if self._is_lost or first.disconnected:
                 continue
-            if self._closes or not first.complete:
+            if not first.complete:
                 # The unread rest of a body can't be told from the next
                 # request.
+                self._linger()
+                return
+            if self._closes:
                 self.close()
                 return
         if self._is_lost:
--- a/tests/fake_transport.py
+++ b/tests/fake_transport.py
@@ -15,12 +15,14 @@
 
     :ivar written: all that was written.
     :ivar is_reading_paused: whether the protocol paused reading.
+    :ivar is_eof_written: whether the protocol will write no more.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
         self.is_reading_paused = False
+        self.is_eof_written = False
         self._is_closing = False
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
@@ -43,6 +45,14 @@
         """Note that the protocol wants input."""
         self.is_reading_paused = False
 
+    def can_write_eof(self) -> bool:
+        """Return true, as for a connection without TLS."""
+        return True
+
+    def write_eof(self) -> None:
+        """Note that no more is written."""
+        self.is_eof_written = True
+
     def is_closing(self) -> bool:
         """Return whether the transport was closed."""
         return self._is_closing
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -232,6 +232,50 @@
     await caller.leave()
 
 
+async def refuse_at_once(
+    scope: _http_server.Scope,
+    receive: _http_server.Receive,
+    send: _http_server.Send,
+) -> None:
+    """Answer without reading the body."""
+    await _http_server.send_answer(send, 413, [], b"")
+
+
+# Guards against a reset that keeps a caller from reading its answer, and
+# against one that keeps its connection open by sending on.
+@pytest.mark.parametrize("sends_on", [False, True])
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [(b"POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\n", 413), (b"\n", 400)],
+)
+async def test_a_caller_that_still_sends_is_closed_after_some_time(
+    head: bytes, status: int, sends_on: bool
+) -> None:
+    caller = Caller()
+    caller.server.application = refuse_at_once
+    connection = caller.connection
+    assert isinstance(connection, _http_server._Connection)
+    connection.data_received(head)
+    await caller.settle()
+    assert caller.transport.statuses() == [status]
+    assert caller.transport.is_eof_written
+    since_s = clock.now_s()
+    limit_s = _http_server.LINGER_SILENCE_S
+    if sends_on:
+        limit_s = _http_server.LINGER_TIMEOUT_S
+    for elapsed_s in range(int(limit_s)):
+        connection.close()
+        connection.sweep(since_s + elapsed_s)
+        assert not caller.transport.is_closing()
+        if sends_on:
+            connection.data_received(bytes(1000))
+            connection.last_used_s = since_s + elapsed_s
+        assert caller.server.account.used_bytes == 0
+    connection.sweep(since_s + limit_s + 1.0)
+    assert caller.transport.is_closing()
+    await caller.leave()
+
+
 # Guards against a connection and its memory that a caller keeps for ever.
 async def test_a_body_of_which_nothing_arrives_is_refused() -> None:
     caller = Caller()
