Send answers as their callers read them and the link takes them

Cause: every answer could be 256 KiB ahead of its caller, at the owner twice (kept until acknowledged, and unsent on the link), and at the ingress; nothing of it was booked. Once all together passed the 16 MiB that a link holds, the link closed; on the next one the ingress asked, the owner sent all of it again at once, and the link closed again.

Now the ingress grants and books what an owner may send: 64 KiB, 256 KiB once the caller reads, 16 KiB while memory for answers is short; then the lookups of a connection don't run side by side either. 64 KiB, as much as an owner reads from an upstream before it sends anything, keep the upstream's slot from depending on the caller. The owner books what it keeps of answers for other nodes with the memory for links, sends the chunks of all answers in turn while the link has room, also after a query, drops them when the caller has left, and refuses new requests of other nodes (503, not run) when that memory is in use.

Ruled out: that reading is paused at the ingress (it keeps 59 MB while the owner grows), and the transport to the upstream.

tests/test_body_transfer.py -k answers: 120 answers of 250 kB at the owner at the same moment, with the link cut twice, arrive whole and leave nothing booked.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -19,6 +19,7 @@
 from papayastall import clock
 from papayastall import exceptions
 from papayastall import logs
+from papayastall import memory
 from papayastall import metrics
 
 __all__ = ["AttemptSender"]
@@ -32,6 +33,13 @@
 DEADLINE_GRACE_S = 1.0
 PING_INTERVAL_S = 0.25
 CREDIT_INTERVAL_BYTES = 64 << 10
+MAX_ANSWER_WINDOW_BYTES = 256 << 10
+"""Unacknowledged bytes of an answer, once its caller reads it."""
+ANSWER_WINDOW_BYTES = 64 << 10
+"""The same before that: most answers fit in, so that their upstream does not
+wait for their callers."""
+MIN_ANSWER_WINDOW_BYTES = 16 << 10
+"""The same while memory for answers is short."""
 
 Actions = cabc.Sequence[_decision_types.IngressAction]
 _Code = exceptions.ErrorCode
@@ -46,6 +54,7 @@
 
     :param rng: yields the first wire id; the others count up from it.
     :param address: link address of this node.
+    :param account: books the answers that owners may send.
     """
 
     def __init__(
@@ -55,8 +64,10 @@
         rng: random.Random,
         counters: metrics.Metrics,
         address: str = "",
+        account: memory.MemoryAccount | None = None,
     ) -> None:
         self._address = address
+        self._account = account
         self._counters = counters
         self.controller = controller
         self._links = links
@@ -102,6 +113,10 @@
         self._exchanges.pop(request_id, None)
         for attempt in list(exchange.attempts.values()):
             self._cancel(attempt)
+        if self._account is not None:
+            answers = memory.MemoryClass.ANSWERS
+            self._account.release(answers, exchange.booked_bytes)
+            exchange.booked_bytes = 0
 
     def give_up(self) -> None:
         """Refuse all requests that have no answer yet."""
@@ -114,9 +129,38 @@
 
         :param relayed_bytes: total of the answer's body, not an increment.
         """
-        credit = _frames.Credit(attempt.wire_id, relayed_bytes, False)
+        more = MAX_ANSWER_WINDOW_BYTES - attempt.window_bytes
+        if more > 0 and self._book_answer(attempt.exchange, more):
+            attempt.window_bytes += more
+        credit = _frames.Credit(
+            attempt.wire_id, relayed_bytes, False, attempt.window_bytes
+        )
         self._links.send(attempt.owner, credit)
 
+    def _book_answer(
+        self, exchange: _exchange.Exchange, size_bytes: int
+    ) -> bool:
+        """Book memory for an answer, unless it is short."""
+        account, answers = self._account, memory.MemoryClass.ANSWERS
+        if account is not None:
+            if account.is_near(answers):
+                return False
+            if not account.book(answers, size_bytes):
+                return False
+            exchange.booked_bytes += size_bytes
+        return True
+
+    def _open_window(self, exchange: _exchange.Exchange) -> int:
+        """Return how much of an answer an owner may send at first."""
+        if self._book_answer(exchange, ANSWER_WINDOW_BYTES):
+            return ANSWER_WINDOW_BYTES
+        assert self._account is not None
+        self._account.charge(
+            memory.MemoryClass.ANSWERS, MIN_ANSWER_WINDOW_BYTES
+        )
+        exchange.booked_bytes += MIN_ANSWER_WINDOW_BYTES
+        return MIN_ANSWER_WINDOW_BYTES
+
     def perform(self, actions: Actions) -> None:
         """Carry out the controller's actions.
 
@@ -272,6 +316,8 @@
             return
         attempt.owner_boot_id = self._links.boot_id(attempt.owner)
         frame = _make_open(attempt, action, remaining_s)
+        attempt.window_bytes = self._open_window(attempt.exchange)
+        frame.answer_window_bytes = attempt.window_bytes
         size = len(attempt.exchange.body)
         first_bytes = _body_transfer.FIRST_PART_BYTES
         if attempt.owner == self._address or size <= first_bytes:
--- a/src/papayastall/_exchange.py
+++ b/src/papayastall/_exchange.py
@@ -25,6 +25,8 @@
         was sent to; 0 while nothing has been sent.
     :param begun_s: monotonic time at which the request was sent, or began
         to wait for the link to be opened.
+    :param window_bytes: unacknowledged bytes of the answer that the owner
+        may send.
     :param body: what is left of the body to be sent, if it is not sent with
         the request.
     :param started: whether a chunk of the answer has arrived, not only its
@@ -46,6 +48,7 @@
     owner_boot_id: int = 0
     begun_s: float = 0.0
     head: _frames.AnswerHead | None = None
+    window_bytes: int = 0
     body: _body_transfer.BodySender | None = None
     started: bool = False
     chunks: collections.deque[bytes] = msgspec.field(
@@ -71,6 +74,7 @@
     :param attempts: open attempts by their number.
     :param chosen: the attempt whose answer is relayed.
     :param refusal: why the request is refused.
+    :param booked_bytes: memory booked for answers on their way.
     :param changed: event that is set whenever an outcome is known or more
         of the answer can be relayed.
     """
@@ -89,6 +93,7 @@
     attempts: dict[int, Attempt] = msgspec.field(default_factory=dict)
     chosen: Attempt | None = None
     refusal: _decision_types.RefuseRequest | None = None
+    booked_bytes: int = 0
     changed: anyio.Event = msgspec.field(default_factory=anyio.Event)
 
     async def wait_for_outcome(self) -> None:
--- a/src/papayastall/_frames.py
+++ b/src/papayastall/_frames.py
@@ -109,6 +109,8 @@
         if unknown.
     :param body_bytes: length of the whole body, if the rest of it is sent as
         the owner asks for it; 0 if it follows at once.
+    :param answer_window_bytes: unacknowledged bytes of the answer that the
+        owner may send; 0 for its own default.
     """
 
     request_id: int
@@ -138,6 +140,7 @@
     is_suspect: bool = False
     expected_ms: float = 0.0
     body_bytes: int = 0
+    answer_window_bytes: int = 0
 
 
 class BodyChunk(msgspec.Struct):
@@ -177,11 +180,14 @@
     """Acknowledgement of answer bytes.
 
     :param done: whether the owner may discard the answer.
+    :param window_bytes: unacknowledged bytes that the owner may send from
+        now on; 0 if that does not change.
     """
 
     request_id: int
     received_bytes: int
     done: bool
+    window_bytes: int = 0
 
 
 class Query(msgspec.Struct):
--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -823,6 +823,7 @@
             self._running[-1].lets_next_begin
             and not self._waiting[0].rejection
             and not server.account.is_near(server.heads_class)
+            and not server.account.is_near(memory.MemoryClass.ANSWERS)
         )
 
     async def _run(self, request: _Request) -> None:
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -232,10 +232,12 @@
         return connection.peer.grants_body
 
     def has_room(self, address: str) -> bool:
-        """Return whether to send parts of bodies to the peer.
+        """Return whether to send parts of bodies and answers to the peer.
 
         If not, ``LinkEvent.WRITABLE`` follows once there is room.
         """
+        if address == self.settings.address:
+            return True
         connection = self._peer(address).connection
         return connection is not None and connection.has_room()
 
--- a/src/papayastall/_owner_runs.py
+++ b/src/papayastall/_owner_runs.py
@@ -14,6 +14,7 @@
 
 RUN_RETENTION_S = 60.0
 FENCE_RETENTION_S = 600.0
+DEFAULT_WINDOW_BYTES = 256 << 10
 
 RunKey = tuple[str, int, int]
 """Link address and boot id of the ingress, and the request's wire id."""
@@ -32,12 +33,16 @@
         submitted.
     :param receiver: the body, if it is received as the upstream takes it.
     :param booked_bytes: memory that is booked for the body.
+    :param booked_answer_bytes: memory that is booked for the answer.
     :param submitted: whether the request was passed to the controller.
     :param dispatched: whether the request was passed to an upstream.
     :param abandoned: whether the ingress cancelled the request.
     :param scope: cancels the request at the upstream.
+    :param unsent: chunks of the answer that wait for room on the link.
     :param unacknowledged: chunks that the ingress may not have received.
+    :param answer_bytes: length of all these chunks.
     :param sent_bytes: length of the answer's body sent so far.
+    :param window_bytes: unacknowledged bytes of it that may be sent.
     :param credit: event that is set when the ingress acknowledges chunks
         or cancels the request.
     :param ended_s: when the request ended; ``None`` while it has not.
@@ -52,15 +57,21 @@
     body: list[bytes] = msgspec.field(default_factory=list)
     receiver: _body_transfer.BodyReceiver | None = None
     booked_bytes: int = 0
+    booked_answer_bytes: int = 0
     submitted: bool = False
     dispatched: bool = False
     abandoned: bool = False
     scope: anyio.CancelScope | None = None
     head: _frames.AnswerHead | None = None
+    unsent: collections.deque[_frames.AnswerChunk] = msgspec.field(
+        default_factory=collections.deque
+    )
     unacknowledged: collections.deque[_frames.AnswerChunk] = msgspec.field(
         default_factory=collections.deque
     )
+    answer_bytes: int = 0
     sent_bytes: int = 0
+    window_bytes: int = DEFAULT_WINDOW_BYTES
     acknowledged_bytes: int = 0
     credit: anyio.Event = msgspec.field(default_factory=anyio.Event)
     refusal: _frames.Refuse | None = None
@@ -71,20 +82,47 @@
         """Link address of the ingress."""
         return self.key[0]
 
+    @property
+    def has_window(self) -> bool:
+        """Whether more of the answer may be sent."""
+        return self.sent_bytes - self.acknowledged_bytes < self.window_bytes
+
     def acknowledge(self, received_bytes: int) -> None:
         """Drop the chunks that the ingress has received.
 
         The last chunk is kept until the run is forgotten.
         """
         self.acknowledged_bytes = max(self.acknowledged_bytes, received_bytes)
-        chunks = self.unacknowledged
-        while chunks and not chunks[0].last:
-            end_bytes = chunks[0].offset_bytes + len(chunks[0].data)
-            if end_bytes > self.acknowledged_bytes:
-                break
-            chunks.popleft()
+        for chunks in (self.unacknowledged, self.unsent):
+            while chunks and not chunks[0].last:
+                end_bytes = chunks[0].offset_bytes + len(chunks[0].data)
+                if end_bytes > self.acknowledged_bytes:
+                    break
+                self.answer_bytes -= len(chunks.popleft().data)
         self.credit.set()
 
+    def add_chunk(self, chunk: _frames.AnswerChunk) -> None:
+        """Add a chunk of the answer, to be sent in its turn."""
+        self.unsent.append(chunk)
+        self.answer_bytes += len(chunk.data)
+
+    def next_chunk(self) -> _frames.AnswerChunk:
+        """Return the next chunk to send; it is kept until acknowledged."""
+        chunk = self.unsent.popleft()
+        self.unacknowledged.append(chunk)
+        return chunk
+
+    def send_again(self) -> None:
+        """Send all chunks again that were not acknowledged."""
+        self.unsent.extendleft(reversed(self.unacknowledged))
+        self.unacknowledged.clear()
+
+    def drop_answer(self) -> None:
+        """Drop the rest of the answer, which nobody waits for."""
+        self.unsent.clear()
+        self.unacknowledged.clear()
+        self.answer_bytes = 0
+
 
 class RunTable:
     """The runs of an owner, and fences against frames that arrive late.
@@ -154,20 +192,26 @@
             and now_s > run.deadline_s
         ]
 
-    def expire(self, now_s: float) -> None:
-        """Remove ended runs and fences whose retention time has passed."""
+    def expire(self, now_s: float) -> list[Run]:
+        """Remove ended runs and fences whose retention time has passed.
+
+        :returns: the runs that were removed.
+        """
+        expired: list[Run] = []
         for run in list(self._runs.values()):
             if run.ended_s is None:
                 continue
             # Until the deadline the ingress may query the run on a new link.
             if now_s > max(run.ended_s, run.deadline_s) + RUN_RETENTION_S:
                 self.forget(run, now_s)
+                expired.append(run)
         while self._fences_s:
             key = next(iter(self._fences_s))
             if self._fences_s[key] > now_s:
                 break
             del self._fences_s[key]
             self._forgotten.discard(key)
+        return expired
 
     def running(self) -> int:
         """Return the number of runs that have not ended."""
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -501,8 +501,8 @@
         while (data := await exchange.next_chunk()) is not None:
             await reply.send_chunk(data)
             relayed_bytes += len(data)
-            if relayed_bytes - acknowledged_bytes >= (
-                _attempts.CREDIT_INTERVAL_BYTES
+            if relayed_bytes - acknowledged_bytes >= min(
+                _attempts.CREDIT_INTERVAL_BYTES, attempt.window_bytes // 2
             ):
                 acknowledged_bytes = relayed_bytes
                 self._attempts.acknowledge(attempt, relayed_bytes)
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -344,6 +344,7 @@
             self._rng,
             self.counters,
             address,
+            self.memory.account,
         )
         self.quotas = quotas.Quotas(
             address,
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -27,7 +27,6 @@
 
 TICK_INTERVAL_S = 0.05
 IDLE_TICK_INTERVAL_S = 0.25
-SEND_WINDOW_BYTES = 256 << 10
 MAX_CHUNK_BYTES = 64 << 10
 EXPIRE_INTERVAL_S = 1.0
 MAX_RECORDED_BODY_BYTES = 64 << 10
@@ -118,6 +117,8 @@
         self._client = _upstream_client.UpstreamClient(names)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._is_stopping = False
+        # Runs whose answer waits for room on the link, by ingress.
+        self._answers: dict[str, dict[int, _owner_runs.Run]] = {}
         self._recent_ingresses = _recent_ingresses.RecentIngresses()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -128,6 +129,7 @@
         self._links.handle_frames(_frames.Cancel, self._receive_cancel)
         self._links.handle_frames(_frames.Credit, self._receive_credit)
         self._links.handle_frames(_frames.Query, self._receive_query)
+        self._links.handle_events(self._receive_event)
         tasks.start_soon(self._tick)
 
     async def close(self) -> None:
@@ -194,6 +196,8 @@
         if run is None:
             return
         run.arrived_s = clock.now_s()
+        if frame.answer_window_bytes > 0:
+            run.window_bytes = frame.answer_window_bytes
         if self._is_stopping:
             self._end(
                 run,
@@ -202,6 +206,9 @@
                 retry_after_ms=0,
             )
             return
+        if self._is_full(run):
+            self._refuse_body(run)
+            return
         body = frame.body
         # The run keeps the frame for longer than the body is needed.
         frame.body = b""
@@ -247,6 +254,16 @@
             run.body.append(data)
         return True
 
+    def _is_full(self, run: _owner_runs.Run) -> bool:
+        """Return whether the memory for requests of other nodes is in use."""
+        if self._account is None or self._is_own(run):
+            return False
+        return self._account.free(memory.MemoryClass.LINKS) <= 0
+
+    def _is_own(self, run: _owner_runs.Run) -> bool:
+        """Return whether this node is the ingress, which books the request."""
+        return run.ingress == self._links.settings.address
+
     def _refuse_body(self, run: _owner_runs.Run) -> None:
         self._end(
             run,
@@ -307,7 +324,7 @@
         single body may take what other classes leave.
         """
         account = self._account
-        if account is None or run.ingress == self._links.settings.address:
+        if account is None or self._is_own(run):
             return True
         links = memory.MemoryClass.LINKS
         if account.used(links) == run.booked_bytes:
@@ -363,7 +380,11 @@
         self, ingress: str, boot_id: int, frame: _frames.Cancel
     ) -> None:
         run = self._runs.find((ingress, boot_id, frame.request_id))
-        if run is None or run.ended_s is not None:
+        if run is None:
+            return
+        if run.ended_s is not None:
+            run.drop_answer()
+            self._count_answer(run)
             return
         run.abandoned = True
         run.credit.set()
@@ -381,9 +402,12 @@
         run = self._runs.find((ingress, boot_id, frame.request_id))
         if run is None:
             return
+        run.window_bytes = max(run.window_bytes, frame.window_bytes)
         run.acknowledge(frame.received_bytes)
         if frame.done and run.ended_s is not None:
             self._runs.forget(run, clock.now_s())
+            run.drop_answer()
+        self._count_answer(run)
 
     def _receive_query(
         self, ingress: str, boot_id: int, frame: _frames.Query
@@ -431,8 +455,8 @@
         self._links.send(run.ingress, _frames.Running(frame.request_id))
         if run.head is not None and not frame.has_head:
             self._links.send(run.ingress, run.head)
-        for chunk in run.unacknowledged:
-            self._links.send(run.ingress, chunk)
+        run.send_again()
+        self._queue_answer(run)
         if run.refusal is not None:
             self._links.send(run.ingress, run.refusal)
 
@@ -625,8 +649,57 @@
             upstream_ms,
         )
         run.sent_bytes += len(data)
-        run.unacknowledged.append(chunk)
-        self._links.send(run.ingress, chunk)
+        run.add_chunk(chunk)
+        self._queue_answer(run)
+
+    def _queue_answer(self, run: _owner_runs.Run) -> None:
+        """Send what there is of an answer, once the link has room."""
+        self._count_answer(run)
+        if run.unsent:
+            waiting = self._answers.setdefault(run.ingress, {})
+            waiting[run.local_id] = run
+            self._send_answers(run.ingress)
+
+    def _send_answers(self, ingress: str) -> None:
+        """Send chunks of answers in turn, while the link has room."""
+        waiting = self._answers.get(ingress, {})
+        while waiting and self._links.has_room(ingress):
+            run = waiting.pop(next(iter(waiting)))
+            if run.unsent:
+                self._links.send(ingress, run.next_chunk())
+            if run.unsent:
+                waiting[run.local_id] = run
+        if not waiting:
+            self._answers.pop(ingress, None)
+
+    def _receive_event(self, peer: str, event: _links.LinkEvent) -> None:
+        if event is _links.LinkEvent.WRITABLE:
+            self._send_answers(peer)
+
+    def _count_answer(self, run: _owner_runs.Run) -> None:
+        """Book what is kept of an answer for another node.
+
+        It is booked also over the limit: requests that ran are not undone.
+        """
+        if self._account is None or self._is_own(run):
+            return
+        more = run.answer_bytes - run.booked_answer_bytes
+        if more > 0:
+            self._account.charge(memory.MemoryClass.LINKS, more)
+        elif more < 0:
+            self._account.release(memory.MemoryClass.LINKS, -more)
+        run.booked_answer_bytes = run.answer_bytes
+
+    def _expire_runs(self, now_s: float) -> None:
+        for run in self._runs.expire(now_s):
+            run.drop_answer()
+            self._count_answer(run)
+        for ingress, waiting in list(self._answers.items()):
+            for run in list(waiting.values()):
+                if not run.unsent:
+                    del waiting[run.local_id]
+            if not waiting:
+                del self._answers[ingress]
 
     def _end_unfinished_bodies(self, now_s: float) -> None:
         for run in self._runs.unfinished_bodies(now_s):
@@ -657,7 +730,7 @@
             self._notify_availability_changes(now_s)
             if now_s > expire_s:
                 self._end_unfinished_bodies(now_s)
-                self._runs.expire(now_s)
+                self._expire_runs(now_s)
                 self._recent_ingresses.expire(now_s)
                 expire_s = now_s + EXPIRE_INTERVAL_S
 
@@ -717,10 +790,9 @@
         run = self._run
         if run.open.claim_token:
             self._buffer_for_claim(data)
-        for start in range(0, len(data), MAX_CHUNK_BYTES):
-            while not run.abandoned and (
-                run.sent_bytes - run.acknowledged_bytes > SEND_WINDOW_BYTES
-            ):
+        start = 0
+        while start < len(data):
+            while not run.abandoned and not run.has_window:
                 run.credit = anyio.Event()
                 await run.credit.wait()
             if run.abandoned:
@@ -728,7 +800,9 @@
             held = self.take_held()
             if held:
                 self._owner.send_chunk(run, held, last=False)
-            self._held = data[start : start + MAX_CHUNK_BYTES]
+            end = start + min(MAX_CHUNK_BYTES, run.window_bytes // 2)
+            self._held = data[start:end]
+            start = end
 
     def take_held(self) -> bytes:
         """Return the chunk that is held back, and clear it."""
--- a/src/papayastall/wire.thrift
+++ b/src/papayastall/wire.thrift
@@ -65,6 +65,7 @@
   25: bool is_suspect,
   26: double expected_ms,
   27: i64 body_bytes,
+  28: i32 answer_window_bytes,
 }
 
 struct BodyChunk {
@@ -88,6 +89,7 @@
   1: i64 request_id,
   2: i64 received_bytes,
   3: bool done,
+  4: i32 window_bytes,
 }
 
 struct Query {
--- a/tests/test_body_transfer.py
+++ b/tests/test_body_transfer.py
@@ -1,8 +1,9 @@
-"""Bodies on their way from an ingress to an owner.
+"""Bodies on their way from an ingress to an owner, and answers back.
 
 The load: many uploads from several ingresses meet at one owner, whose
 upstream takes them slowly, while links fail. No body may be changed or run in
-part, and what the owner keeps stays within its share of the memory.
+part, and what the owner keeps stays within its share of the memory. Many
+large answers share a link.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from papayastall import _ingress_controller
 from papayastall import _links
 from papayastall import _owner_controller
+from papayastall import _owner_runs
 from papayastall import _upstream_client
 from papayastall import clock
 from papayastall import exceptions
@@ -40,6 +42,9 @@
 SLOTS = 3
 INGRESSES = 40
 UPLOADS_PER_INGRESS = 20
+ANSWERS = 120
+ANSWER_BYTES = 250_000
+"""Together more than a link keeps."""
 
 
 @pytest.mark.anyio
@@ -99,11 +104,13 @@
 
     :ivar taken: bytes of each body that were taken.
     :ivar demand: set when bodies are taken.
+    :ivar answer: body of each answer.
     """
 
     def __init__(self) -> None:
         self.taken: list[bytearray] = []
         self.demand = anyio.Event()
+        self.answer = b""
 
     async def run(
         self,
@@ -125,6 +132,8 @@
             return _decision_types.Outcome.BROKEN
         assert len(taken) == request.body_bytes
         await sink.send_head(200, [])
+        if self.answer:
+            await sink.send_chunk(self.answer)
         return _decision_types.Outcome.ANSWERED
 
     async def is_alive(self, upstream: str) -> bool:
@@ -148,6 +157,9 @@
     def handle_frames(self, kind: type, handler: object) -> None:
         """Do nothing."""
 
+    def handle_events(self, handler: object) -> None:
+        """Do nothing."""
+
 
 def make_open(request_id: int, body: bytes, body_bytes: int) -> _frames.Open:
     return _frames.Open(
@@ -184,9 +196,9 @@
     return made, client
 
 
-def announce(made: owner.Owner) -> None:
+def announce(made: owner.Owner, slots: int = SLOTS) -> None:
     made.controller.configure(SERVICE, decision_helpers.DETECTION)
-    announcement = decision_helpers.announcement("10.0.0.9:8000", SLOTS)
+    announcement = decision_helpers.announcement("10.0.0.9:8000", slots)
     made.perform(made.controller.announce(clock.now_s() - 100.0, announcement))
 
 
@@ -233,9 +245,13 @@
 
 
 class Pair:
-    """An ingress and an owner with a link between them."""
+    """An ingress and an owner with a link between them.
 
-    def __init__(self) -> None:
+    :param slots: of the owner's upstream.
+    """
+
+    def __init__(self, slots: int = SLOTS) -> None:
+        self._slots = slots
         self.here, self.there = (
             _links.Links(
                 _links.LinkSettings(address, 1, "a"),
@@ -254,7 +270,7 @@
         controller.set_owner(
             clock.now_s(),
             _decision_types.OwnerAdvert(
-                self.there.settings.address, SERVICE, "a", SLOTS
+                self.there.settings.address, SERVICE, "a", slots
             ),
         )
         self.attempts = _attempts.AttemptSender(
@@ -271,7 +287,7 @@
             for each in (self.here, self.there):
                 await each.start(tasks)
             await self.owner.start(tasks)
-            announce(self.owner)
+            announce(self.owner, self._slots)
             await self.attempts.start(tasks)
             await self.here.connect(self.there.settings.address)
             yield
@@ -279,16 +295,16 @@
             await self.there.close()
             tasks.cancel_scope.cancel()
 
-    def send(self, body: bytes) -> _exchange.Exchange:
+    def send(self, body: bytes, request_id: int = 1) -> _exchange.Exchange:
         """Open a booking with a body."""
         request = _decision_types.IngressRequest(
-            1,
+            request_id,
             SERVICE,
             "book",
             "",
             _decision_types.RequestKind.NON_IDEMPOTENT,
             clock.now_s() + 30.0,
-            1,
+            request_id,
         )
         exchange = _exchange.Exchange(request, b"POST", b"/", [], body)
         self.attempts.open(exchange)
@@ -341,3 +357,46 @@
             while pair.owner.running():
                 await anyio.sleep(0.01)
     assert len(pair.client.taken[0]) < BODY_BYTES
+
+
+# Guards against a link that closes because of what all answers on it take,
+# and does so again with the same answers after it was opened anew.
+@pytest.mark.anyio
+@pytest.mark.parametrize("cuts", [0, 2])
+async def test_answers_that_exceed_what_a_link_keeps_are_delivered(
+    cuts: int,
+) -> None:
+    pair = Pair(ANSWERS)
+    pair.client.answer = random.Random(1).randbytes(ANSWER_BYTES)
+    whole = 0
+
+    async def read(number: int) -> None:
+        nonlocal whole
+        exchange = pair.send(b"", number)
+        await exchange.wait_for_outcome()
+        assert exchange.chosen is not None
+        answer = b""
+        while (data := await exchange.next_chunk()) is not None:
+            answer += data
+            pair.attempts.acknowledge(exchange.chosen, len(answer))
+        assert answer == pair.client.answer
+        whole += 1
+        pair.attempts.close(exchange)
+
+    async with pair.run():
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                for number in range(ANSWERS):
+                    tasks.start_soon(read, number)
+                while len(pair.client.taken) < ANSWERS:
+                    await anyio.sleep(0.01)
+                # All are at the owner at the same moment.
+                pair.client.demand.set()
+                for cut in range(cuts):
+                    while whole < (cut + 1) * ANSWERS // (cuts + 1) // 2:
+                        await anyio.sleep(0)
+                    pair.cut()
+    assert whole == ANSWERS
+    # The last acknowledgements may have been lost with a link.
+    pair.owner._expire_runs(clock.now_s() + _owner_runs.RUN_RETENTION_S + 60.0)
+    assert pair.account.used(memory.MemoryClass.LINKS) == 0
