Book what the kernel holds of connections that are not read

Bytes that have arrived and are not read count as memory of the process.

Now the listeners for callers, heartbeats, operators and metrics, and the connections to upstreams, limit the receive buffer to 64 KiB, and a connection that stops being read books as much, in the class of what it sends. That is allowed up to 0.85 of the class; what is left is for connections that are read. Beyond it the body is refused (503, not run), and what else was sent is dropped.

The test without network showed a second fault: pipelined requests filled the class of heads, so that an ordinary caller's request got 503. While the class is near its limit, a connection holds one request; the others stay unparsed. Of an upstream's answer no more than 64 KiB, formerly 256 KiB, wait unread.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -56,6 +56,9 @@
 closed."""
 LONG_BODY_S = 5.0
 """Time after which a body may be cut off to make room for a connection."""
+MAX_UNREAD_SHARE = 0.85
+"""Part of a class's limit up to which connections may wait to be read; the
+rest is for those that are."""
 MEMORY_RETRY_AFTER_S = 2.0
 LINGER_SILENCE_S = 2.0
 """Time without input after which a connection that was answered before its
@@ -298,6 +301,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._is_paused = False
+        # Memory booked for what the kernel holds while reading is paused.
+        self._unread_booking: memory.MemoryClass | None = None
         self._is_lost = False
         self._closes = False
         self._input_ended = False
@@ -323,6 +328,7 @@
         self._drop_requests()
         self._unparsed = b""
         self._count_input()
+        self._release_unread()
 
     def _drop_requests(self) -> None:
         """Cancel requests that run, and drop those that do not run yet."""
@@ -366,7 +372,7 @@
                     # What follows a request that ends its connection is
                     # not read.
                     position = len(data)
-                elif self._count_requests() >= MAX_PIPELINED_REQUESTS:
+                elif self._count_requests() >= self._max_requests():
                     break
                 elif (after := self._read_head(data, position)) > position:
                     position = after
@@ -382,6 +388,16 @@
     def _count_requests(self) -> int:
         return len(self._running) + len(self._waiting)
 
+    def _max_requests(self) -> int:
+        """Return how many requests of this connection may run or wait.
+
+        While memory for heads is short, what is left is for connections
+        without a request.
+        """
+        if self._server.account.is_near(self._server.heads_class):
+            return 1
+        return MAX_PIPELINED_REQUESTS
+
     def _count_input(self) -> None:
         """Book the input that is not parsed yet."""
         more = len(self._unparsed) - self._input_bytes
@@ -609,7 +625,10 @@
     def _update_reading(self) -> None:
         """Read from the connection, unless too much is kept already."""
         request = self._request
-        pause = self._count_requests() >= MAX_PIPELINED_REQUESTS
+        count = self._count_requests()
+        pause = count >= MAX_PIPELINED_REQUESTS
+        pause = pause or bool(self._unparsed and count >= self._max_requests())
+        pause = pause and not self._input_ended
         if request is not None:
             pause = request.body_bytes > MAX_BUFFERED_BODY_BYTES or (
                 request.holding is not None and request.holding.is_held_back
@@ -618,12 +637,46 @@
             return
         if self._is_lost or self._transport.is_closing():
             return
+        if pause and not self._book_unread(request):
+            return
         self._is_paused = pause
         if pause:
             self._transport.pause_reading()
         else:
+            self._release_unread()
             self._transport.resume_reading()
 
+    def _book_unread(self, request: _Request | None) -> bool:
+        """Book what the kernel holds of a connection that is not read.
+
+        :param request: the one whose body is received, if any.
+        :returns: whether to stop reading; if not, the input that can't be
+            held was refused and what follows is dropped.
+        """
+        server = self._server
+        kind = server.heads_class if request is None else server.bodies_class
+        size = _listener.RECEIVE_BUFFER_BYTES
+        most = MAX_UNREAD_SHARE * server.account.limit(kind)
+        if server.account.used(kind) + size <= most:
+            server.account.charge(kind, size)
+            self._unread_booking = kind
+            return True
+        if request is None:
+            self._unparsed = b""
+            self._count_input()
+            self._refuse_input(_out_of_memory_framing())
+        elif request.holding is not None:
+            self.refuse_body(request.holding, _out_of_memory())
+        server.account.refusals[kind] += 1
+        return False
+
+    def _release_unread(self) -> None:
+        if self._unread_booking is not None:
+            self._server.account.release(
+                self._unread_booking, _listener.RECEIVE_BUFFER_BYTES
+            )
+            self._unread_booking = None
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
--- a/src/papayastall/_listener.py
+++ b/src/papayastall/_listener.py
@@ -16,7 +16,16 @@
 
 import anyio
 
-__all__ = ["close_listener", "open_listener"]
+__all__ = [
+    "RECEIVE_BUFFER_BYTES",
+    "close_listener",
+    "limit_receive_buffer",
+    "open_listener",
+]
+
+RECEIVE_BUFFER_BYTES = 64 << 10
+"""Bytes that the kernel may hold for a connection that is not read. They
+count as memory of the process; by default it would hold megabytes."""
 
 HANDSHAKE_WAIT_S = 0.02
 """Time for handshakes in progress to end: many round trips within a site."""
@@ -41,15 +50,30 @@
         """Set an option of the socket."""
 
 
+class _Socket(t.Protocol):
+    """The part of a socket that is used here."""
+
+    def setsockopt(self, level: int, option: int, value: int, /) -> None:
+        """Set an option of the socket."""
+
+
+def limit_receive_buffer(each: _Socket) -> None:
+    """Limit what the kernel holds for a socket, or those it accepts."""
+    each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def open_listener(host: str, port: int) -> socket.socket:
     """Return a bound, non-blocking TCP socket; it does not listen yet.
 
+    The receive buffers of the connections that it accepts are limited.
+
     :raises OSError: the address can't be bound.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        limit_receive_buffer(bound)
         bound.setblocking(False)
         bound.bind((host, port))
     except OSError:
--- a/src/papayastall/_upstream_connection.py
+++ b/src/papayastall/_upstream_connection.py
@@ -13,6 +13,7 @@
 import httptools
 
 from papayastall import _body_transfer
+from papayastall import _listener
 from papayastall import clock
 
 __all__ = [
@@ -33,7 +34,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0
 """Keep-alive timeout of upstreams that do not announce one."""
 WRITE_SIZE_BYTES = 64 << 10
-MAX_UNREAD_BYTES = 256 << 10
+MAX_UNREAD_BYTES = 64 << 10
 """Unread bytes of a body above which the connection is not read further."""
 ANSWER_VERSIONS = ("1.0", "1.1")
 INFORMATIONAL_STATUSES = range(100, 200)
@@ -135,6 +136,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
+        _listener.limit_receive_buffer(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,12 +8,16 @@
 import pytest
 
 from papayastall import _http_server
+from papayastall import _listener
 from papayastall import clock
 from papayastall import exceptions
+from papayastall import memory
 from tests import fake_transport
 
 pytestmark = pytest.mark.anyio
 
+CROWD = 300
+
 
 class Application:
     """Answers each request once the test lets it; ``/l`` are lookups.
@@ -68,14 +72,33 @@
 
 
 class Caller:
-    """A connection to a server with the application above."""
+    """A connection to a server with the application above.
 
-    def __init__(self) -> None:
+    :param beside: another connection, to share its server.
+    :param account: of a new server.
+    """
+
+    def __init__(
+        self,
+        beside: Caller | None = None,
+        account: memory.MemoryAccount | None = None,
+    ) -> None:
+        self.transport = fake_transport.FakeTransport()
+        if beside is not None:
+            self.application = beside.application
+            self.server = beside.server
+            self.connection = self.server.make_connection()
+            self.connection.connection_made(self.transport)
+            return
         self.application = Application()
         self.server = _http_server.HttpServer(
-            self.application, "127.0.0.1:1", 1.0
+            self.application,
+            "127.0.0.1:1",
+            1.0,
+            account=account,
+            heads_class=memory.MemoryClass.HEADS,
+            bodies_class=memory.MemoryClass.BODIES,
         )
-        self.transport = fake_transport.FakeTransport()
         self.connection = self.server.make_connection()
         self.connection.connection_made(self.transport)
 
@@ -293,3 +316,38 @@
     await caller.settle()
     assert caller.transport.statuses() == [408]
     await caller.leave()
+
+
+# Guards against connections that wait to be read: what the kernel keeps for
+# them counts, and they leave what an ordinary caller needs.
+@pytest.mark.parametrize("body_bytes", [0, 300_000])
+async def test_connections_that_are_not_read_leave_memory_for_others(
+    body_bytes: int,
+) -> None:
+    account = memory.MemoryAccount(40 << 20, 0)
+    first = Caller(account=account)
+    crowd = [first, *(Caller(first) for _ in range(CROWD))]
+    for caller in crowd:
+        assert isinstance(caller.connection, asyncio.Protocol)
+        data = b"GET /l1 HTTP/1.1\r\n\r\n" * 40
+        if body_bytes:
+            data = (
+                b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"%x\r\n%b" % (body_bytes, bytes(body_bytes - 1))
+            )
+        caller.connection.data_received(data)
+    await crowd[0].settle()
+    for kind in memory.MemoryClass:
+        assert account.used(kind) <= account.limit(kind)
+    paused = sum(caller.transport.is_reading_paused for caller in crowd)
+    unread = paused * _listener.RECEIVE_BUFFER_BYTES
+    assert 0 < unread <= account.used_bytes
+    ordinary = Caller(first)
+    await ordinary.send("/o1")
+    await ordinary.end("/o1")
+    assert ordinary.answered() == ["/o1"]
+    assert account.free(memory.MemoryClass.BODIES) > 1 << 20
+    for caller in crowd:
+        caller.connection.connection_lost(None)
+    await ordinary.settle()
+    assert account.used_bytes == 0
