Book what links between nodes keep, also for members

Frames that a link could not send yet were not booked at all, up to 16 MiB a link.

Now both are booked: for strangers in their own share, for members in that for links, where 256 KiB unsent are always allowed. A connection whose memory is refused is closed; the input of one that this node dialled never is, so that a member can always be asked. A frame of over 64 KiB has 10 s to arrive whole on an accepted connection. An ingress sends an owner no further request while over 1 MiB is unsent on the link: the attempt ends as not run, at once, and another owner is asked.

tests/test_links.py: parts of frames and unsent frames of strangers and of members, and a frame that is never completed; tests/test_attempts.py: a congested link.

--- a/src/papayastall/_attempts.py
+++ b/src/papayastall/_attempts.py
@@ -314,6 +314,9 @@
         if remaining_s <= 0:
             self._end(attempt, _Result.NOT_RUN, _Code.DEADLINE_EXCEEDED)
             return
+        if self._links.is_congested(attempt.owner):
+            self._end(attempt, _Result.NOT_RUN, _Code.LINK_FAILED)
+            return
         attempt.owner_boot_id = self._links.boot_id(attempt.owner)
         frame = _make_open(attempt, action, remaining_s)
         attempt.window_bytes = self._open_window(attempt.exchange)
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -4,6 +4,7 @@
 
 import collections.abc as cabc
 import contextlib
+import enum
 
 import anyio
 import anyio.abc
@@ -14,7 +15,7 @@
 from papayastall import clock
 from papayastall import exceptions
 
-__all__ = ["Connection", "MAX_UNSENT_BYTES"]
+__all__ = ["Connection", "Direction", "MAX_UNSENT_BYTES"]
 
 MAX_UNSENT_BYTES = 16 << 20
 """Unsent bytes beyond which a connection is closed."""
@@ -27,10 +28,17 @@
 ROOM_BYTES = 128 << 10
 """Unsent bytes below which the connection has room for parts of bodies."""
 
-BookInput = cabc.Callable[["Connection", int], bool]
+KeepBytes = cabc.Callable[["Connection", "Direction", int], bool]
 ReceiveFrame = cabc.Callable[["Connection", int, _frames.Frame], None]
 
 
+class Direction(enum.Enum):
+    """Of the frames that a connection keeps."""
+
+    INPUT = "input"
+    OUTPUT = "output"
+
+
 class Connection:
     """Sends and receives frames on one byte stream.
 
@@ -40,13 +48,15 @@
 
     :param receive_frame: called for each frame, with this connection, the
         config index in the frame's header, and the frame.
-    :param book_input: books memory for the part of a frame that was received,
-        given the change in bytes; returns whether it may be kept.
+    :param keep_bytes: books the part of a frame that was received, or the
+        frames that were not sent; returns whether they may be kept.
     :param note_room: called when there is room again after :meth:`has_room`
         has returned false.
     :ivar peer: the peer's hello, ``None`` until it arrives.
     :ivar address: the peer's link address; "" on an accepted connection
         until the peer's hello arrives.
+    :ivar partial_since_s: when memory was booked for a part of a frame that
+        is not complete; ``None`` if there is none.
     :ivar error: why the peer's input was rejected, ``None`` if it was not.
     """
 
@@ -54,14 +64,16 @@
         self,
         stream: anyio.abc.ByteStream,
         receive_frame: ReceiveFrame,
-        book_input: BookInput = lambda connection, more_bytes: True,
+        keep_bytes: KeepBytes = lambda connection, direction, size: True,
         note_room: cabc.Callable[[Connection], None] = lambda connection: None,
     ) -> None:
         self._stream = stream
-        self._book_input = book_input
+        self._keep_bytes = keep_bytes
         self._note_room = note_room
         self._is_awaited = False
-        self._booked_bytes = 0
+        self._kept_input_bytes = 0
+        self._kept_output_bytes = 0
+        self.partial_since_s: float | None = None
         self._receive_frame = receive_frame
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
@@ -120,10 +132,22 @@
         data = _frames.encode(frame, config_index, deflate)
         self._unsent.append(data)
         self._unsent_bytes += len(data)
+        self._count_output()
         if self._unsent_bytes > MAX_UNSENT_BYTES:
             self.close()
         self._wakeup.set()
 
+    def _count_output(self) -> None:
+        """Book frames that were not sent; close if they may not be kept."""
+        size_bytes = self._unsent_bytes
+        if size_bytes <= READ_SIZE_BYTES or self.is_closed:
+            size_bytes = 0
+        if size_bytes == self._kept_output_bytes:
+            return
+        self._kept_output_bytes = size_bytes
+        if not self._keep_bytes(self, Direction.OUTPUT, size_bytes):
+            self.close()
+
     def close(self) -> None:
         """Close the connection; unsent frames are dropped."""
         self._closed.set()
@@ -139,6 +163,8 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.close()
+            self._unsent.clear()
+            self._count_output()
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
                 with contextlib.suppress(anyio.BrokenResourceError, OSError):
                     await anyio.aclose_forcefully(self._stream)
@@ -153,6 +179,7 @@
                 if data:
                     await self._stream.send(data)
                 self._unsent_bytes -= len(data)
+                self._count_output()
                 if self._is_awaited and self._unsent_bytes < ROOM_BYTES:
                     self._is_awaited = False
                     self._note_room(self)
@@ -168,8 +195,7 @@
                 buffer += await self._stream.receive(READ_SIZE_BYTES)
                 self.last_received_s = clock.now_s()
                 self._dispatch_frames(buffer)
-                if len(buffer) > READ_SIZE_BYTES or self._booked_bytes:
-                    self._count_input(len(buffer))
+                self._count_input(len(buffer))
         except exceptions.ProtocolError as error:
             self.error = error
         except (
@@ -180,8 +206,7 @@
         ):
             pass
         finally:
-            self._book_input(self, -self._booked_bytes)
-            self._booked_bytes = 0
+            self._count_input(0)
             self.close()
 
     def _count_input(self, size_bytes: int) -> None:
@@ -189,13 +214,20 @@
 
         :raises papayastall.exceptions.ProtocolError: it may not be kept.
         """
-        if not self._book_input(self, size_bytes - self._booked_bytes):
+        if size_bytes <= READ_SIZE_BYTES:
+            size_bytes = 0
+            self.partial_since_s = None
+        elif self.partial_since_s is None:
+            self.partial_since_s = self.last_received_s
+        if size_bytes == self._kept_input_bytes:
+            return
+        self._kept_input_bytes = size_bytes
+        if not self._keep_bytes(self, Direction.INPUT, size_bytes):
             raise exceptions.ProtocolError(
                 exceptions.ErrorCode.MEMORY_FULL,
-                "the memory for peers that are not members is in use",
+                "the memory for frames of other nodes is in use",
                 step="receive",
             )
-        self._booked_bytes = size_bytes
 
     def _dispatch_frames(self, buffer: bytearray) -> None:
         """Decode each complete frame and remove it from the buffer."""
--- a/src/papayastall/_links.py
+++ b/src/papayastall/_links.py
@@ -22,6 +22,7 @@
 from papayastall import _connection
 from papayastall import _frame_deflate
 from papayastall import _frames
+from papayastall import _link_memory
 from papayastall import _link_peer
 from papayastall import _peering
 from papayastall import clock
@@ -45,6 +46,10 @@
 """Time between two checks of all links, also those without work."""
 MAX_UNSENT_CAST_BYTES = 4 << 20
 """Unsent bytes of a connection from which one-way messages are dropped."""
+MAX_UNSENT_OPEN_BYTES = 1 << 20
+"""Unsent bytes of a connection from which it takes no more requests."""
+FRAME_TIMEOUT_S = 10.0
+"""Time for a large frame on an accepted connection to arrive whole."""
 HELLO_TIMEOUT_S = 2.0
 """Time for the TLS handshake and for the hello on accepted connections."""
 
@@ -112,12 +117,10 @@
         max_strangers: int | None = None,
     ) -> None:
         self.settings = settings
-        self._account = account
         self._is_member = is_member
         self._max_strangers = max_strangers
         self._accepted: dict[_connection.Connection, None] = {}
-        # Bytes booked for strangers, by connection.
-        self._booked: dict[_connection.Connection, int] = {}
+        self._memory = _link_memory.LinkMemory(account, self._is_strange)
         self._counters = counters
         self._get_config_index = get_config_index
         self._on_config_index = on_config_index
@@ -231,6 +234,16 @@
             return False
         return connection.peer.grants_body
 
+    def is_congested(self, address: str) -> bool:
+        """Return whether too much is unsent to send the peer a request."""
+        if address == self.settings.address:
+            return False
+        connection = self._peer(address).connection
+        return (
+            connection is not None
+            and connection.unsent_bytes > MAX_UNSENT_OPEN_BYTES
+        )
+
     def has_room(self, address: str) -> bool:
         """Return whether to send parts of bodies and answers to the peer.
 
@@ -337,7 +350,7 @@
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
         connection = _connection.Connection(
-            stream, self._receive, self._book_input, self._notify_room
+            stream, self._receive, self._memory.keep, self._notify_room
         )
         self._accepted[connection] = None
         try:
@@ -371,26 +384,19 @@
             connection.address
         )
 
-    def _book_input(
-        self, connection: _connection.Connection, more_bytes: int
+    def _keep_dialled(
+        self,
+        connection: _connection.Connection,
+        direction: _connection.Direction,
+        size_bytes: int,
     ) -> bool:
-        """Book a part of a frame; refused only of peers without membership."""
-        if self._account is None:
-            return True
-        strange = memory.MemoryClass.STRANGERS
-        booked = self._booked.get(connection, 0)
-        if booked == 0 and not self._is_strange(connection):
+        """Book what a connection to a peer's own address keeps.
+
+        Its input is never refused.
+        """
+        if direction is _connection.Direction.INPUT:
             return True
-        if more_bytes > 0 and not self._account.book(strange, more_bytes):
-            return False
-        if more_bytes < 0:
-            more_bytes = max(more_bytes, -booked)
-            self._account.release(strange, -more_bytes)
-        if booked + more_bytes:
-            self._booked[connection] = booked + more_bytes
-        else:
-            self._booked.pop(connection, None)
-        return True
+        return self._memory.keep(connection, direction, size_bytes)
 
     def _start_hello_timeout(
         self, connection: _connection.Connection, timeout_s: float
@@ -438,7 +444,7 @@
             self._note_dial_failed(peer)
             return
         connection = _connection.Connection(
-            stream, self._receive, note_room=self._notify_room
+            stream, self._receive, self._keep_dialled, self._notify_room
         )
         connection.address = peer.address
         self._send_hello(connection)
@@ -593,9 +599,17 @@
             if now_s >= all_due_s:
                 all_due_s = now_s + IDLE_LINK_CHECK_INTERVAL_S
                 peers = self._peers
+                self._close_stalled(now_s - pause_s)
             for peer in list(peers.values()):
                 self._watch_peer(peer, now_s, pause_s, number)
 
+    def _close_stalled(self, now_s: float) -> None:
+        """Close accepted connections whose frame takes too long."""
+        for connection in self._accepted:
+            since_s = connection.partial_since_s
+            if since_s is not None and now_s - since_s > FRAME_TIMEOUT_S:
+                connection.close()
+
     def _watch_peer(
         self,
         peer: _link_peer.LinkPeer,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, t.Any]] = []
+        self.congested = ""
 
     def send(self, address: str, frame: t.Any) -> None:
         self.sent.append((address, frame))
@@ -35,6 +36,9 @@
     def is_connected(self, address: str) -> bool:
         return True
 
+    def is_congested(self, address: str) -> bool:
+        return self.congested == address
+
     def boot_id(self, address: str) -> int:
         return 1
 
@@ -58,8 +62,10 @@
     timeout_ms: int = 10_000,
     rank: int = 0,
     objective_ms: int | None = None,
+    congested: str = "",
 ) -> tuple[t.Any, FakeLinks, _exchange.Exchange]:
     links = FakeLinks()
+    links.congested = congested
     controller = _ingress_controller.IngressController(
         "127.0.0.1:9", random.Random(1)
     )
@@ -90,6 +96,15 @@
     return sender, links, exchange
 
 
+# Guards against requests that pile up for an owner that takes none.
+@pytest.mark.parametrize("congested", OWNERS)
+def test_a_request_is_not_sent_on_a_congested_link(congested: str) -> None:
+    _, links, exchange = start_lookup(congested=congested)
+    [(owner, _)] = links.opens()
+    assert owner != congested
+    assert exchange.refusal is None
+
+
 def test_a_lookup_whose_answer_breaks_after_its_head_is_retried() -> None:
     sender, links, exchange = start_lookup()
     [(owner, number)] = links.opens()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,25 +3,40 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 import anyio
 import pytest
 
+from papayastall import _connection
 from papayastall import _frames
 from papayastall import _links
 from papayastall import _peering
 from papayastall import exceptions
+from papayastall import memory
 from papayastall import metrics
 from tests import fake_peering
 from tests import fleet
 
 UNKNOWN_PEER = "127.0.0.1:1"
+HELLO = _frames.encode(_frames.Hello(UNKNOWN_PEER, 1, "a", 0), 0)
+PEERS = 12
 
 
-def make_links(address: str) -> _links.Links:
+def make_links(
+    address: str,
+    account: memory.MemoryAccount | None = None,
+    *,
+    knows_peers: bool = True,
+) -> _links.Links:
     settings = _links.LinkSettings(address, 1, "a")
-    return _links.Links(settings, metrics.Metrics(None, address))
+    return _links.Links(
+        settings,
+        metrics.Metrics(None, address),
+        account=account,
+        is_member=lambda peer: knows_peers,
+    )
 
 
 async def wait_for_end(stream: anyio.abc.ByteStream) -> None:
@@ -42,12 +57,11 @@
     address = fleet.free_address()
     links = make_links(address)
     host, _, port = address.rpartition(":")
-    hello = _frames.encode(_frames.Hello(UNKNOWN_PEER, 1, "a", 0), 0)
     async with anyio.create_task_group() as tasks:
         await links.start(tasks)
         streams = [await anyio.connect_tcp(host, int(port)) for _ in range(2)]
         for stream in streams:
-            await stream.send(hello)
+            await stream.send(HELLO)
             await stream.receive()
         for stream in streams:
             await wait_for_end(stream)
@@ -223,3 +237,88 @@
         await there.close()
         tasks.cancel_scope.cancel()
     assert sorted(answers) == [b"1", b"2", b"3"]
+
+
+# Guards against peers that send parts of frames: without TLS they may claim
+# any member's address.
+@pytest.mark.anyio
+@pytest.mark.parametrize("knows_peers", [False, True])
+async def test_parts_of_frames_stay_within_their_share(
+    knows_peers: bool,
+) -> None:
+    account = memory.MemoryAccount(8 << 20, 0)
+    address = fleet.free_address()
+    links = make_links(address, account, knows_peers=knows_peers)
+    host, _, port = address.rpartition(":")
+    payload = HELLO + _frames.encode(_frames.Cast(1, bytes(900_000)), 0)[:-1]
+    kinds = [memory.MemoryClass.STRANGERS, memory.MemoryClass.LINKS]
+    async with anyio.create_task_group() as tasks:
+        await links.start(tasks)
+        streams = []
+        for _ in range(PEERS):
+            streams.append(await anyio.connect_tcp(host, int(port)))
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await streams[-1].send(payload)
+        with anyio.fail_after(20):
+            while not account.refusals[kinds[knows_peers]]:
+                await anyio.sleep(0.01)
+        assert all(account.free(kind) >= 0 for kind in kinds)
+        for stream in streams:
+            await stream.aclose()
+        with anyio.fail_after(10):
+            while account.used_bytes:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
+# Guards against frames that pile up for a peer that reads none.
+@pytest.mark.anyio
+@pytest.mark.parametrize("knows_peers", [False, True])
+async def test_frames_that_were_not_sent_stay_within_their_share(
+    knows_peers: bool,
+) -> None:
+    account = memory.MemoryAccount(8 << 20, 0)
+    address = fleet.free_address()
+    links = make_links(address, account, knows_peers=knows_peers)
+    host, _, port = address.rpartition(":")
+    kinds = [memory.MemoryClass.STRANGERS, memory.MemoryClass.LINKS]
+    frame = _frames.Cast(1, bytes(50_000))
+    async with anyio.create_task_group() as tasks:
+        await links.start(tasks)
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(HELLO)
+        with anyio.fail_after(10):
+            while not links.is_connected(UNKNOWN_PEER):
+                await anyio.sleep(0.01)
+        for _ in range(_connection.MAX_UNSENT_BYTES // len(frame.body)):
+            if not links.is_connected(UNKNOWN_PEER):
+                break
+            links.send(UNKNOWN_PEER, frame)
+            assert all(account.free(kind) >= 0 for kind in kinds)
+        assert not links.is_connected(UNKNOWN_PEER)
+        assert account.refusals[kinds[knows_peers]]
+        assert account.used_bytes == 0
+        await stream.aclose()
+        tasks.cancel_scope.cancel()
+
+
+# Guards against memory that a peer holds with a frame that it never completes.
+@pytest.mark.anyio
+async def test_a_large_frame_that_stops_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_links, "FRAME_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(_links, "IDLE_LINK_CHECK_INTERVAL_S", 0.1)
+    account = memory.MemoryAccount(100 << 20, 0)
+    address = fleet.free_address()
+    links = make_links(address, account)
+    host, _, port = address.rpartition(":")
+    frame = _frames.encode(_frames.Cast(1, bytes(900_000)), 0)
+    async with anyio.create_task_group() as tasks:
+        await links.start(tasks)
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(HELLO + frame[:-1])
+        await wait_for_end(stream)
+        await stream.aclose()
+        assert account.used_bytes == 0
+        tasks.cancel_scope.cancel()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -83,13 +83,6 @@
         beside: Caller | None = None,
         account: memory.MemoryAccount | None = None,
     ) -> None:
-        self.transport = fake_transport.FakeTransport()
-        if beside is not None:
-            self.application = beside.application
-            self.server = beside.server
-            self.connection = self.server.make_connection()
-            self.connection.connection_made(self.transport)
-            return
         self.application = Application()
         self.server = _http_server.HttpServer(
             self.application,
@@ -99,6 +92,10 @@
             heads_class=memory.MemoryClass.HEADS,
             bodies_class=memory.MemoryClass.BODIES,
         )
+        if beside is not None:
+            self.application = beside.application
+            self.server = beside.server
+        self.transport = fake_transport.FakeTransport()
         self.connection = self.server.make_connection()
         self.connection.connection_made(self.transport)
 
