Log and count what the HTTP servers refuse, with the client's address

An operator could see that memory ran out ("no memory for ...") but not which clients were refused, nor refusals for another cause than memory: heads and bodies that are too slow (408), too large (413, 431) or malformed (400) left no trace, as they never reach the ingress.

Now one line a second names the number of refusals by port and status, and the address that the last one on each port went to; the lines of requests that the ingress refuses carry the address as "caller". Counters rejected_slow, rejected_large and rejected_malformed. One line a second, because a crowd would otherwise fill the log and take processor time for it.

--- a/src/papayastall/_http_server.py
+++ b/src/papayastall/_http_server.py
@@ -223,6 +223,7 @@
             "raw_path": path,
             "query_string": query,
             "headers": self.headers,
+            "client": self.connection.client,
             "pipeline": self,
         }
 
@@ -503,7 +504,7 @@
         size = head_bytes + REQUEST_OVERHEAD_BYTES
         size += HEADER_OVERHEAD_BYTES * len(request.headers)
         if not server.account.book(server.heads_class, size):
-            request.fail(_out_of_memory())
+            self._fail(request, _out_of_memory())
         else:
             request.head_bytes = size
         if request.complete:
@@ -520,17 +521,18 @@
         expected = None if self._decoder is not None else self._left_bytes
         limit = server.account.limit(server.bodies_class)
         if expected is not None and expected > limit:
-            request.fail(
+            self._fail(
+                request,
                 exceptions.RefusedError(
                     exceptions.ErrorCode.BODY_TOO_LARGE,
                     f"bodies of all requests may take {limit} bytes here",
                     step="read",
-                )
+                ),
             )
             return
         request.holding = server.intake.open(self, expected)
         if request.holding is None:
-            request.fail(_out_of_memory())
+            self._fail(request, _out_of_memory())
             return
         request.since_s = clock.now_s()
         self._request = request
@@ -572,7 +574,7 @@
             return
         self._request = None
         self._input_ended = True
-        request.fail(error)
+        self._fail(request, error)
         self._close_holding(request)
         self._update_reading()
 
@@ -583,15 +585,17 @@
         request = self._request
         self._request = None
         if request is not None:
-            request.fail(
+            self._fail(
+                request,
                 exceptions.RefusedError(
                     exceptions.ErrorCode.BAD_REQUEST,
                     error.message,
                     step="read",
-                )
+                ),
             )
             self._close_holding(request)
             return
+        self._note_rejection(error.status)
         # The answers to the requests before it are sent first.
         rejected = _Request(self)
         rejected.rejection = error.status
@@ -614,6 +618,22 @@
             )
             request.head_bytes = 0
 
+    def _fail(self, request: _Request, error: exceptions.RefusedError) -> None:
+        """Refuse a request whose rest is not received."""
+        request.fail(error)
+        self._note_rejection(_problem.status_of(error.code))
+
+    @property
+    def client(self) -> tuple[str, int]:
+        """IP address and port of the caller."""
+        peer = None
+        if self._transport is not None:
+            peer = self._transport.get_extra_info("peername")
+        return (str(peer[0]), int(peer[1])) if peer else ("", 0)
+
+    def _note_rejection(self, status: int) -> None:
+        self._server.note_rejection(status, self.client[0])
+
     def resume(self) -> None:
         """Go on with input that was held back."""
         if self._unparsed and not self._closes and not self._is_lost:
@@ -1094,6 +1114,8 @@
     :param max_connections: open connections beyond which new ones are
         closed; ``None`` for no limit.
     :param count_refused_connection: called for each of them.
+    :param note_rejection: called with the status and the client's IP address
+        for each refusal that is not the application's.
     :ivar limits: limits on requests.
     :ivar connections: open connections, the oldest first.
     :ivar tasks: running calls of the application.
@@ -1111,6 +1133,9 @@
         bodies_class: memory.MemoryClass = memory.MemoryClass.CONTROL,
         max_connections: int | None = None,
         count_refused_connection: cabc.Callable[[], None] = lambda: None,
+        note_rejection: cabc.Callable[[int, str], None] = (
+            lambda status, peer: None
+        ),
     ) -> None:
         self.application = application
         self.limits = HttpLimits()
@@ -1122,6 +1147,7 @@
         self.intake = memory.BodyIntake(self.account, bodies_class)
         self.max_connections = max_connections
         self.count_refused_connection = count_refused_connection
+        self.note_rejection = note_rejection
         self.connections: dict[_Connection, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.note_failure = note_failure
--- a/src/papayastall/_node_memory.py
+++ b/src/papayastall/_node_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc as cabc
 import enum
 
@@ -10,7 +11,7 @@
 from papayastall import memory
 from papayastall import metrics
 
-__all__ = ["NodeMemory", "PortKind"]
+__all__ = ["NodeMemory", "PortKind", "RejectionLog"]
 
 WATCH_INTERVAL_S = 1.0
 QUIET_BYTES = 1 << 20
@@ -29,6 +30,14 @@
 }
 
 
+_REJECTION_COUNTERS = {
+    400: metrics.Counter.REJECTED_MALFORMED,
+    408: metrics.Counter.REJECTED_SLOW,
+    413: metrics.Counter.REJECTED_LARGE,
+    431: metrics.Counter.REJECTED_LARGE,
+}
+
+
 class PortKind(enum.Enum):
     """Kinds of ports; the value is the share of the descriptors.
 
@@ -42,6 +51,47 @@
     CONTROL = 0.05
 
 
+class RejectionLog:
+    """Counts what the HTTP servers refuse by themselves.
+
+    One line a second tells of all refusals, so that a crowd can't fill the
+    log.
+    """
+
+    def __init__(self, counters: metrics.Metrics) -> None:
+        self._counters = counters
+        self._counts: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._last_peer: dict[str, str] = {}
+
+    def note(self, kind: PortKind, status: int, peer: str) -> None:
+        """Count a refusal.
+
+        :param status: HTTP status of the answer.
+        :param peer: IP address of the client.
+        """
+        port = kind.name.lower()
+        self._counts[port, status] += 1
+        self._last_peer[port] = peer
+        if status in _REJECTION_COUNTERS:
+            self._counters.count(_REJECTION_COUNTERS[status])
+
+    def take(self) -> str:
+        """Return what was refused since the last call; "" if nothing was."""
+        parts = [
+            f"{count} on the port for {port} with {status}"
+            for (port, status), count in sorted(self._counts.items())
+        ]
+        peers = [
+            f"the last for {port} from {peer}"
+            for port, peer in sorted(self._last_peer.items())
+        ]
+        self._counts.clear()
+        self._last_peer.clear()
+        return "; ".join(parts + peers)
+
+
 class NodeMemory:
     """Keeps the account in step with the process, and reports refusals.
 
@@ -50,6 +100,7 @@
     :param descriptor_limit: descriptors that the process may open; ``None``
         for no limit on connections.
     :param log: writes one log line with a cause.
+    :ivar rejections: refusals by the HTTP servers.
     """
 
     def __init__(
@@ -69,6 +120,7 @@
         self._own_bytes = memory.read_own_bytes()
         self.account = memory.MemoryAccount(limit_bytes, self._own_bytes)
         self._reported = list(self.account.refusals)
+        self.rejections = RejectionLog(counters)
 
     def max_connections(self, kind: PortKind) -> int | None:
         """Return the limit of connections of a port, if there is one."""
@@ -109,3 +161,6 @@
             )
         if causes:
             self._log("no memory for " + "; ".join(causes))
+        rejected = self.rejections.take()
+        if rejected:
+            self._log(f"refused {rejected}")
--- a/src/papayastall/ingress.py
+++ b/src/papayastall/ingress.py
@@ -236,6 +236,7 @@
             code=error.code.value,
             cause=error.message,
             age_ms=round((clock.now_s() - started_s) * 1000, 1),
+            caller=scope.get("client", ("",))[0],
             **self._explain_config(),
         )
 
--- a/src/papayastall/metrics.py
+++ b/src/papayastall/metrics.py
@@ -177,6 +177,15 @@
         "requests",
         "of upstreams and operators without memory for them",
     )
+    REJECTED_SLOW = Description(
+        "rejected_slow", "requests", "heads and bodies that took too long"
+    )
+    REJECTED_LARGE = Description(
+        "rejected_large", "requests", "heads and bodies over their limit"
+    )
+    REJECTED_MALFORMED = Description(
+        "rejected_malformed", "requests", "input that is no valid request"
+    )
     CONNECTIONS_REFUSED = Description(
         "connections_refused",
         "connections",
--- a/src/papayastall/node.py
+++ b/src/papayastall/node.py
@@ -439,6 +439,9 @@
             count_refused_connection=lambda: self.counters.count(
                 metrics.Counter.CONNECTIONS_REFUSED
             ),
+            note_rejection=lambda status, peer: self.memory.rejections.note(
+                kind, status, peer
+            ),
         )
 
     def make_control_server(self) -> _http_server.HttpServer:
--- a/tests/fake_transport.py
+++ b/tests/fake_transport.py
@@ -13,13 +13,14 @@
 class FakeTransport(asyncio.Transport):
     """A transport without a socket.
 
+    :param extra: what ``get_extra_info`` returns.
     :ivar written: all that was written.
     :ivar is_reading_paused: whether the protocol paused reading.
     :ivar is_eof_written: whether the protocol will write no more.
     """
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, extra: dict[str, object] | None = None) -> None:
+        super().__init__(extra)
         self.written = b""
         self.is_reading_paused = False
         self.is_eof_written = False
