--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -357,15 +357,16 @@
     processes = [fleet.watch(each) for each in machines]
     address = fleet.target_address(target)
     clients = Crowd(fleet.address(machine, port) if port else address, count)
-    try:
-        yield clients
-        check_processes(processes)
-        fleet.wait_until_served(target, "with the crowd connected")
-        check_processes(processes)
-    finally:
-        clients.close()
-    fleet.wait_until_served(target, "after")
-    fleet.wait_until_served(CALLERS, "after")
+    with fleet.beating():
+        try:
+            yield clients
+            check_processes(processes)
+            fleet.wait_until_served(target, "with the crowd connected")
+            check_processes(processes)
+        finally:
+            clients.close()
+        fleet.wait_until_served(target, "after")
+        fleet.wait_until_served(CALLERS, "after")
 
 
 def make_chunks(size: int, chunk_bytes: int) -> bytes:
