Keep a short body from holding a slot while it arrives

Read of the change before: a run whose body is received piece by piece was queued with its first 64 KiB. A slot of the upstream was then in use while the rest was on the link, also for bodies that fit in the window of 256 KiB, and that time counted as the upstream's, from which its health and the cost of its requests are judged. Photos of 60 to 360 kB over links of a few Mbit/s are what one customer's crews send.

Now a run is queued once all that the owner granted at first has arrived. For a body within the window that is the whole body, as before the change; where memory for links is short, nothing was granted and it is queued at once. After a new link such a run goes on, like one that was queued.

--- a/src/papayastall/_body_transfer.py
+++ b/src/papayastall/_body_transfer.py
@@ -114,6 +114,11 @@
         """Whether all parts have arrived."""
         return self.received_bytes >= self.total_bytes
 
+    @property
+    def has_all_granted(self) -> bool:
+        """Whether all that the ingress was allowed to send has arrived."""
+        return self.received_bytes >= self.limit_bytes
+
     @property
     def kept_bytes(self) -> int:
         """Length of what is expected, or has arrived and was not taken."""
--- a/src/papayastall/_connection.py
+++ b/src/papayastall/_connection.py
@@ -26,7 +26,7 @@
 _UNCOMPRESSED_FRAMES = (_frames.AnswerChunk, _frames.BodyChunk)
 
 ROOM_BYTES = 128 << 10
-"""Unsent bytes below which the connection has room for parts of bodies."""
+"""Unsent bytes below which there is room for parts of bodies and answers."""
 
 KeepBytes = cabc.Callable[["Connection", "Direction", int], bool]
 ReceiveFrame = cabc.Callable[["Connection", int, _frames.Frame], None]
@@ -98,7 +98,7 @@
         return self._unsent_bytes
 
     def has_room(self) -> bool:
-        """Return whether there is room for parts of bodies."""
+        """Return whether there is room for parts of bodies and answers."""
         if self._unsent_bytes < ROOM_BYTES:
             return not self.is_closed
         self._is_awaited = True
--- a/src/papayastall/owner.py
+++ b/src/papayastall/owner.py
@@ -207,7 +207,7 @@
             )
             return
         if self._is_full(run):
-            self._refuse_body(run)
+            self._refuse_for_memory(run)
             return
         body = frame.body
         # The run keeps the frame for longer than the body is needed.
@@ -221,15 +221,25 @@
             self._submit(run)
 
     def _open_receiver(self, run: _owner_runs.Run, first: bytes) -> None:
-        """Submit a run whose body is received as the upstream takes it."""
+        """Begin to receive a body, most of it as the upstream takes it.
+
+        The run is submitted once all that was granted has arrived: a body
+        that fits in the window does not hold a slot while it arrives.
+        """
         if not self._book(run, len(first)):
-            self._refuse_body(run)
+            self._refuse_for_memory(run)
             return
         run.receiver = _body_transfer.BodyReceiver(run.open.body_bytes)
         run.receiver.limit_bytes = len(first)
         run.receiver.add(0, first)
         self._grant(run)
-        self._submit(run)
+        self._submit_received(run, run.receiver)
+
+    def _submit_received(
+        self, run: _owner_runs.Run, receiver: _body_transfer.BodyReceiver
+    ) -> None:
+        if not run.submitted and receiver.has_all_granted:
+            self._submit(run)
 
     def _receive_body(
         self, ingress: str, boot_id: int, frame: _frames.BodyChunk
@@ -239,6 +249,7 @@
             return
         if run.receiver is not None:
             run.receiver.add(frame.offset_bytes, frame.data)
+            self._submit_received(run, run.receiver)
             return
         if run.submitted or not self._keep_body(run, frame.data):
             return
@@ -248,7 +259,7 @@
     def _keep_body(self, run: _owner_runs.Run, data: bytes) -> bool:
         """Add a part of a body; end the run if there is no memory for it."""
         if data and not self._book(run, BODY_COPIES * len(data)):
-            self._refuse_body(run)
+            self._refuse_for_memory(run)
             return False
         if data:
             run.body.append(data)
@@ -264,7 +275,7 @@
         """Return whether this node is the ingress, which books the request."""
         return run.ingress == self._links.settings.address
 
-    def _refuse_body(self, run: _owner_runs.Run) -> None:
+    def _refuse_for_memory(self, run: _owner_runs.Run) -> None:
         self._end(
             run,
             exceptions.ErrorCode.OVERLOADED,
@@ -417,7 +428,8 @@
         if run is None:
             self._answer_unknown_query(key)
             return
-        if not run.submitted and run.ended_s is None:
+        is_partial = not run.submitted and run.receiver is None
+        if is_partial and run.ended_s is None:
             # The remaining body chunks were lost with the previous link.
             self._end(
                 run,
@@ -429,7 +441,9 @@
         run.acknowledge(frame.received_bytes)
         self._resend(run, frame)
         receiver = run.receiver
-        if receiver is not None and not receiver.is_complete:
+        if run.ended_s is not None or receiver is None:
+            return
+        if not receiver.is_complete:
             self._send_grant(run, receiver.received_bytes)
 
     def _answer_unknown_query(self, key: _owner_runs.RunKey) -> None:
--- a/tests/test_body_transfer.py
+++ b/tests/test_body_transfer.py
@@ -160,6 +160,9 @@
     def handle_events(self, handler: object) -> None:
         """Do nothing."""
 
+    def has_room(self, address: str) -> bool:
+        return True
+
 
 def make_open(request_id: int, body: bytes, body_bytes: int) -> _frames.Open:
     return _frames.Open(
@@ -400,3 +403,37 @@
     # The last acknowledgements may have been lost with a link.
     pair.owner._expire_runs(clock.now_s() + _owner_runs.RUN_RETENTION_S + 60.0)
     assert pair.account.used(memory.MemoryClass.LINKS) == 0
+
+
+# Guards against slots that are held while a body that fits in the window is
+# still on its way.
+@pytest.mark.anyio
+@pytest.mark.parametrize("lost_link", [False, True])
+async def test_a_short_body_is_whole_before_its_run_takes_a_slot(
+    lost_link: bool,
+) -> None:
+    links = FakeLinks()
+    made, client = make_owner(
+        links, "10.0.0.2:1", memory.MemoryAccount(100 << 20, 0)
+    )
+    first, rest = bytes(_body_transfer.FIRST_PART_BYTES), b"rest"
+    key = ("10.0.1.1:1", 1)
+    async with anyio.create_task_group() as tasks:
+        await made.start(tasks)
+        announce(made)
+        made._receive_open(*key, make_open(1, first, len(first) + len(rest)))
+        await anyio.sleep(0.01)
+        assert not client.taken
+        if lost_link:
+            made._receive_query(*key, _frames.Query(1, False, 0))
+            _, grant = links.sent[-1]
+            assert grant == _frames.BodyGrant(
+                1, len(first) + len(rest), resume_bytes=len(first)
+            )
+        made._receive_body(*key, _frames.BodyChunk(1, rest, True, len(first)))
+        client.demand.set()
+        with anyio.fail_after(10):
+            while made.running():
+                await anyio.sleep(0.01)
+        assert client.taken == [first + rest]
+        tasks.cancel_scope.cancel()
