--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -95,15 +95,21 @@
         for each in self._sockets:
             each.close()
 
-    def send(self, payload: bytes, piece_bytes: int | None = None) -> int:
+    def send(
+        self,
+        payload: bytes,
+        piece_bytes: int | None = None,
+        limit_s: float = SEND_LIMIT_S,
+    ) -> int:
         """Send the payload on every connection; return the bytes taken.
 
         :param piece_bytes: length of the pieces that are sent in turn;
             ``None`` to send as much as each connection takes.
+        :param limit_s: time after which no more is sent.
         """
         view = memoryview(payload)
         open_sockets = dict.fromkeys(self._sockets, 0)
-        end_s = time.monotonic() + SEND_LIMIT_S
+        end_s = time.monotonic() + limit_s
         progress_s = time.monotonic()
         total = 0
         while open_sockets and time.monotonic() < end_s:
@@ -183,17 +189,27 @@
         )
         return self._read_peak_mb() + self._unread_mb
 
+    def find_problem(self) -> str:
+        """Return why it has not kept its limits; "" if it has."""
+        if self._machine.process is not self._process:
+            return "the process was replaced"
+        if self._process.poll() is not None:
+            return f"the process has ended with {self._process.returncode}"
+        used_mb = self.used_mb()
+        if used_mb > self._memory_limit_mb:
+            return f"{used_mb:.0f} MB, {self._unread_mb:.0f} MB unread"
+        if self._descriptors > self._descriptor_limit:
+            return f"{self._descriptors} descriptors"
+        return ""
+
     def check(self) -> None:
         """Check that it lives and has kept its limits."""
-        assert self._machine.process is self._process
-        assert self._process.poll() is None, "the process has ended"
-        used_mb = self.used_mb()
+        problem = self.find_problem()
         print(
-            f"{self._machine.name}: {used_mb:.0f} MB, unread "
+            f"{self._machine.name}: {self.used_mb():.0f} MB, unread "
             f"{self._unread_mb:.0f} MB, {self._descriptors} descriptors"
         )
-        assert used_mb <= self._memory_limit_mb
-        assert self._descriptors <= self._descriptor_limit
+        assert not problem, f"{self._machine.name}: {problem}"
 
 
 def check_processes(processes: cabc.Sequence[Process]) -> None:
