Soak: send no signal before the interpreter has started

Trace: the adapter ignores SIGHUP with its first line, but Python needs some time to get there; of processes that got a SIGHUP 5 or 20 ms after their start 8 of 8 ended with -1, of those that got it after 50 ms or more none did. No program can handle a signal before its interpreter runs it, so the soak waits 0.5 s after a start.

--- a/tests/clients_soak.py
+++ b/tests/clients_soak.py
@@ -38,6 +38,8 @@
 """Crowds that are connected at a time; the oldest is closed for the next."""
 WATCH_INTERVAL_S = 0.2
 CALLER_INTERVAL_S = 0.3
+INTERPRETER_START_S = 0.5
+"""Time for Python to start; no program could handle a signal before."""
 SERVED_TIMEOUT_S = 40.0
 PROMISES = (408, 421, 429, 503)
 """Statuses that say that a request did not run."""
@@ -242,6 +244,7 @@
         machine.process.send_signal(signal.SIGCONT)
         self._fleet.stop_machine(machine, number)
         self._fleet.start_machine(machine)
+        time.sleep(INTERPRETER_START_S)
         with self._lock:
             self._watched[machine.name] = self._fleet.watch(machine)
             self._replaced.discard(machine.name)
