Test of a body for an owner of an earlier release

Read of the whole change: an ingress sends a body at once to an owner whose hello doesn't say that it grants bodies, but nothing played that.

--- a/tests/test_body_transfer.py
+++ b/tests/test_body_transfer.py
@@ -437,3 +437,22 @@
                 await anyio.sleep(0.01)
         assert client.taken == [first + rest]
         tasks.cancel_scope.cancel()
+
+
+# Guards against bodies that are lost between nodes of different releases: an
+# owner that grants nothing expects all parts at once.
+@pytest.mark.anyio
+async def test_an_owner_that_grants_no_bodies_gets_them_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pair = Pair()
+    monkeypatch.setattr(pair.here, "grants_bodies", lambda address: False)
+    body = random.Random(1).randbytes(BODY_BYTES)
+    async with pair.run():
+        pair.client.demand.set()
+        exchange = pair.send(body)
+        with anyio.fail_after(20):
+            await exchange.wait_for_outcome()
+    assert exchange.chosen is not None
+    assert pair.client.taken == [body]
+    assert pair.account.used(memory.MemoryClass.LINKS) == 0
